heatherford: the whole path, thin, as separate processes

Cause: the project had no code. A thin path through every part comes first, so that each later part lands in a frame that already runs.

Change: a kernel with plug-ins for callers, upstreams, operators, peers and the platform; stand-ins for the platform and for endpoints; a command line with validate, plan, confirm and status; a golden session over five processes.

Not yet: grants, admission by floors, caps, tickets, membership by heartbeats, drains. Owners are chosen by rendezvous hashing over the platform's list only.

--- /dev/null
+++ b/core/grant/doc.go
@@ -0,0 +1,2 @@
+// Package grant decides which host owns which endpoint.
+package grant
--- /dev/null
+++ b/core/kernel.go
@@ -0,0 +1,142 @@
+package core
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/uber-go/tally/v4"
+	"gopkg.in/tomb.v2"
+
+	"heatherford/core/dispatch"
+	"heatherford/core/intent"
+	"heatherford/core/settings"
+	"heatherford/core/snapshot"
+	"heatherford/core/store"
+	"heatherford/core/work"
+)
+
+// Options are what a kernel is built from.
+type Options struct {
+	Settings *settings.Settings
+	Log      log.Logger
+	Metrics  tally.Scope
+	// Now returns the time; nil stands for time.Now.
+	Now func() time.Time
+	// Plugins are the plug-ins to run; nil stands for all registered ones.
+	Plugins []Plugin
+}
+
+// Seams are the functions that plug-ins provide to the kernel. Each is set by
+// a plug-in's Attach and not changed afterwards.
+type Seams struct {
+	Store store.Store
+	// Send sends a request to an endpoint.
+	Send func(ctx context.Context, e intent.Endpoint, r *work.Request) (*work.Answer, error)
+	// Carry passes a request on to another host.
+	Carry func(ctx context.Context, h store.Host, r *work.Request) (*work.Answer, error)
+	// Push tells the other hosts of a version. It does not wait for them.
+	Push func(v *intent.Version)
+}
+
+// Kernel is one daemon.
+type Kernel struct {
+	Settings *settings.Settings
+	Log      log.Logger
+	Metrics  tally.Scope
+	Now      func() time.Time
+	Seams    Seams
+	// Dispatcher carries requests.
+	Dispatcher *dispatch.Dispatcher
+
+	plugins []Plugin
+	tomb    tomb.Tomb
+	events  chan func(c *control)
+	current atomic.Pointer[snapshot.Snapshot]
+}
+
+// New returns a kernel with its plug-ins attached. It does not start them.
+func New(o Options) (*Kernel, error) {
+	k := &Kernel{
+		Settings: o.Settings,
+		Log:      o.Log,
+		Metrics:  o.Metrics,
+		Now:      o.Now,
+		plugins:  o.Plugins,
+		events:   make(chan func(c *control)),
+	}
+	if k.Now == nil {
+		k.Now = time.Now
+	}
+	if k.plugins == nil {
+		k.plugins = Plugins()
+	}
+	k.current.Store(&snapshot.Snapshot{})
+	if err := k.attach(k.plugins); err != nil {
+		return nil, err
+	}
+	k.Dispatcher = dispatch.New(dispatch.Options{
+		Self:     o.Settings.Host,
+		Snapshot: k.Snapshot,
+		Send:     k.Seams.Send,
+		Carry:    k.Seams.Carry,
+		Now:      k.Now,
+	})
+	return k, nil
+}
+
+// Start starts the control goroutine and all plug-ins. It is called once.
+func (k *Kernel) Start() error {
+	k.tomb.Go(k.control)
+	for _, p := range k.plugins {
+		if p.Start == nil {
+			continue
+		}
+		if err := p.Start(k, &k.tomb); err != nil {
+			k.tomb.Kill(err)
+			return k.tomb.Wait()
+		}
+	}
+	return nil
+}
+
+// Stop ends the daemon and waits for all its goroutines. It may be called more
+// than once.
+func (k *Kernel) Stop() error {
+	k.tomb.Kill(nil)
+	return k.tomb.Wait()
+}
+
+// Dead is closed after the daemon has ended.
+func (k *Kernel) Dead() <-chan struct{} {
+	return k.tomb.Dead()
+}
+
+// Snapshot returns the newest view. It is safe for concurrent use.
+func (k *Kernel) Snapshot() *snapshot.Snapshot {
+	return k.current.Load()
+}
+
+// OfferVersion hands a version to the control goroutine, which takes it if it
+// is newer than the one in force.
+func (k *Kernel) OfferVersion(v *intent.Version) {
+	k.post(func(c *control) {
+		c.offerVersion(v)
+	})
+}
+
+// OfferHosts hands the platform's list of hosts to the control goroutine.
+func (k *Kernel) OfferHosts(hosts []store.Host) {
+	k.post(func(c *control) {
+		c.offerHosts(hosts)
+	})
+}
+
+// post runs f on the control goroutine and does not wait for it to end.
+func (k *Kernel) post(f func(c *control)) {
+	select {
+	case k.events <- f:
+	case <-k.tomb.Dying():
+	}
+}
--- /dev/null
+++ b/core/lookup/doc.go
@@ -0,0 +1,2 @@
+// Package lookup decides which hosts a caller should send its request to.
+package lookup
--- /dev/null
+++ b/core/settings/settings.go
@@ -0,0 +1,139 @@
+package settings
+
+import (
+	"net/netip"
+	"os"
+	"time"
+
+	"heatherford/core/code"
+	"heatherford/core/strict"
+)
+
+// Settings is the content of a daemon's settings file.
+type Settings struct {
+	// Host is the name under which the platform lists this host.
+	Host   string `json:"host"`
+	Zone   string `json:"availability_zone"`
+	Region string `json:"region"`
+	// CallerAddress is where the daemon listens for callers.
+	CallerAddress netip.AddrPort `json:"caller_address"`
+	// PeerAddress is where the daemon listens for other daemons.
+	PeerAddress netip.AddrPort `json:"peer_address"`
+	// OperatorAddress is where the daemon listens for operators.
+	OperatorAddress netip.AddrPort `json:"operator_address"`
+	// CollectorAddress is where the daemon serves its metrics.
+	CollectorAddress netip.AddrPort `json:"collector_address"`
+	Platform         Platform       `json:"platform"`
+	Log              Log            `json:"log,omitempty"`
+	Limits           Limits         `json:"limits,omitempty"`
+}
+
+// Platform says how to reach the platform's service.
+type Platform struct {
+	// Adapter is the name of a registered adapter.
+	Adapter string `json:"adapter"`
+	URL     string `json:"url"`
+}
+
+// Log says what is logged and how.
+type Log struct {
+	// Level is one of debug, info, warn and error.
+	Level string `json:"level,omitempty"`
+	// Format is logfmt or json.
+	Format string `json:"format,omitempty"`
+}
+
+// Limits bound what callers and peers may cost a daemon.
+type Limits struct {
+	// RequestBytes is the longest body of a request.
+	RequestBytes int64 `json:"request_bytes,omitempty"`
+	// LookupTTL is how long callers may cache a look-up.
+	LookupTTL strict.Duration `json:"lookup_ttl,omitempty"`
+	// StopDeadline is the longest that a planned stop takes.
+	StopDeadline strict.Duration `json:"stop_deadline,omitempty"`
+}
+
+const (
+	defaultRequestBytes = 1 << 20
+	defaultLookupTTL    = 2 * time.Second
+	defaultStopDeadline = 30 * time.Second
+)
+
+// Load reads the settings file and returns every problem it finds.
+func Load(path string) (*Settings, []error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, []error{code.Wrap(code.SettingsUnreadable, err, "settings: cannot read settings")}
+	}
+	return Parse(b)
+}
+
+// Parse reads settings, fills in defaults and returns every problem it finds.
+func Parse(data []byte) (*Settings, []error) {
+	s := &Settings{}
+	if problems := strict.Decode(data, s); len(problems) > 0 {
+		return nil, problems
+	}
+	s.setDefaults()
+	if problems := s.validate(); len(problems) > 0 {
+		return nil, problems
+	}
+	return s, nil
+}
+
+func (s *Settings) setDefaults() {
+	if s.Log.Level == "" {
+		s.Log.Level = "info"
+	}
+	if s.Log.Format == "" {
+		s.Log.Format = "logfmt"
+	}
+	if s.Limits.RequestBytes == 0 {
+		s.Limits.RequestBytes = defaultRequestBytes
+	}
+	if s.Limits.LookupTTL == 0 {
+		s.Limits.LookupTTL = strict.Duration(defaultLookupTTL)
+	}
+	if s.Limits.StopDeadline == 0 {
+		s.Limits.StopDeadline = strict.Duration(defaultStopDeadline)
+	}
+}
+
+func (s *Settings) validate() []error {
+	p := []error{}
+	bad := func(path, format string, args ...any) {
+		p = append(p, code.At(code.SettingsValue, path, format, args...))
+	}
+	if s.Host == "" {
+		bad("host", "expected a name, found an empty string")
+	}
+	if s.Zone == "" {
+		bad("availability_zone", "expected a name, found an empty string")
+	}
+	if s.Region == "" {
+		bad("region", "expected a name, found an empty string")
+	}
+	if s.Platform.Adapter == "" {
+		bad("platform.adapter", "expected the name of an adapter, found an empty string")
+	}
+	switch s.Log.Level {
+	case "debug", "info", "warn", "error":
+	default:
+		bad("log.level", "expected debug, info, warn or error, found %q", s.Log.Level)
+	}
+	switch s.Log.Format {
+	case "logfmt", "json":
+	default:
+		bad("log.format", "expected logfmt or json, found %q", s.Log.Format)
+	}
+	if s.Limits.RequestBytes < 1 {
+		bad("limits.request_bytes", "expected at least 1, found %d", s.Limits.RequestBytes)
+	}
+	if s.Limits.LookupTTL.Std() < time.Millisecond {
+		bad("limits.lookup_ttl", "expected at least 1ms, found %v", s.Limits.LookupTTL.Std())
+	}
+	if s.Limits.StopDeadline.Std() < time.Second {
+		bad("limits.stop_deadline", "expected at least 1s, found %v", s.Limits.StopDeadline.Std())
+	}
+	return p
+}
--- /dev/null
+++ b/core/work/work.go
@@ -0,0 +1,64 @@
+package work
+
+import (
+	"io"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"heatherford/core/intent"
+)
+
+// Headers of the callers' interface; docs/CALLERS.md describes each.
+const (
+	HeaderRequestID      = "Heatherford-Request-Id"
+	HeaderDeadline       = "Heatherford-Deadline"
+	HeaderRank           = "Heatherford-Rank"
+	HeaderTicket         = "Heatherford-Ticket"
+	HeaderCaller         = "Heatherford-Caller"
+	HeaderCode           = "Heatherford-Code"
+	HeaderOutcome        = "Heatherford-Outcome"
+	HeaderHost           = "Heatherford-Host"
+	HeaderEndpoint       = "Heatherford-Endpoint"
+	HeaderHop            = "Heatherford-Hop"
+	HeaderIdempotencyKey = "Idempotency-Key"
+)
+
+// Request is one request for work. Only the goroutine that carries it may use
+// it.
+type Request struct {
+	// ID is never empty.
+	ID   string
+	Kind intent.Kind
+	// Rank is an index into the declaration's ranks.
+	Rank   int
+	Caller netip.Addr
+	Method string
+	// Path starts with a slash and holds the query, if any.
+	Path   string
+	Header http.Header
+	// Body is the whole body.
+	Body []byte
+	// Deadline is when the caller stops waiting. It is never zero.
+	Deadline time.Time
+	// Key identifies work that may not be repeated, or is empty.
+	Key string
+	// Ticket is the ticket of a look-up, or is empty.
+	Ticket string
+	// Hop is true of a request that another host passed on. It is never
+	// passed on again.
+	Hop bool
+}
+
+// Answer is an upstream's answer. Its receiver closes the body.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   io.ReadCloser
+	// Length is the body's length in bytes, or -1 if the upstream sent it in
+	// chunks.
+	Length int64
+	// Host is the host that sent the request to the endpoint.
+	Host     string
+	Endpoint string
+}
--- /dev/null
+++ b/io/caller/lookup.go
@@ -0,0 +1,93 @@
+package caller
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"heatherford/core/code"
+	"heatherford/core/lookup"
+	"heatherford/io/internal/refuse"
+)
+
+// Lookup is the answer to a look-up.
+type Lookup struct {
+	Kind    string `json:"kind"`
+	Rank    string `json:"rank"`
+	Version uint64 `json:"version"`
+	// Hosts are the hosts to send to, the best first.
+	Hosts []LookupHost `json:"hosts"`
+	// ExpiresAt is when the caller has to look up again.
+	ExpiresAt time.Time `json:"expires_at"`
+}
+
+// LookupHost is a host to send to.
+type LookupHost struct {
+	Host    string         `json:"host"`
+	Address netip.AddrPort `json:"address"`
+	Zone    string         `json:"availability_zone"`
+}
+
+func (s *Server) serveLookup(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	a, err := callerAddress(r, q.Get("caller"))
+	if err != nil {
+		refuse.Write(w, "", err)
+		return
+	}
+	v := s.kernel.Snapshot()
+	if v.Table == nil {
+		refuse.Write(w, "", code.New(code.HostBehind, "caller: this host knows no declaration yet"))
+		return
+	}
+	d, ok := v.Table.Decide(q.Get("kind"), a)
+	switch {
+	case !ok:
+		refuse.Write(w, "", code.New(code.KindUnknown, "caller: no kind %q", q.Get("kind")))
+	case !d.Found:
+		refuse.Write(w, "", code.New(code.NoEndpoint, "caller: no host owns an endpoint of %q", d.Kind.Upstream))
+	default:
+		s.writeLookup(w, v.Version.Number, d)
+	}
+}
+
+func (s *Server) writeLookup(w http.ResponseWriter, version uint64, d lookup.Decision) {
+	ttl := s.kernel.Settings.Limits.LookupTTL.Std()
+	e := s.kernel.Now().Add(ttl)
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set("Cache-Control", fmt.Sprintf("private, max-age=%d", int(ttl.Seconds())))
+	h.Set("Expires", e.UTC().Format(http.TimeFormat))
+	json.NewEncoder(w).Encode(Lookup{
+		Kind:    d.Kind.Name,
+		Rank:    d.Kind.Rank,
+		Version: version,
+		Hosts: []LookupHost{
+			{
+				Host:    d.Host.Name,
+				Address: d.Host.CallerAddress,
+				Zone:    d.Host.Zone,
+			},
+		},
+		ExpiresAt: e.UTC(),
+	})
+}
+
+// callerAddress returns the address that the caller states, else that of its
+// connection.
+func callerAddress(r *http.Request, stated string) (netip.Addr, error) {
+	if stated != "" {
+		a, err := netip.ParseAddr(stated)
+		if err != nil {
+			return a, code.Wrap(code.LookupInvalid, err, "caller: the caller's address")
+		}
+		return a, nil
+	}
+	p, err := netip.ParseAddrPort(r.RemoteAddr)
+	if err != nil {
+		return netip.Addr{}, code.Wrap(code.LookupInvalid, err, "caller: the connection's address")
+	}
+	return p.Addr(), nil
+}
--- /dev/null
+++ b/io/internal/carry/carry.go
@@ -0,0 +1,158 @@
+package carry
+
+import (
+	"crypto/rand"
+	"io"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"heatherford/core"
+	"heatherford/core/code"
+	"heatherford/core/work"
+	"heatherford/io/internal/refuse"
+)
+
+// WorkPrefix starts the paths of requests for work; the kind follows.
+const WorkPrefix = "/v1/work/"
+
+// Serve carries one request for work. With hop, the request was passed on by
+// another host, whose headers are trusted.
+func Serve(k *core.Kernel, w http.ResponseWriter, r *http.Request, hop bool) {
+	q, err := read(k, w, r, hop)
+	if err != nil {
+		refuse.Write(w, q.ID, err)
+		return
+	}
+	a, err := k.Dispatcher.Do(r.Context(), q)
+	if err != nil {
+		level.Info(k.Log).Log("msg", "caller: request refused", "request", q.ID, "code", int(code.Of(err)), "err", err)
+		refuse.Write(w, q.ID, err)
+		return
+	}
+	defer a.Body.Close()
+	write(k, w, q, a)
+}
+
+func read(k *core.Kernel, w http.ResponseWriter, r *http.Request, hop bool) (*work.Request, error) {
+	q := &work.Request{
+		ID:     requestID(r),
+		Method: r.Method,
+		Header: forwarded(r.Header),
+		Key:    r.Header.Get(work.HeaderIdempotencyKey),
+		Ticket: r.Header.Get(work.HeaderTicket),
+		Hop:    hop,
+	}
+	v := k.Snapshot().Version
+	if v == nil {
+		return q, code.New(code.HostBehind, "carry: this host knows no declaration yet")
+	}
+	name, path, _ := strings.Cut(strings.TrimPrefix(r.URL.EscapedPath(), WorkPrefix), "/")
+	kind, ok := v.Declaration.Kind(name)
+	if !ok {
+		return q, code.New(code.KindUnknown, "carry: no kind %q", name)
+	}
+	q.Kind = kind
+	q.Rank = v.Declaration.RankIndex(kind.Rank)
+	q.Path = "/" + path
+	if r.URL.RawQuery != "" {
+		q.Path += "?" + r.URL.RawQuery
+	}
+	if err := readHeaders(k, q, r); err != nil {
+		return q, err
+	}
+	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, k.Settings.Limits.RequestBytes))
+	if err != nil {
+		return q, code.Wrap(code.BodyTooLarge, err, "carry: the body")
+	}
+	q.Body = b
+	return q, nil
+}
+
+func readHeaders(k *core.Kernel, q *work.Request, r *http.Request) error {
+	q.Deadline = k.Now().Add(q.Kind.Deadline.Std())
+	if s := r.Header.Get(work.HeaderDeadline); s != "" {
+		t, err := time.Parse(time.RFC3339Nano, s)
+		if err != nil {
+			return code.Wrap(code.RequestInvalid, err, "carry: %s", work.HeaderDeadline)
+		}
+		q.Deadline = t
+	}
+	s := r.Header.Get(work.HeaderCaller)
+	if s == "" {
+		p, err := netip.ParseAddrPort(r.RemoteAddr)
+		if err != nil {
+			return code.Wrap(code.RequestInvalid, err, "carry: the connection's address")
+		}
+		q.Caller = p.Addr()
+		return nil
+	}
+	a, err := netip.ParseAddr(s)
+	if err != nil {
+		return code.Wrap(code.RequestInvalid, err, "carry: %s", work.HeaderCaller)
+	}
+	q.Caller = a
+	return nil
+}
+
+func requestID(r *http.Request) string {
+	if s := r.Header.Get(work.HeaderRequestID); s != "" {
+		return s
+	}
+	return rand.Text()
+}
+
+// hopByHop are the headers that concern one connection only.
+var hopByHop = []string{
+	"Connection",
+	"Expect",
+	"Keep-Alive",
+	"Proxy-Authenticate",
+	"Proxy-Authorization",
+	"Te",
+	"Trailer",
+	"Transfer-Encoding",
+	"Upgrade",
+}
+
+// forwarded returns the headers that go to the upstream.
+func forwarded(h http.Header) http.Header {
+	c := h.Clone()
+	for _, n := range hopByHop {
+		c.Del(n)
+	}
+	for n := range c {
+		if strings.HasPrefix(n, "Heatherford-") {
+			c.Del(n)
+		}
+	}
+	return c
+}
+
+func write(k *core.Kernel, w http.ResponseWriter, q *work.Request, a *work.Answer) {
+	h := w.Header()
+	for n, v := range a.Header {
+		h[n] = v
+	}
+	for _, n := range hopByHop {
+		h.Del(n)
+	}
+	h.Set(work.HeaderRequestID, q.ID)
+	h.Set(work.HeaderCode, strconv.Itoa(int(code.Answered)))
+	h.Set(work.HeaderOutcome, string(code.Executed))
+	h.Set(work.HeaderHost, a.Host)
+	h.Set(work.HeaderEndpoint, a.Endpoint)
+	if a.Length >= 0 {
+		h.Set("Content-Length", strconv.FormatInt(a.Length, 10))
+	}
+	w.WriteHeader(a.Status)
+	if _, err := io.Copy(w, a.Body); err != nil {
+		level.Warn(k.Log).Log("msg", "caller: answer cut off", "request", q.ID, "err", err)
+		// Without this the server would end the body as if it were whole.
+		panic(http.ErrAbortHandler)
+	}
+}
--- /dev/null
+++ b/io/internal/refuse/doc.go
@@ -0,0 +1,2 @@
+// Package refuse writes errors as HTTP answers with their numbered code.
+package refuse
--- /dev/null
+++ b/io/operator/plugin.go
@@ -0,0 +1,22 @@
+package operator
+
+import (
+	"gopkg.in/tomb.v2"
+
+	"heatherford/core"
+	"heatherford/io/internal/serve"
+)
+
+// Name is the plug-in's name.
+const Name = "io/operator"
+
+func init() {
+	core.Register(Name, func() core.Plugin {
+		return core.Plugin{
+			Name: Name,
+			Start: func(k *core.Kernel, t *tomb.Tomb) error {
+				return serve.Run(t, k.Settings.OperatorAddress, New(k).Handler())
+			},
+		}
+	})
+}
--- /dev/null
+++ b/io/platform/client.go
@@ -0,0 +1,142 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"net/url"
+	"syscall"
+	"time"
+
+	"heatherford/core/code"
+	"heatherford/core/store"
+)
+
+// maxAnswerBytes bounds what is read of one answer.
+const maxAnswerBytes = 64 << 20
+
+// callTimeout bounds one call whose context has no earlier deadline.
+const callTimeout = 5 * time.Second
+
+// New returns a store that speaks to the platform at the URL.
+func New(base string) store.Store {
+	c := &client{
+		base: base,
+		http: &http.Client{
+			Timeout: callTimeout,
+		},
+	}
+	return store.Store{
+		Commit:      c.commit,
+		Read:        c.read,
+		PutObject:   c.putObject,
+		GetObject:   c.getObject,
+		ListObjects: c.listObjects,
+		Hosts:       c.hosts,
+	}
+}
+
+type client struct {
+	base string
+	http *http.Client
+}
+
+func (c *client) commit(ctx context.Context, t store.Transaction) (store.Committed, error) {
+	a := store.Committed{}
+	err := c.call(ctx, http.MethodPost, "/v1/commit", t, &a)
+	return a, err
+}
+
+func (c *client) read(ctx context.Context, q store.Query) ([]store.Row, error) {
+	a := struct {
+		Rows []store.Row `json:"rows"`
+	}{}
+	err := c.call(ctx, http.MethodPost, "/v1/read", q, &a)
+	return a.Rows, err
+}
+
+func (c *client) hosts(ctx context.Context) ([]store.Host, error) {
+	a := struct {
+		Hosts []store.Host `json:"hosts"`
+	}{}
+	err := c.call(ctx, http.MethodGet, "/v1/hosts", nil, &a)
+	return a.Hosts, err
+}
+
+func (c *client) listObjects(ctx context.Context, prefix string) ([]string, error) {
+	a := struct {
+		Names []string `json:"names"`
+	}{}
+	err := c.call(ctx, http.MethodGet, "/v1/objects?prefix="+url.QueryEscape(prefix), nil, &a)
+	return a.Names, err
+}
+
+func (c *client) putObject(ctx context.Context, name string, data []byte) error {
+	_, err := c.do(ctx, http.MethodPut, "/v1/objects/"+name, data)
+	return err
+}
+
+func (c *client) getObject(ctx context.Context, name string) ([]byte, error) {
+	return c.do(ctx, http.MethodGet, "/v1/objects/"+name, nil)
+}
+
+func (c *client) call(ctx context.Context, method, path string, in, out any) error {
+	body := []byte(nil)
+	if in != nil {
+		b, err := json.Marshal(in)
+		if err != nil {
+			return code.Wrap(code.PlatformDown, err, "platform: cannot encode the call")
+		}
+		body = b
+	}
+	b, err := c.do(ctx, method, path, body)
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(b, out); err != nil {
+		return code.Wrap(code.PlatformUnknown, err, "platform: cannot decode the platform's answer")
+	}
+	return nil
+}
+
+func (c *client) do(ctx context.Context, method, path string, body []byte) ([]byte, error) {
+	r, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, code.Wrap(code.PlatformDown, err, "platform: cannot build the call")
+	}
+	a, err := c.http.Do(r)
+	if err != nil {
+		return nil, callError(method, err)
+	}
+	defer a.Body.Close()
+	b, err := io.ReadAll(io.LimitReader(a.Body, maxAnswerBytes))
+	if err != nil {
+		return nil, callError(method, err)
+	}
+	return b, statusError(method, a.StatusCode, b)
+}
+
+func callError(method string, err error) error {
+	if method == http.MethodGet || errors.Is(err, syscall.ECONNREFUSED) {
+		return code.Wrap(code.PlatformDown, err, "platform: the platform does not answer")
+	}
+	return code.Wrap(code.PlatformUnknown, err, "platform: the platform's answer was lost")
+}
+
+func statusError(method string, status int, body []byte) error {
+	switch {
+	case status == http.StatusOK:
+		return nil
+	case status == http.StatusConflict:
+		return code.New(code.PlatformConflict, "platform: a condition does not hold")
+	case status == http.StatusNotFound:
+		return code.New(code.ObjectMissing, "platform: no such object")
+	case status == http.StatusServiceUnavailable || method == http.MethodGet:
+		return code.New(code.PlatformDown, "platform: the platform answers %d: %s", status, body)
+	default:
+		return code.New(code.PlatformUnknown, "platform: the platform answers %d: %s", status, body)
+	}
+}
