--- a/core/admission/gate.go
+++ b/core/admission/gate.go
@@ -101,11 +101,27 @@
 	return false
 }
 
+// SetSlots changes the most requests in flight. Requests in flight stay.
+func (g *Gate) SetSlots(n int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.slots == n {
+		return
+	}
+	g.slots = n
+	g.admit()
+}
+
 // Release gives a slot back.
 func (g *Gate) Release() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.inFlight--
+	g.admit()
+}
+
+// admit gives free slots to the front of the queue.
+func (g *Gate) admit() {
 	for g.inFlight < g.slots && len(g.queue) > 0 {
 		w := g.queue[0]
 		g.queue = g.queue[1:]
--- a/core/control.go
+++ b/core/control.go
@@ -1,11 +1,6 @@
 package core
 
 import (
-	"reflect"
-
-	"github.com/go-kit/log/level"
-
-	"heatherford/core/grant"
 	"heatherford/core/intent"
 	"heatherford/core/lookup"
 	"heatherford/core/snapshot"
@@ -17,11 +12,14 @@
 	kernel *Kernel
 	// version only grows; it is nil before the first declaration is known.
 	version *intent.Version
-	hosts   []store.Host
+	// hosts is the platform's list of hosts as last read.
+	hosts []store.Host
 	// changed is true if the state differs from the published snapshot.
 	changed bool
 }
 
+// control runs the control goroutine: one event at a time, and after
+// each a snapshot if the state has changed.
 func (k *Kernel) control() error {
 	c := &control{
 		kernel: k,
@@ -30,31 +28,14 @@
 		select {
 		case f := <-k.events:
 			f(c)
-			c.publish()
 		case <-k.tomb.Dying():
 			return nil
 		}
+		c.publish()
 	}
 }
 
-func (c *control) offerVersion(v *intent.Version) {
-	if c.version != nil && v.Number <= c.version.Number {
-		return
-	}
-	c.version = v
-	c.changed = true
-	level.Info(c.kernel.Log).Log("msg", "config: version in force", "version", v.Number)
-}
-
-func (c *control) offerHosts(hosts []store.Host) {
-	if reflect.DeepEqual(hosts, c.hosts) {
-		return
-	}
-	c.hosts = hosts
-	c.changed = true
-	level.Info(c.kernel.Log).Log("msg", "member: hosts changed", "hosts", len(hosts))
-}
-
+// publish makes the state visible to other goroutines if it has changed.
 func (c *control) publish() {
 	if !c.changed {
 		return
@@ -64,13 +45,13 @@
 		Version: c.version,
 		Hosts:   map[string]store.Host{},
 		Owners:  map[string]string{},
-		Owned:   map[string][]intent.Endpoint{},
+		Owned:   map[string][]snapshot.Own{},
 	}
 	for _, h := range c.hosts {
 		s.Hosts[h.Name] = h
 	}
 	if c.version != nil {
-		c.assign(s)
+		c.publishGrants(s)
 		s.Table = lookup.New(lookup.Options{
 			Declaration: c.version.Declaration,
 			Hosts:       c.hosts,
@@ -80,17 +61,3 @@
 	}
 	c.kernel.current.Store(s)
 }
-
-// assign fills in the owners of all endpoints.
-func (c *control) assign(s *snapshot.Snapshot) {
-	d := c.version.Declaration
-	for _, u := range d.Upstreams {
-		for _, e := range u.Endpoints {
-			h := grant.Prefer(d, e, c.hosts)
-			s.Owners[e.Name] = h
-			if h == c.kernel.Settings.Host {
-				s.Owned[u.Name] = append(s.Owned[u.Name], e)
-			}
-		}
-	}
-}
--- /dev/null
+++ b/core/controlconfig.go
@@ -0,0 +1,25 @@
+package core
+
+import (
+	"strconv"
+
+	"github.com/go-kit/log/level"
+
+	"heatherford/core/intent"
+	"heatherford/core/timeline"
+)
+
+// offerVersion takes v if it is newer than the version in force.
+func (c *control) offerVersion(v *intent.Version) {
+	if c.version != nil && v.Number <= c.version.Number {
+		return
+	}
+	c.version = v
+	c.changed = true
+	level.Info(c.kernel.Log).Log("msg", "config: version in force", "version", v.Number)
+	c.kernel.Record(timeline.Event{
+		Kind:    timeline.KindConfig,
+		Subject: strconv.FormatUint(v.Number, 10),
+		Text:    "version in force",
+	})
+}
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -2,19 +2,20 @@
 
 import (
 	"context"
-	"io"
 	"sync"
 	"time"
 
 	"heatherford/core/admission"
 	"heatherford/core/code"
 	"heatherford/core/intent"
+	"heatherford/core/outcome"
 	"heatherford/core/snapshot"
 	"heatherford/core/store"
+	"heatherford/core/timeline"
 	"heatherford/core/work"
 )
 
-// Options are the seams of a Dispatcher. All are required.
+// Options are the seams of a Dispatcher. All are required but Once.
 type Options struct {
 	// Self is the name of this host.
 	Self string
@@ -24,10 +25,20 @@
 	Send func(ctx context.Context, e intent.Endpoint, r *work.Request) (*work.Answer, error)
 	// Carry passes a request on to another host.
 	Carry func(ctx context.Context, h store.Host, r *work.Request) (*work.Answer, error)
+	// Once runs work that may not be repeated: it calls run at most once for
+	// each key. Nil stands for a direct call.
+	Once func(ctx context.Context, r *work.Request, run Run) (*work.Answer, error)
+	// Record adds an event to the time line.
+	Record func(e timeline.Event)
+	// Results takes how each request ended.
+	Results *outcome.Recorder
 	// Now returns the time.
 	Now func() time.Time
 }
 
+// Run runs a request and returns the head of its answer.
+type Run func(ctx context.Context, r *work.Request) (*work.Answer, error)
+
 // Dispatcher carries requests. It is safe for concurrent use.
 type Dispatcher struct {
 	options Options
@@ -47,93 +58,35 @@
 // Do carries r and returns the answer. An error's code says whether r was run.
 // The context ends when the caller goes away.
 func (d *Dispatcher) Do(ctx context.Context, r *work.Request) (*work.Answer, error) {
-	if !d.options.Now().Before(r.Deadline) {
-		return nil, code.New(code.DeadlinePassed, "dispatch: the deadline passed before the request was started")
+	started := d.options.Now()
+	if !started.Before(r.Deadline) {
+		err := code.New(code.DeadlinePassed, "dispatch: the deadline passed before the request was started")
+		d.record(r, started, err)
+		return nil, err
 	}
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
-	a, err := d.route(ctx, r)
+	a, err := d.run(ctx, r)
 	if err != nil {
 		cancel()
+		d.record(r, started, err)
 		return nil, err
 	}
-	a.Body = closing(a.Body, cancel)
-	return a, nil
-}
-
-func (d *Dispatcher) route(ctx context.Context, r *work.Request) (*work.Answer, error) {
-	s := d.options.Snapshot()
-	if e, ok := d.local(s, r); ok {
-		return d.send(ctx, e, r)
-	}
-	if r.Hop {
-		return nil, code.New(code.HopRefused, "dispatch: this host owns no endpoint of %q", r.Kind.Upstream)
+	a.Body = &body{
+		ReadCloser: a.Body,
+		done: func(err error) {
+			cancel()
+			d.record(r, started, err)
+		},
 	}
-	l, ok := s.Table.Decide(r.Kind.Name, r.Caller)
-	if !ok || !l.Found {
-		return nil, code.New(code.NoEndpoint, "dispatch: no host owns an endpoint of %q", r.Kind.Upstream)
-	}
-	return d.options.Carry(ctx, l.Host, r)
-}
-
-// local returns the owned endpoint with the most room.
-func (d *Dispatcher) local(s *snapshot.Snapshot, r *work.Request) (intent.Endpoint, bool) {
-	best := intent.Endpoint{}
-	room := 0
-	found := false
-	for _, e := range s.Owned[r.Kind.Upstream] {
-		if e.Leaving {
-			continue
-		}
-		n := d.gate(e).Room()
-		if !found || n > room {
-			best, room, found = e, n, true
-		}
-	}
-	return best, found
-}
-
-func (d *Dispatcher) send(ctx context.Context, e intent.Endpoint, r *work.Request) (*work.Answer, error) {
-	g := d.gate(e)
-	if err := g.Acquire(ctx, r.Rank, r.Deadline); err != nil {
-		return nil, err
-	}
-	a, err := d.options.Send(ctx, e, r)
-	if err != nil {
-		g.Release()
-		return nil, err
-	}
-	a.Host = d.options.Self
-	a.Body = closing(a.Body, g.Release)
 	return a, nil
 }
 
-func (d *Dispatcher) gate(e intent.Endpoint) *admission.Gate {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	g, ok := d.gates[e.Name]
-	if !ok {
-		g = admission.New(e.Slots)
-		d.gates[e.Name] = g
+func (d *Dispatcher) run(ctx context.Context, r *work.Request) (*work.Answer, error) {
+	if r.Kind.Repeatable {
+		return d.retry(ctx, r)
 	}
-	return g
-}
-
-type closer struct {
-	io.ReadCloser
-	once sync.Once
-	done func()
-}
-
-// closing returns a body that calls done once, after it was closed.
-func closing(b io.ReadCloser, done func()) io.ReadCloser {
-	return &closer{
-		ReadCloser: b,
-		done:       done,
+	if d.options.Once == nil {
+		return d.route(ctx, r)
 	}
-}
-
-func (c *closer) Close() error {
-	err := c.ReadCloser.Close()
-	c.once.Do(c.done)
-	return err
+	return d.options.Once(ctx, r, d.route)
 }
--- a/core/kernel.go
+++ b/core/kernel.go
@@ -11,9 +11,11 @@
 
 	"heatherford/core/dispatch"
 	"heatherford/core/intent"
+	"heatherford/core/outcome"
 	"heatherford/core/settings"
 	"heatherford/core/snapshot"
 	"heatherford/core/store"
+	"heatherford/core/timeline"
 	"heatherford/core/work"
 )
 
@@ -38,8 +40,13 @@
 	Carry func(ctx context.Context, h store.Host, r *work.Request) (*work.Answer, error)
 	// Push tells the other hosts of a version. It does not wait for them.
 	Push func(v *intent.Version)
+	// Once runs work that may not be repeated; nil stands for a direct call.
+	Once func(ctx context.Context, r *work.Request, run dispatch.Run) (*work.Answer, error)
 }
 
+// ringSize is the number of events that a daemon keeps.
+const ringSize = 1 << 14
+
 // Kernel is one daemon.
 type Kernel struct {
 	Settings *settings.Settings
@@ -49,6 +56,12 @@
 	Seams    Seams
 	// Dispatcher carries requests.
 	Dispatcher *dispatch.Dispatcher
+	// Clock stamps events; peers' calls carry its stamps on.
+	Clock *timeline.Clock
+	// Ring keeps the newest events.
+	Ring *timeline.Ring
+	// Results counts how requests ended.
+	Results *outcome.Recorder
 
 	plugins []Plugin
 	tomb    tomb.Tomb
@@ -73,6 +86,9 @@
 		k.plugins = Plugins()
 	}
 	k.current.Store(&snapshot.Snapshot{})
+	k.Clock = timeline.NewClock(k.Now)
+	k.Ring = timeline.NewRing(ringSize)
+	k.Results = outcome.New()
 	if err := k.attach(k.plugins); err != nil {
 		return nil, err
 	}
@@ -81,6 +97,9 @@
 		Snapshot: k.Snapshot,
 		Send:     k.Seams.Send,
 		Carry:    k.Seams.Carry,
+		Once:     k.Seams.Once,
+		Record:   k.Record,
+		Results:  k.Results,
 		Now:      k.Now,
 	})
 	return k, nil
@@ -118,6 +137,14 @@
 	return k.current.Load()
 }
 
+// Record adds an event to the time line under a new stamp. It is safe for
+// concurrent use.
+func (k *Kernel) Record(e timeline.Event) {
+	e.At = k.Clock.Now()
+	e.Host = k.Settings.Host
+	k.Ring.Add(e)
+}
+
 // OfferVersion hands a version to the control goroutine, which takes it if it
 // is newer than the one in force.
 func (k *Kernel) OfferVersion(v *intent.Version) {
--- a/core/snapshot/snapshot.go
+++ b/core/snapshot/snapshot.go
@@ -1,6 +1,8 @@
 package snapshot
 
 import (
+	"time"
+
 	"heatherford/core/intent"
 	"heatherford/core/lookup"
 	"heatherford/core/store"
@@ -14,8 +16,32 @@
 	Hosts map[string]store.Host
 	// Owners maps an endpoint's name to the name of the host that owns it.
 	Owners map[string]string
-	// Owned are the endpoints that this host owns, by upstream.
-	Owned map[string][]intent.Endpoint
+	// Owned are the endpoints that this host may send to, by upstream.
+	Owned map[string][]Own
 	// Table answers look-ups; it is nil if Version is.
 	Table *lookup.Table
+	// Stopping is true once this host has begun a planned stop.
+	Stopping bool
+}
+
+// Own is this host's right to send to an endpoint.
+type Own struct {
+	Endpoint intent.Endpoint
+	// Slots is the most requests in flight until Until, Reduced the most after
+	// it. Reduced is at most Slots.
+	Slots   int
+	Reduced int
+	// Until is the grant's deadline. The zero value stands for never.
+	Until time.Time
+	// Last is the latest deadline that a request to the endpoint may carry.
+	// The zero value stands for none.
+	Last time.Time
+}
+
+// Limit returns the most requests in flight at the time now.
+func (o Own) Limit(now time.Time) int {
+	if o.Until.IsZero() || now.Before(o.Until) {
+		return o.Slots
+	}
+	return o.Reduced
 }
