core/timeline: order events over all daemons and ask any one of them

An engineer needs to follow one request over the host that the caller chose, the hop and the owner. Every HTTP call between daemons now carries the stamp of a hybrid logical clock both ways, in one place (io/internal/stamp); any daemon asks all others over a twirp service of its own and says which did not answer. The ring keeps requests and all other events apart, so that a flood of requests drives out no grant or version. A stamp more than ten minutes ahead is not taken: one wrong clock would else spoil the order of all.

Additive to shared contracts: Seams.Timeline, Seams.Keep, Kernel.Rolls, Rank.Target, Request.Target, Limits.TimelineEvents, Gate.InFlight.

--- a/cmd/heatherford/main.go
+++ b/cmd/heatherford/main.go
@@ -51,6 +51,11 @@
 			about: "show the version in force",
 			run:   status,
 		},
+		{
+			name:  "timeline",
+			about: "show the events of all hosts in causal order",
+			run:   timelineCommand,
+		},
 	}
 }
 
--- a/cmd/heatherfordd/main.go
+++ b/cmd/heatherfordd/main.go
@@ -15,6 +15,7 @@
 	"heatherford/core"
 	"heatherford/core/settings"
 	_ "heatherford/io/caller"
+	_ "heatherford/io/collector"
 	_ "heatherford/io/operator"
 	_ "heatherford/io/peer"
 	_ "heatherford/io/platform"
--- a/core/admission/gate.go
+++ b/core/admission/gate.go
@@ -44,6 +44,13 @@
 	return g.slots - g.inFlight - len(g.queue)
 }
 
+// InFlight returns the number of requests in flight.
+func (g *Gate) InFlight() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.inFlight
+}
+
 // Acquire waits for a slot until ctx ends. The caller calls Release exactly
 // once after Acquire has returned nil.
 func (g *Gate) Acquire(ctx context.Context, rank int, deadline time.Time) error {
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -64,6 +64,7 @@
 		d.record(r, started, err)
 		return nil, err
 	}
+	d.note(r, r.Kind.Name, "request taken")
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	a, err := d.run(ctx, r)
 	if err != nil {
--- a/core/dispatch/result.go
+++ b/core/dispatch/result.go
@@ -53,6 +53,16 @@
 	}
 }
 
+// note puts a step of r on the time line.
+func (d *Dispatcher) note(r *work.Request, subject, text string) {
+	d.options.Record(timeline.Event{
+		Kind:    timeline.KindRequest,
+		Request: r.ID,
+		Subject: subject,
+		Text:    text,
+	})
+}
+
 // record counts how r ended. Results of a hop are counted where r came in.
 func (d *Dispatcher) record(r *work.Request, started time.Time, err error) {
 	now := d.options.Now()
@@ -64,20 +74,20 @@
 	if err != nil {
 		text = err.Error()
 	}
-	d.options.Record(timeline.Event{
-		Kind:    timeline.KindRequest,
-		Request: r.ID,
-		Subject: r.Kind.Name,
-		Text:    text,
-	})
+	d.note(r, r.Kind.Name, text)
 	if r.Hop {
 		return
 	}
 	d.options.Results.Record(outcome.Result{
-		Kind:    r.Kind.Name,
-		Rank:    r.Kind.Rank,
-		Code:    n,
-		Correct: err == nil && now.Before(r.Deadline),
-		Elapsed: now.Sub(started),
+		Kind:       r.Kind.Name,
+		Rank:       r.Kind.Rank,
+		RankIndex:  r.Rank,
+		Repeatable: r.Kind.Repeatable,
+		Weight:     r.Kind.Weight,
+		Target:     r.Target,
+		Code:       n,
+		Correct:    err == nil && now.Before(r.Deadline),
+		At:         now,
+		Elapsed:    now.Sub(started),
 	})
 }
--- a/core/dispatch/route.go
+++ b/core/dispatch/route.go
@@ -22,6 +22,7 @@
 	if !ok || !l.Found {
 		return nil, code.New(code.NoEndpoint, "dispatch: no host owns an endpoint of %q", r.Kind.Upstream)
 	}
+	d.note(r, l.Host.Name, "request passed on")
 	return d.options.Carry(ctx, l.Host, r)
 }
 
--- a/core/intent/declaration.go
+++ b/core/intent/declaration.go
@@ -40,6 +40,10 @@
 	// Floor is the share of an endpoint's slots that the rank keeps in a flood
 	// of any other, between 0 and Planned. All floors sum to at most 1.
 	Floor float64 `json:"floor"`
+	// Target is the share of the rank's requests that should get a correct
+	// answer in time for the evening page to call the day good, 0 to 1. Zero
+	// stands for no target.
+	Target float64 `json:"target,omitempty"`
 }
 
 // Kind is a kind of work.
--- a/core/intent/validate.go
+++ b/core/intent/validate.go
@@ -96,6 +96,7 @@
 		v.name(v.ranks, p+".name", r.Name)
 		v.share(p+".planned", r.Planned)
 		v.share(p+".floor", r.Floor)
+		v.share(p+".target", r.Target)
 		if r.Floor > r.Planned {
 			v.add(p+".floor", "expected at most planned (%v), found %v", r.Planned, r.Floor)
 		}
--- a/core/kernel.go
+++ b/core/kernel.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -12,6 +13,7 @@
 	"heatherford/core/dispatch"
 	"heatherford/core/intent"
 	"heatherford/core/outcome"
+	"heatherford/core/rollup"
 	"heatherford/core/settings"
 	"heatherford/core/snapshot"
 	"heatherford/core/store"
@@ -40,12 +42,22 @@
 	Carry func(ctx context.Context, h store.Host, r *work.Request) (*work.Answer, error)
 	// Push tells the other hosts of a version. It does not wait for them.
 	Push func(v *intent.Version)
+	// Timeline asks all hosts, this one among them, and returns an answer for
+	// each, ordered by host.
+	Timeline func(ctx context.Context, q timeline.Query) []timeline.Answer
+	// Keep hands roll-ups that could not be written to another host.
+	Keep func(ctx context.Context, s []rollup.Object) error
 	// Once runs work that may not be repeated; nil stands for a direct call.
 	Once func(ctx context.Context, r *work.Request, run dispatch.Run) (*work.Answer, error)
 }
 
-// ringSize is the number of events that a daemon keeps.
-const ringSize = 1 << 14
+const (
+	// defaultRingSize is the number of events that a daemon keeps, which take
+	// up to 8 MB.
+	defaultRingSize = 1 << 15
+	// incarnationBase is the base in which an incarnation's number is written.
+	incarnationBase = 36
+)
 
 // Kernel is one daemon.
 type Kernel struct {
@@ -62,6 +74,8 @@
 	Ring *timeline.Ring
 	// Results counts how requests ended.
 	Results *outcome.Recorder
+	// Rolls sums what the evening page needs.
+	Rolls *rollup.Keeper
 
 	plugins []Plugin
 	tomb    tomb.Tomb
@@ -87,8 +101,14 @@
 	}
 	k.current.Store(&snapshot.Snapshot{})
 	k.Clock = timeline.NewClock(k.Now)
-	k.Ring = timeline.NewRing(ringSize)
-	k.Results = outcome.New()
+	k.Ring = timeline.NewRing(ringSize(o.Settings.Limits.TimelineEvents))
+	k.Rolls = rollup.New(rollup.Options{
+		Host:        o.Settings.Host,
+		Region:      o.Settings.Region,
+		Incarnation: strconv.FormatInt(k.Now().UnixMilli(), incarnationBase),
+		Now:         k.Now,
+	})
+	k.Results = outcome.New(k.Rolls.Result)
 	if err := k.attach(k.plugins); err != nil {
 		return nil, err
 	}
@@ -105,6 +125,19 @@
 	return k, nil
 }
 
+// ringSize returns the ring's size for the setting, of which 0 stands for the
+// default and -1 for none.
+func ringSize(setting int) int {
+	switch setting {
+	case 0:
+		return defaultRingSize
+	case -1:
+		return 0
+	default:
+		return setting
+	}
+}
+
 // Start starts the control goroutine and all plug-ins. It is called once.
 func (k *Kernel) Start() error {
 	k.tomb.Go(k.control)
@@ -143,6 +176,7 @@
 	e.At = k.Clock.Now()
 	e.Host = k.Settings.Host
 	k.Ring.Add(e)
+	k.Rolls.Event(e)
 }
 
 // OfferVersion hands a version to the control goroutine, which takes it if it
--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -51,6 +51,9 @@
 	LookupTTL strict.Duration `json:"lookup_ttl,omitempty"`
 	// StopDeadline is the longest that a planned stop takes.
 	StopDeadline strict.Duration `json:"stop_deadline,omitempty"`
+	// TimelineEvents is how many events the daemon keeps for the time line: 0
+	// stands for the kernel's default, -1 for none.
+	TimelineEvents int `json:"timeline_events,omitempty"`
 }
 
 const (
@@ -135,5 +138,8 @@
 	if s.Limits.StopDeadline.Std() < time.Second {
 		bad("limits.stop_deadline", "expected at least 1s, found %v", s.Limits.StopDeadline.Std())
 	}
+	if s.Limits.TimelineEvents < -1 {
+		bad("limits.timeline_events", "expected at least -1, found %d", s.Limits.TimelineEvents)
+	}
 	return p
 }
--- a/core/timeline/ring.go
+++ b/core/timeline/ring.go
@@ -2,80 +2,104 @@
 
 import "sync"
 
-// Kind says what an event concerns.
-type Kind string
+// Ring keeps the newest events: those of requests and all others apart, so that
+// a flood of requests drives out no other event. It is safe for concurrent use.
+type Ring struct {
+	requests part
+	others   part
+}
 
-// The kinds of events.
-const (
-	KindConfig   Kind = "config"
-	KindDrain    Kind = "drain"
-	KindGrant    Kind = "grant"
-	KindMember   Kind = "member"
-	KindPlatform Kind = "platform"
-	KindRequest  Kind = "request"
-	KindShift    Kind = "shift"
-	KindStop     Kind = "stop"
-	KindTicket   Kind = "ticket"
-	KindUpstream Kind = "upstream"
-)
+// NewRing returns a ring for size events, half of them of requests. With size
+// 0 it keeps none.
+func NewRing(size int) *Ring {
+	return &Ring{
+		requests: part{
+			size: size - size/2,
+		},
+		others: part{
+			size: size / 2,
+		},
+	}
+}
 
-// Event is one thing that a daemon did or saw.
-type Event struct {
-	At   Stamp  `json:"at"`
-	Host string `json:"host"`
-	Kind Kind   `json:"kind"`
-	// Request is the identifier of the request concerned, or empty.
-	Request string `json:"request,omitempty"`
-	// Subject is the endpoint, host, version or ticket concerned, or empty.
-	Subject string `json:"subject,omitempty"`
-	// Text is a short sentence.
-	Text string `json:"text"`
+// Add keeps e and forgets the oldest event of its part if that is full.
+func (r *Ring) Add(e Event) {
+	if e.Request != "" {
+		r.requests.add(e)
+		return
+	}
+	r.others.add(e)
 }
 
-// Ring keeps the newest events. It is safe for concurrent use.
-type Ring struct {
-	mu     sync.Mutex
+// Events returns the kept events for which keep returns true, in the order of
+// their stamps.
+func (r *Ring) Events(keep func(e *Event) bool) []Event {
+	s := r.requests.appendTo(nil, keep)
+	s = r.others.appendTo(s, keep)
+	Sort(s)
+	return s
+}
+
+// Forgotten returns the stamp of the newest event that the ring has forgotten,
+// or the zero value if it has kept all.
+func (r *Ring) Forgotten() Stamp {
+	a := r.requests.newestForgotten()
+	b := r.others.newestForgotten()
+	if a.Before(b) {
+		return b
+	}
+	return a
+}
+
+// part is a ring for one group of events.
+type part struct {
+	size int
+
+	mu sync.Mutex
+	// events grows up to size and is then overwritten from its start.
 	events []Event
-	// next is the position that the next event goes to.
+	// next is the position that the next event goes to once events is full.
 	next int
-	// full is true once every position holds an event.
-	full bool
+	// forgotten is the newest stamp of an overwritten event.
+	forgotten Stamp
 }
 
-// NewRing returns a ring for size events; size is at least 1.
-func NewRing(size int) *Ring {
-	return &Ring{
-		events: make([]Event, size),
+func (p *part) add(e Event) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.events) < p.size {
+		p.events = append(p.events, e)
+		return
 	}
+	if p.size == 0 {
+		p.forget(e.At)
+		return
+	}
+	p.forget(p.events[p.next].At)
+	p.events[p.next] = e
+	p.next = (p.next + 1) % p.size
 }
 
-// Add keeps e and forgets the oldest event if the ring is full.
-func (r *Ring) Add(e Event) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.events[r.next] = e
-	r.next++
-	if r.next == len(r.events) {
-		r.next = 0
-		r.full = true
+func (p *part) forget(s Stamp) {
+	if p.forgotten.Before(s) {
+		p.forgotten = s
 	}
 }
 
-// Events returns the kept events for which keep returns true, oldest first.
-func (r *Ring) Events(keep func(e *Event) bool) []Event {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	s := []Event{}
-	add := func(part []Event) {
-		for i := range part {
-			if keep(&part[i]) {
-				s = append(s, part[i])
-			}
+func (p *part) appendTo(s []Event, keep func(e *Event) bool) []Event {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i := range p.events {
+		e := &p.events[(p.next+i)%len(p.events)]
+		if keep(e) {
+			s = append(s, *e)
 		}
 	}
-	if r.full {
-		add(r.events[r.next:])
-	}
-	add(r.events[:r.next])
 	return s
 }
+
+func (p *part) newestForgotten() Stamp {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.forgotten
+}
--- a/core/work/work.go
+++ b/core/work/work.go
@@ -31,7 +31,9 @@
 	ID   string
 	Kind intent.Kind
 	// Rank is an index into the declaration's ranks.
-	Rank   int
+	Rank int
+	// Target is the share of correct answers that the rank aims at, 0 for none.
+	Target float64
 	Caller netip.Addr
 	Method string
 	// Path starts with a slash and holds the query, if any.
--- a/io/internal/carry/carry.go
+++ b/io/internal/carry/carry.go
@@ -58,6 +58,9 @@
 	}
 	q.Kind = kind
 	q.Rank = v.Declaration.RankIndex(kind.Rank)
+	if q.Rank >= 0 {
+		q.Target = v.Declaration.Ranks[q.Rank].Target
+	}
 	q.Path = "/" + path
 	if r.URL.RawQuery != "" {
 		q.Path += "?" + r.URL.RawQuery
--- a/io/operator/handler.go
+++ b/io/operator/handler.go
@@ -45,6 +45,7 @@
 	m.HandleFunc(pat.Post("/v1/plan"), s.servePlan)
 	m.HandleFunc(pat.Post("/v1/confirm"), s.serveConfirm)
 	m.HandleFunc(pat.Get("/v1/status"), s.serveStatus)
+	m.HandleFunc(pat.Get("/v1/timeline"), s.serveTimeline)
 	return m
 }
 
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -22,6 +22,7 @@
 	"heatherford/core/work"
 	"heatherford/io/internal/carry"
 	"heatherford/io/internal/refuse"
+	"heatherford/io/internal/stamp"
 	"heatherford/io/peer/peerpb"
 )
 
@@ -33,15 +34,18 @@
 // client calls other daemons. It is safe for concurrent use.
 type client struct {
 	kernel    *core.Kernel
-	transport *http.Transport
+	transport *stamp.Transport
 }
 
 func newClient(k *core.Kernel) *client {
 	return &client{
 		kernel: k,
-		transport: &http.Transport{
-			DisableCompression:  true,
-			MaxIdleConnsPerHost: 64,
+		transport: &stamp.Transport{
+			Clock: k.Clock,
+			Base: &http.Transport{
+				DisableCompression:  true,
+				MaxIdleConnsPerHost: 64,
+			},
 		},
 	}
 }
--- a/io/peer/plugin.go
+++ b/io/peer/plugin.go
@@ -8,6 +8,7 @@
 	"heatherford/core"
 	"heatherford/io/internal/carry"
 	"heatherford/io/internal/serve"
+	"heatherford/io/internal/stamp"
 	"heatherford/io/peer/peerpb"
 )
 
@@ -33,6 +34,8 @@
 	p.client = newClient(k)
 	k.Seams.Carry = p.client.carry
 	k.Seams.Push = p.client.push
+	k.Seams.Timeline = p.client.timeline
+	k.Seams.Keep = p.client.keep
 	return nil
 }
 
@@ -41,10 +44,13 @@
 	m.Handle(peerpb.PeerPathPrefix, peerpb.NewPeerServer(&server{
 		kernel: k,
 	}))
+	m.Handle(peerpb.TimelinePathPrefix, peerpb.NewTimelineServer(&timelineServer{
+		kernel: k,
+	}))
 	m.HandleFunc(carry.WorkPrefix, func(w http.ResponseWriter, r *http.Request) {
 		carry.Serve(k, w, r, true)
 	})
-	if err := serve.Run(t, k.Settings.PeerAddress, m); err != nil {
+	if err := serve.Run(t, k.Settings.PeerAddress, stamp.Handler(k.Clock, m)); err != nil {
 		return err
 	}
 	t.Go(func() error {
