--- /dev/null
+++ b/core/store/adapter.go
@@ -0,0 +1,45 @@
+package store
+
+import (
+	"sort"
+	"sync"
+)
+
+// Adapter opens a store at a URL. It does not call the platform.
+type Adapter func(url string) (Store, error)
+
+var (
+	adaptersMu sync.Mutex
+	adapters   = map[string]Adapter{}
+)
+
+// Register makes an adapter known under the name that settings give. Packages
+// call it from init; it panics if the name is taken.
+func Register(name string, a Adapter) {
+	adaptersMu.Lock()
+	defer adaptersMu.Unlock()
+	if adapters[name] != nil {
+		panic("store: adapter registered twice: " + name)
+	}
+	adapters[name] = a
+}
+
+// Lookup returns the adapter with the name, or nil. It is safe for concurrent
+// use.
+func Lookup(name string) Adapter {
+	adaptersMu.Lock()
+	defer adaptersMu.Unlock()
+	return adapters[name]
+}
+
+// Adapters returns the names of all registered adapters, ordered.
+func Adapters() []string {
+	adaptersMu.Lock()
+	defer adaptersMu.Unlock()
+	s := make([]string, 0, len(adapters))
+	for n := range adapters {
+		s = append(s, n)
+	}
+	sort.Strings(s)
+	return s
+}
--- a/io/platform/plugin.go
+++ b/io/platform/plugin.go
@@ -8,16 +8,21 @@
 	"gopkg.in/tomb.v2"
 
 	"heatherford/core"
+	"heatherford/core/code"
 	"heatherford/core/config"
+	"heatherford/core/store"
 )
 
-// Name is the plug-in's name and the adapter's name in the settings.
+// Name is the plug-in's name.
 const Name = "io/platform"
 
 // pollInterval is how often the head and the list of hosts are read.
 const pollInterval = 500 * time.Millisecond
 
 func init() {
+	store.Register("http", func(url string) (store.Store, error) {
+		return New(url), nil
+	})
 	core.Register(Name, func() core.Plugin {
 		return core.Plugin{
 			Name:   Name,
@@ -28,9 +33,16 @@
 }
 
 func attach(k *core.Kernel) error {
-	if k.Settings.Platform.Adapter == "http" {
-		k.Seams.Store = New(k.Settings.Platform.URL)
+	p := k.Settings.Platform
+	open := store.Lookup(p.Adapter)
+	if open == nil {
+		return code.New(code.SettingsValue, "platform: no adapter %q", p.Adapter)
+	}
+	s, err := open(p.URL)
+	if err != nil {
+		return err
 	}
+	k.Seams.Store = s
 	return nil
 }
 
