--- a/core/controlconfig.go
+++ b/core/controlconfig.go
@@ -19,6 +19,7 @@
 	level.Info(c.kernel.Log).Log("msg", "config: version in force", "version", v.Number)
 	c.kernel.Record(timeline.Event{
 		Kind:    timeline.KindConfig,
+		Phase:   timeline.PhaseEnded,
 		Subject: strconv.FormatUint(v.Number, 10),
 		Text:    "version in force",
 	})
--- a/core/kernel.go
+++ b/core/kernel.go
@@ -112,6 +112,7 @@
 	if err := k.attach(k.plugins); err != nil {
 		return nil, err
 	}
+	k.Seams.Store = store.Watch(k.Seams.Store, k.platformChanged)
 	k.Dispatcher = dispatch.New(dispatch.Options{
 		Self:     o.Settings.Host,
 		Snapshot: k.Snapshot,
@@ -170,15 +171,6 @@
 	return k.current.Load()
 }
 
-// Record adds an event to the time line under a new stamp. It is safe for
-// concurrent use.
-func (k *Kernel) Record(e timeline.Event) {
-	e.At = k.Clock.Now()
-	e.Host = k.Settings.Host
-	k.Ring.Add(e)
-	k.Rolls.Event(e)
-}
-
 // OfferVersion hands a version to the control goroutine, which takes it if it
 // is newer than the one in force.
 func (k *Kernel) OfferVersion(v *intent.Version) {
--- /dev/null
+++ b/core/record.go
@@ -0,0 +1,30 @@
+package core
+
+import (
+	"heatherford/core/code"
+	"heatherford/core/timeline"
+)
+
+// Record adds an event to the time line under a new stamp, and to the roll-up if
+// it has a phase. It is safe for concurrent use.
+func (k *Kernel) Record(e timeline.Event) {
+	e.At = k.Clock.Now()
+	e.Host = k.Settings.Host
+	k.Ring.Add(e)
+	k.Rolls.Event(e)
+}
+
+// platformChanged records the begin and the end of an outage of the platform as
+// this host sees it.
+func (k *Kernel) platformChanged(err error) {
+	e := timeline.Event{
+		Kind:  timeline.KindPlatform,
+		Phase: timeline.PhaseEnded,
+		Text:  "the platform answers again",
+	}
+	if err != nil {
+		e.Phase = timeline.PhaseBegun
+		e.Text = "the platform does not answer: " + code.Text(err)
+	}
+	k.Record(e)
+}
--- a/io/operator/handler.go
+++ b/io/operator/handler.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"goji.io"
@@ -17,6 +18,7 @@
 	"heatherford/core/code"
 	"heatherford/core/config"
 	"heatherford/core/intent"
+	"heatherford/core/timeline"
 	"heatherford/io/internal/refuse"
 )
 
@@ -96,6 +98,12 @@
 		refuse.Write(w, "", err)
 		return
 	}
+	s.kernel.Record(timeline.Event{
+		Kind:    timeline.KindConfig,
+		Phase:   timeline.PhaseBegun,
+		Subject: strconv.FormatUint(v.Number, 10),
+		Text:    "version confirmed",
+	})
 	s.kernel.OfferVersion(v)
 	s.kernel.Seams.Push(v)
 	encode(w, Confirmed{
