--- /dev/null
+++ b/core/report/section.go
@@ -0,0 +1,209 @@
+package report
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// section is a part of the page that text and HTML show alike.
+type section struct {
+	title   string
+	columns []string
+	rows    [][]string
+	// empty stands in place of the rows if there are none.
+	empty string
+	// charts follow the rows in HTML.
+	charts []chart
+}
+
+func (r *Report) sections() []section {
+	return []section{
+		r.rankSection(),
+		r.kindSection(),
+		r.codeSection(),
+		r.regionSection(),
+		r.changeSection(),
+		r.spanSection("Shifts of traffic", "No shift began or ended.", r.Shifts),
+		r.spanSection("Drains", "Nothing was drained.", r.Drains),
+		r.stopSection(),
+		r.spanSection("Failures of hosts", "No host saw another one fail.", r.Failures),
+		r.spanSection("Outages of the platform", "The platform answered all day, as far as hosts saw.", r.Outages),
+	}
+}
+
+var workColumns = []string{"asked", "correct in time", "late", "not run", "outcome unknown", "score", "p50", "p99"}
+
+func (w Work) cells() []string {
+	return []string{
+		strconv.FormatUint(w.Asked, 10),
+		w.correctCell(),
+		strconv.FormatUint(w.Late, 10),
+		strconv.FormatUint(w.NotRun, 10),
+		strconv.FormatUint(w.Unknown, 10),
+		fmt.Sprintf("%g of %g", w.Score, w.Worth),
+		latencyText(w.P50),
+		latencyText(w.P99),
+	}
+}
+
+func (w Work) correctCell() string {
+	if w.Share == nil {
+		return "none asked"
+	}
+	return fmt.Sprintf("%d (%s)", w.Correct, percentText(*w.Share))
+}
+
+func (r *Report) rankSection() section {
+	s := section{
+		title:   "Service by rank",
+		columns: append([]string{"rank", "target"}, workColumns...),
+		empty:   "No requests are known.",
+		charts:  r.rankCharts(),
+	}
+	for _, k := range r.Ranks {
+		target := "none"
+		if k.Target > 0 {
+			target = percentText(k.Target)
+		}
+		s.rows = append(s.rows, append([]string{k.Name, target}, k.cells()...))
+	}
+	return s
+}
+
+func (r *Report) kindSection() section {
+	s := section{
+		title:   "Service by kind",
+		columns: append([]string{"kind", "rank"}, workColumns...),
+		empty:   "No requests are known.",
+	}
+	for _, k := range r.Kinds {
+		s.rows = append(s.rows, append([]string{k.Name, k.Rank}, k.cells()...))
+	}
+	return s
+}
+
+func (r *Report) codeSection() section {
+	s := section{
+		title:   "Requests without a whole answer, by result code",
+		columns: []string{"kind", "code", "outcome", "requests"},
+		empty:   "All requests got a whole answer.",
+	}
+	for _, k := range r.Kinds {
+		for _, c := range k.Codes {
+			s.rows = append(s.rows, []string{
+				k.Name,
+				strconv.Itoa(int(c.Code)),
+				strings.ReplaceAll(string(c.Outcome), "_", " "),
+				strconv.FormatUint(c.Count, 10),
+			})
+		}
+	}
+	return s
+}
+
+func (r *Report) regionSection() section {
+	s := section{
+		title:   "Headroom by region (requests in flight)",
+		columns: []string{"region", "cap", "mean", "peak", "peak from", "least headroom"},
+		empty:   "No host sent to a region.",
+		charts:  r.regionCharts(),
+	}
+	for _, g := range r.Regions {
+		s.rows = append(s.rows, []string{
+			g.Name,
+			strconv.Itoa(g.Cap),
+			fmt.Sprintf("%.2f", g.Mean),
+			strconv.Itoa(g.Peak),
+			r.clock(g.PeakAt),
+			strconv.Itoa(g.Headroom),
+		})
+	}
+	return s
+}
+
+func (r *Report) changeSection() section {
+	s := section{
+		title:   "Changes of the configuration",
+		columns: []string{"version", "confirmed", "hosts", "until everywhere", "missing at"},
+		empty:   "No change was confirmed.",
+	}
+	for _, c := range r.Changes {
+		took := "not known"
+		if d, ok := c.Took(); ok {
+			took = durationText(d)
+		}
+		s.rows = append(s.rows, []string{
+			strconv.FormatUint(c.Version, 10),
+			r.clock(c.ConfirmedAt),
+			strconv.Itoa(c.Hosts),
+			took,
+			list(append(append([]string{}, c.Without...), c.Unknown...)),
+		})
+	}
+	return s
+}
+
+func (r *Report) spanSection(title, empty string, spans []Span) section {
+	s := section{
+		title:   title,
+		columns: []string{"what", "begun", "ended", "took", "seen by", "result"},
+		empty:   empty,
+	}
+	for _, x := range spans {
+		took := "not known"
+		if d, ok := x.Took(); ok {
+			took = durationText(d)
+		}
+		result := x.Text
+		if x.Failed {
+			result = "failed: " + result
+		}
+		s.rows = append(s.rows, []string{
+			spanName(x),
+			r.clock(x.Begun),
+			r.clock(x.Ended),
+			took,
+			hosts(x.Hosts),
+			result,
+		})
+	}
+	return s
+}
+
+func (r *Report) stopSection() section {
+	s := section{
+		title:   "Planned stops of hosts",
+		columns: []string{"host", "ended"},
+		empty:   "No host was stopped by plan.",
+	}
+	for _, x := range r.Stops {
+		s.rows = append(s.rows, []string{x.Host, r.clock(x.At)})
+	}
+	return s
+}
+
+// clock writes the time of day of t.
+func (r *Report) clock(t time.Time) string {
+	if t.IsZero() {
+		return "not known"
+	}
+	return t.In(r.location).Format(time.TimeOnly)
+}
+
+func list(s []string) string {
+	if len(s) == 0 {
+		return "none"
+	}
+	return hosts(s)
+}
+
+// hosts names a few hosts and counts the others.
+func hosts(s []string) string {
+	const most = 4
+	if len(s) <= most {
+		return strings.Join(s, ", ")
+	}
+	return fmt.Sprintf("%s and %d more", strings.Join(s[:most], ", "), len(s)-most)
+}
--- a/core/rollup/hour.go
+++ b/core/rollup/hour.go
@@ -79,6 +79,7 @@
 	k.Repeatable = x.Repeatable
 	k.Target = x.Target
 	k.Add(x)
+	k.Worth += x.Weight
 	if x.Code == code.Answered {
 		recordLatency(k.latency, x.Elapsed)
 	} else {
--- a/core/rollup/keeper.go
+++ b/core/rollup/keeper.go
@@ -37,6 +37,7 @@
 // not written yet. It is safe for concurrent use.
 type Keeper struct {
 	options Options
+	started time.Time
 
 	mu      sync.Mutex
 	current *hour
@@ -58,10 +59,10 @@
 func New(o Options) *Keeper {
 	k := &Keeper{
 		options:  o,
+		started:  o.Now().UTC(),
 		interval: minInterval,
 	}
-	now := o.Now()
-	k.current = newHour(k.roll(now))
+	k.current = newHour(k.roll(k.started))
 	return k
 }
 
@@ -71,6 +72,7 @@
 		Host:        k.options.Host,
 		Region:      k.options.Region,
 		Incarnation: k.options.Incarnation,
+		Started:     k.started,
 		Hour:        from.UTC().Truncate(HourLength),
 		From:        from.UTC(),
 	}
--- a/core/rollup/roll.go
+++ b/core/rollup/roll.go
@@ -32,6 +32,8 @@
 	Region string `json:"region"`
 	// Incarnation is distinct among the daemons that ran under the host's name.
 	Incarnation string `json:"incarnation"`
+	// Started is when the incarnation started.
+	Started time.Time `json:"started"`
 	// Hour is the start of the hour in UTC.
 	Hour time.Time `json:"hour"`
 	// From and To bound the time that the roll-up covers.
@@ -74,6 +76,8 @@
 	Codes map[code.Code]uint64 `json:"codes,omitempty"`
 	// Score is the sum of the weights of all correct answers.
 	Score float64 `json:"score"`
+	// Worth is the sum of the weights of all requests.
+	Worth float64 `json:"worth"`
 	// Target is the share of correct answers in time that the operators aim
 	// at, or 0 if they state none.
 	Target float64 `json:"target,omitempty"`
