--- a/core/report/report_test.go
+++ b/core/report/report_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"encoding/xml"
+	"errors"
 	"io"
 	"os"
 	"path/filepath"
@@ -78,7 +79,7 @@
 		d := xml.NewDecoder(strings.NewReader(s))
 		for {
 			_, err := d.Token()
-			if err == io.EOF {
+			if errors.Is(err, io.EOF) {
 				break
 			}
 			c.Assert(err, qt.IsNil)
