--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -74,13 +74,19 @@
 	if problems := strict.Decode(data, s); len(problems) > 0 {
 		return nil, problems
 	}
-	s.setDefaults()
-	if problems := s.validate(); len(problems) > 0 {
+	if problems := s.Complete(); len(problems) > 0 {
 		return nil, problems
 	}
 	return s, nil
 }
 
+// Complete fills in defaults and returns every breach of a rule. Settings that
+// are not parsed from a file are completed before use.
+func (s *Settings) Complete() []error {
+	s.setDefaults()
+	return s.validate()
+}
+
 func (s *Settings) setDefaults() {
 	if s.Log.Level == "" {
 		s.Log.Level = "info"
