heatherford/core: phases of a planned stop; who may use the interfaces

Cause: a stop closed all listeners at once, so a request on its way over an idle connection was cut off; a signal during the start was lost. Nothing said who may use the operators' and peers' interfaces.

Ruled out: http.Server.SetKeepAlivesEnabled(false), which closes idle connections under a caller that is just sending.

Change: Kernel.Stop runs typed phases (announce, expire, hand over, finish) in which plug-ins register hooks, all by one stored deadline. Listeners announce Connection: close while the daemon stops, wait until no request is in flight and none came of late, then shut down. Settings have operators (open on loopback, or a key file) and peers (open on loopback, or TLS); one of them must be said.

--- a/cmd/heatherfordd/main.go
+++ b/cmd/heatherfordd/main.go
@@ -47,6 +47,10 @@
 		fmt.Println("settings are valid")
 		return exitOK
 	}
+	// A signal that comes during the start stops the daemon right after it. A
+	// further signal changes nothing: the stop's deadline stands.
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
 	l := newLogger(s)
 	k, err := core.New(core.Options{
 		Settings: s,
@@ -61,8 +65,6 @@
 		level.Error(l).Log("msg", "heatherfordd: cannot start", "err", err)
 		return exitFailed
 	}
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
 	select {
 	case <-signals:
 	case <-k.Dead():
--- a/core/control.go
+++ b/core/control.go
@@ -14,6 +14,8 @@
 	version *intent.Version
 	// hosts is the platform's list of hosts as last read.
 	hosts []store.Host
+	// stopping is true once a planned stop has begun.
+	stopping bool
 	// changed is true if the state differs from the published snapshot.
 	changed bool
 }
@@ -42,10 +44,11 @@
 	}
 	c.changed = false
 	s := &snapshot.Snapshot{
-		Version: c.version,
-		Hosts:   map[string]store.Host{},
-		Owners:  map[string]string{},
-		Owned:   map[string][]snapshot.Own{},
+		Version:  c.version,
+		Hosts:    map[string]store.Host{},
+		Owners:   map[string]string{},
+		Owned:    map[string][]snapshot.Own{},
+		Stopping: c.stopping,
 	}
 	for _, h := range c.hosts {
 		s.Hosts[h.Name] = h
--- a/core/kernel.go
+++ b/core/kernel.go
@@ -67,6 +67,8 @@
 	tomb    tomb.Tomb
 	events  chan func(c *control)
 	current atomic.Pointer[snapshot.Snapshot]
+	// stopping is the state of a planned stop.
+	stopping stopping
 }
 
 // New returns a kernel with its plug-ins attached. It does not start them.
@@ -89,6 +91,8 @@
 	k.Clock = timeline.NewClock(k.Now)
 	k.Ring = timeline.NewRing(ringSize)
 	k.Results = outcome.New()
+	k.stopping.begun = make(chan struct{})
+	k.OnStop(PhaseExpire, "core", k.expireLookups)
 	if err := k.attach(k.plugins); err != nil {
 		return nil, err
 	}
@@ -120,13 +124,6 @@
 	return nil
 }
 
-// Stop ends the daemon and waits for all its goroutines. It may be called more
-// than once.
-func (k *Kernel) Stop() error {
-	k.tomb.Kill(nil)
-	return k.tomb.Wait()
-}
-
 // Dead is closed after the daemon has ended.
 func (k *Kernel) Dead() <-chan struct{} {
 	return k.tomb.Dead()
--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -24,6 +24,8 @@
 	// CollectorAddress is where the daemon serves its metrics.
 	CollectorAddress netip.AddrPort `json:"collector_address"`
 	Platform         Platform       `json:"platform"`
+	Operators        Operators      `json:"operators,omitempty"`
+	Peers            Peers          `json:"peers,omitempty"`
 	Log              Log            `json:"log,omitempty"`
 	Limits           Limits         `json:"limits,omitempty"`
 }
--- a/core/settings/validate.go
+++ b/core/settings/validate.go
@@ -22,6 +22,8 @@
 	v.name("region", s.Region)
 	v.checkAddresses(s)
 	v.checkPlatform(s.Platform)
+	v.checkOperators(s.Operators, s.OperatorAddress)
+	v.checkPeers(s.Peers, s.PeerAddress)
 	v.oneOf("log.level", s.Log.Level, "debug", "info", "warn", "error")
 	v.oneOf("log.format", s.Log.Format, "logfmt", "json")
 	v.checkLimits(s.Limits)
--- /dev/null
+++ b/core/stop.go
@@ -0,0 +1,157 @@
+package core
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"heatherford/core/timeline"
+)
+
+// Phase is a step of a planned stop. Phases run one after another.
+type Phase int
+
+// The phases of a planned stop.
+const (
+	// PhaseAnnounce tells the other hosts that this one is leaving, so that
+	// look-ups stop naming it.
+	PhaseAnnounce Phase = iota
+	// PhaseExpire lets callers' cached look-ups run out.
+	PhaseExpire
+	// PhaseHandOver gives grants, tickets and kept answers to other hosts.
+	PhaseHandOver
+	// PhaseFinish ends the requests in flight and closes the listeners.
+	PhaseFinish
+	phaseCount
+)
+
+// String implements fmt.Stringer.
+func (p Phase) String() string {
+	switch p {
+	case PhaseAnnounce:
+		return "announce"
+	case PhaseExpire:
+		return "expire"
+	case PhaseHandOver:
+		return "hand over"
+	case PhaseFinish:
+		return "finish"
+	default:
+		return strconv.Itoa(int(p))
+	}
+}
+
+// stopReserve is what PhaseFinish keeps of the stop's time, at least, when the
+// phases before it run late.
+const stopReserve = 3
+
+// stopHook is what a plug-in does in a phase.
+type stopHook struct {
+	name string
+	run  func(ctx context.Context) error
+}
+
+// stopping is the state of a planned stop.
+type stopping struct {
+	once sync.Once
+	// begun is closed when the stop has begun.
+	begun chan struct{}
+	// hooks are fixed once the kernel has started.
+	hooks [phaseCount][]stopHook
+}
+
+// OnStop registers what a plug-in does in a phase of a planned stop. It is
+// called from Attach or Start. The hooks of one phase run side by side; the
+// context ends when the phase has used its time. An error is logged, and the
+// stop goes on.
+func (k *Kernel) OnStop(p Phase, name string, run func(ctx context.Context) error) {
+	k.stopping.hooks[p] = append(k.stopping.hooks[p], stopHook{
+		name: name,
+		run:  run,
+	})
+}
+
+// Stop ends the daemon in the phases of a planned stop and waits for all its
+// goroutines. The deadline is set by the first call; further calls wait for the
+// same stop. It is safe for concurrent use after Start has returned.
+func (k *Kernel) Stop() error {
+	k.stopping.once.Do(k.stop)
+	return k.tomb.Wait()
+}
+
+// Stopping reports whether a planned stop has begun. It is safe for concurrent
+// use.
+func (k *Kernel) Stopping() bool {
+	select {
+	case <-k.stopping.begun:
+		return true
+	default:
+		return false
+	}
+}
+
+func (k *Kernel) stop() {
+	started := k.Now()
+	deadline := started.Add(k.Settings.Limits.StopDeadline.Std())
+	close(k.stopping.begun)
+	level.Info(k.Log).Log("msg", "stop: begun", "deadline", deadline.UTC().Format(time.RFC3339))
+	k.Record(timeline.Event{
+		Kind:    timeline.KindStop,
+		Subject: k.Settings.Host,
+		Text:    "planned stop begun",
+	})
+	k.post(func(c *control) {
+		c.stopping = true
+		c.changed = true
+	})
+	ctx, cancel := context.WithDeadline(k.tomb.Context(context.Background()), deadline)
+	defer cancel()
+	for p := range phaseCount {
+		k.runPhase(ctx, p, deadline)
+	}
+	level.Info(k.Log).Log("msg", "stop: ended", "took", k.Now().Sub(started))
+	k.tomb.Kill(nil)
+}
+
+// runPhase runs the hooks of p and waits for them.
+func (k *Kernel) runPhase(ctx context.Context, p Phase, deadline time.Time) {
+	end := deadline
+	if p != PhaseFinish {
+		left := deadline.Sub(k.Now())
+		end = deadline.Add(-left / stopReserve)
+	}
+	ctx, cancel := context.WithDeadline(ctx, end)
+	defer cancel()
+	wg := sync.WaitGroup{}
+	for _, h := range k.stopping.hooks[p] {
+		wg.Go(func() {
+			if err := h.run(ctx); err != nil {
+				level.Warn(k.Log).Log("msg", "stop: hook failed", "phase", p, "hook", h.name, "err", err)
+			}
+		})
+	}
+	wg.Wait()
+	k.Record(timeline.Event{
+		Kind:    timeline.KindStop,
+		Subject: k.Settings.Host,
+		Text:    "phase " + p.String() + " ended",
+	})
+}
+
+// expireLookups waits until look-ups that name this host have run out.
+func (k *Kernel) expireLookups(ctx context.Context) error {
+	if k.Snapshot().Version == nil {
+		return nil
+	}
+	t := time.NewTimer(k.Settings.Limits.LookupTTL.Std())
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- a/io/internal/serve/doc.go
+++ b/io/internal/serve/doc.go
@@ -1,2 +1,3 @@
-// Package serve runs an HTTP server under a tomb, for the plug-ins that listen.
+// Package serve runs HTTP servers for the plug-ins that listen, and ends them in
+// a planned stop without cutting a request off.
 package serve
--- a/io/internal/serve/serve.go
+++ b/io/internal/serve/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"net"
 	"net/http"
@@ -10,25 +11,50 @@
 
 	"gopkg.in/tomb.v2"
 
+	"heatherford/core"
 	"heatherford/core/code"
 )
 
 const (
-	headerTimeout = 5 * time.Second
-	stopTimeout   = 10 * time.Second
+	headerTimeout  = 5 * time.Second
+	idleTimeout    = 2 * time.Minute
+	maxHeaderBytes = 64 << 10
 )
 
-// Run listens on the address and serves h until t dies. It returns after the
-// address is bound.
-func Run(t *tomb.Tomb, address netip.AddrPort, h http.Handler) error {
-	l, err := net.Listen("tcp", address.String())
+// Options are what a listener needs.
+type Options struct {
+	// Name is the name of the plug-in that listens.
+	Name    string
+	Address netip.AddrPort
+	Handler http.Handler
+	// TLS is nil for plain HTTP.
+	TLS *tls.Config
+	// ReadTimeout bounds the reading of one request; zero stands for no bound.
+	ReadTimeout time.Duration
+}
+
+// Run listens and serves until the kernel's planned stop has ended the requests
+// in flight, or t dies. It returns after the address is bound.
+func Run(k *core.Kernel, t *tomb.Tomb, o Options) error {
+	l, err := net.Listen("tcp", o.Address.String())
 	if err != nil {
-		return code.Wrap(code.SettingsValue, err, "serve: cannot listen on %s", address)
+		return code.Wrap(code.SettingsValue, err, "serve: cannot listen on %s", o.Address)
+	}
+	if o.TLS != nil {
+		l = tls.NewListener(l, o.TLS)
 	}
+	g := newGuard(o.Handler, k.Stopping)
 	s := &http.Server{
-		Handler:           h,
+		Handler:           g,
 		ReadHeaderTimeout: headerTimeout,
+		ReadTimeout:       o.ReadTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
 	}
+	k.OnStop(core.PhaseFinish, o.Name, func(ctx context.Context) error {
+		g.waitQuiet(ctx)
+		return s.Shutdown(ctx)
+	})
 	t.Go(func() error {
 		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			return err
@@ -37,9 +63,7 @@
 	})
 	t.Go(func() error {
 		<-t.Dying()
-		ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
-		defer cancel()
-		return s.Shutdown(ctx)
+		return s.Close()
 	})
 	return nil
 }
--- a/io/operator/plugin.go
+++ b/io/operator/plugin.go
@@ -15,7 +15,11 @@
 		return core.Plugin{
 			Name: Name,
 			Start: func(k *core.Kernel, t *tomb.Tomb) error {
-				return serve.Run(t, k.Settings.OperatorAddress, New(k).Handler())
+				return serve.Run(k, t, serve.Options{
+					Name:    Name,
+					Address: k.Settings.OperatorAddress,
+					Handler: New(k).Handler(),
+				})
 			},
 		}
 	})
--- a/io/peer/plugin.go
+++ b/io/peer/plugin.go
@@ -44,7 +44,11 @@
 	m.HandleFunc(carry.WorkPrefix, func(w http.ResponseWriter, r *http.Request) {
 		carry.Serve(k, w, r, true)
 	})
-	if err := serve.Run(t, k.Settings.PeerAddress, m); err != nil {
+	if err := serve.Run(k, t, serve.Options{
+		Name:    Name,
+		Address: k.Settings.PeerAddress,
+		Handler: m,
+	}); err != nil {
 		return err
 	}
 	t.Go(func() error {
