--- a/cmd/heatherford-standin/main.go
+++ b/cmd/heatherford-standin/main.go
@@ -12,29 +12,10 @@
 	"os/signal"
 	"syscall"
 
-	"heatherford/core/store"
 	"heatherford/core/strict"
 	"heatherford/standin/platform"
-	"heatherford/standin/upstream"
 )
 
-// Settings is the content of the stand-in's settings file.
-type Settings struct {
-	// PlatformAddress is where the platform listens.
-	PlatformAddress netip.AddrPort `json:"platform_address"`
-	Hosts           []store.Host   `json:"hosts"`
-	Endpoints       []Endpoint     `json:"endpoints,omitempty"`
-}
-
-// Endpoint describes one upstream's endpoint.
-type Endpoint struct {
-	Name    string          `json:"name"`
-	Address netip.AddrPort  `json:"address"`
-	Slots   int             `json:"slots"`
-	Service strict.Duration `json:"service"`
-	LoadLag strict.Duration `json:"load_lag,omitempty"`
-}
-
 func main() {
 	path := flag.String("settings", "standin.json", "`file` with the stand-in's settings")
 	flag.Parse()
@@ -53,17 +34,18 @@
 	if problems := strict.Decode(b, &s); len(problems) > 0 {
 		return problems[0]
 	}
-	if err := listen(s.PlatformAddress, platform.New(s.Hosts).Handler()); err != nil {
+	if err := listen(s.PlatformAddress, platform.New(s.Hosts).Handler(), nil); err != nil {
 		return err
 	}
-	for _, e := range s.Endpoints {
-		u := upstream.New(upstream.Options{
-			Name:    e.Name,
-			Slots:   e.Slots,
-			Service: e.Service.Std(),
-			LoadLag: e.LoadLag.Std(),
-		})
-		if err := listen(e.Address, u.Handler()); err != nil {
+	f := newFleet(&s)
+	for i, m := range f.members {
+		e := m.Endpoint
+		if err := listen(s.Endpoints[i].Address, e.Handler(), e.Connect); err != nil {
+			return err
+		}
+	}
+	if s.ControlAddress.IsValid() {
+		if err := listen(s.ControlAddress, f.fleet.Handler(), nil); err != nil {
 			return err
 		}
 	}
@@ -73,13 +55,17 @@
 	return nil
 }
 
-func listen(a netip.AddrPort, h http.Handler) error {
+func listen(a netip.AddrPort, h http.Handler, state func(net.Conn, http.ConnState)) error {
 	l, err := net.Listen("tcp", a.String())
 	if err != nil {
 		return err
 	}
+	s := &http.Server{
+		Handler:   h,
+		ConnState: state,
+	}
 	go func() {
-		if err := http.Serve(l, h); err != nil {
+		if err := s.Serve(l); err != nil {
 			fmt.Fprintln(os.Stderr, "heatherford-standin:", err)
 		}
 	}()
--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -26,8 +26,19 @@
 	Platform         Platform       `json:"platform"`
 	Log              Log            `json:"log,omitempty"`
 	Limits           Limits         `json:"limits,omitempty"`
+	// Policy says how endpoints are chosen; the default is PolicyOwners.
+	Policy string `json:"policy,omitempty"`
 }
 
+// Policies.
+const (
+	// PolicyOwners sends to each endpoint from the one host that owns it.
+	PolicyOwners = "owners"
+	// PolicyIndependent makes every host choose for itself, by the load that
+	// endpoints report. It is the baseline of measurements.
+	PolicyIndependent = "independent"
+)
+
 // Platform says how to reach the platform's service.
 type Platform struct {
 	// Adapter is the name of a registered adapter.
@@ -85,6 +96,9 @@
 	if s.Log.Level == "" {
 		s.Log.Level = "info"
 	}
+	if s.Policy == "" {
+		s.Policy = PolicyOwners
+	}
 	if s.Log.Format == "" {
 		s.Log.Format = "logfmt"
 	}
@@ -116,6 +130,11 @@
 	if s.Platform.Adapter == "" {
 		bad("platform.adapter", "expected the name of an adapter, found an empty string")
 	}
+	switch s.Policy {
+	case PolicyOwners, PolicyIndependent:
+	default:
+		bad("policy", "expected owners or independent, found %q", s.Policy)
+	}
 	switch s.Log.Level {
 	case "debug", "info", "warn", "error":
 	default:
--- a/io/internal/carry/carry.go
+++ b/io/internal/carry/carry.go
@@ -47,6 +47,7 @@
 		Ticket: r.Header.Get(work.HeaderTicket),
 		Hop:    hop,
 	}
+	q.Header.Add("Via", "1.1 "+k.Settings.Host)
 	v := k.Snapshot().Version
 	if v == nil {
 		return q, code.New(code.HostBehind, "carry: this host knows no declaration yet")
