--- a/core/settings/validate.go
+++ b/core/settings/validate.go
@@ -26,6 +26,7 @@
 	v.checkPeers(s.Peers, s.PeerAddress)
 	v.oneOf("log.level", s.Log.Level, "debug", "info", "warn", "error")
 	v.oneOf("log.format", s.Log.Format, "logfmt", "json")
+	v.oneOf("policy", s.Policy, PolicyOwners, PolicyIndependent)
 	v.checkLimits(s.Limits)
 	return v.problems
 }
