--- a/cmd/heatherford-demo/world.go
+++ b/cmd/heatherford-demo/world.go
@@ -11,12 +11,15 @@
 
 	"github.com/go-kit/log"
 	"github.com/uber-go/tally/v4"
+	"golang.org/x/sync/errgroup"
 	"gopkg.in/tomb.v2"
 
 	"heatherford/core"
 	"heatherford/core/settings"
 	"heatherford/core/store"
+	"heatherford/core/strict"
 	_ "heatherford/io/caller"
+	_ "heatherford/io/collector"
 	_ "heatherford/io/operator"
 	_ "heatherford/io/peer"
 	_ "heatherford/io/platform"
@@ -34,6 +37,8 @@
 	// endpointsPerRegion and hostsPerRegion size each region.
 	endpointsPerRegion = 2
 	hostsPerRegion     = 2
+	// lookupTTL is short, so that the daemons stop soon at the end.
+	lookupTTL = 500 * time.Millisecond
 )
 
 // regionNames are the demo's regions; each has one availability zone.
@@ -151,6 +156,15 @@
 			PeerAddress:      a[1],
 			OperatorAddress:  a[2],
 			CollectorAddress: a[3],
+			Operators: settings.Operators{
+				Open: true,
+			},
+			Peers: settings.Peers{
+				Open: true,
+			},
+			Limits: settings.Limits{
+				LookupTTL: strict.Duration(lookupTTL),
+			},
 		},
 	})
 	return nil
@@ -215,9 +229,12 @@
 // stop ends the daemons first, so that they can hand over to one another, and
 // then the stand-ins.
 func (w *world) stop(t *tomb.Tomb) error {
-	errs := []error{}
+	g := errgroup.Group{}
 	for _, d := range w.daemons {
-		errs = append(errs, d.kernel.Stop())
+		g.Go(d.kernel.Stop)
+	}
+	errs := []error{
+		g.Wait(),
 	}
 	t.Kill(nil)
 	errs = append(errs, t.Wait())
--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -64,6 +64,9 @@
 	LookupTTL strict.Duration `json:"lookup_ttl,omitempty"`
 	// StopDeadline is the longest that a planned stop takes.
 	StopDeadline strict.Duration `json:"stop_deadline,omitempty"`
+	// TimelineEvents is how many events the daemon keeps for the time line: 0
+	// stands for the kernel's default, -1 for none.
+	TimelineEvents int `json:"timeline_events,omitempty"`
 }
 
 const (
--- a/core/settings/validate.go
+++ b/core/settings/validate.go
@@ -88,6 +88,9 @@
 	if l.RequestBytes < 1 {
 		v.add("limits.request_bytes", "expected at least 1, found %d", l.RequestBytes)
 	}
+	if l.TimelineEvents < -1 {
+		v.add("limits.timeline_events", "expected at least -1, found %d", l.TimelineEvents)
+	}
 	v.atLeast("limits.lookup_ttl", l.LookupTTL.Std(), time.Millisecond)
 	v.atLeast("limits.stop_deadline", l.StopDeadline.Std(), time.Second)
 }
