io/upstream: send each request once and take only its own whole answer

http.Transport decides by itself when to send a request again, starts a body without an answer to Expect: 100-continue once its timer ends, and can give an answer that was left on a connection to the next request. How much of a request left the host cannot be asked of it. One transport a connection was weighed: it rules out the second sending but not the left-over answer.

io/internal/wire keeps the connections itself; net/http encodes requests and decodes answers. Work that may not be repeated is held back on a used connection until 100 Continue. Answers up to 64 KiB are read whole first; identifiers are the host's own. A silent connection takes its idle siblings with it, and new ones are dialled at a bounded rate.

The stand-in endpoint now echoes Request-Id on every answer, also when it sheds: an answer without it may be another request's.

--- /dev/null
+++ b/io/internal/wire/conn.go
@@ -0,0 +1,120 @@
+package wire
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// maxHeadBytes bounds an answer's head.
+const maxHeadBytes = 64 << 10
+
+// conn is one connection. Only the exchange that took it from its pool uses
+// it, but for expire, which may be called at any time.
+type conn struct {
+	net.Conn
+	reader *bufio.Reader
+	// idleSince is when the last exchange ended, at which something was heard.
+	idleSince time.Time
+	// budget is the number of bytes that may still be read.
+	budget int64
+
+	mu sync.Mutex
+	// expired is true once the exchange was cancelled; no deadline is set after
+	// it.
+	expired bool
+}
+
+func newConn(c net.Conn) *conn {
+	x := &conn{
+		Conn: c,
+	}
+	x.reader = bufio.NewReader(limitedReader{
+		conn: x,
+	})
+	return x
+}
+
+// limitedReader reads from a connection within its budget.
+type limitedReader struct {
+	conn *conn
+}
+
+// Read implements io.Reader.
+func (l limitedReader) Read(p []byte) (int, error) {
+	c := l.conn
+	if c.budget <= 0 {
+		return 0, ErrTooLarge
+	}
+	if int64(len(p)) > c.budget {
+		p = p[:c.budget]
+	}
+	n, err := c.Read(p)
+	c.budget -= int64(n)
+	return n, err
+}
+
+// within sets the deadline of reads and writes unless the exchange was
+// cancelled.
+func (c *conn) within(t time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.expired {
+		_ = c.SetDeadline(t)
+	}
+}
+
+// watch makes reads and writes fail once ctx ends. The returned function ends
+// the watch and reports whether ctx had not ended.
+func (c *conn) watch(ctx context.Context) func() bool {
+	return context.AfterFunc(ctx, c.expire)
+}
+
+func (c *conn) expire() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.expired = true
+	_ = c.SetDeadline(time.Unix(1, 0))
+}
+
+// clean reports whether an idle connection is open and nothing was received on
+// it since its last answer.
+func (c *conn) clean() bool {
+	n, err := c.peek()
+	return c.reader.Buffered() == 0 && n <= 0 && errors.Is(err, syscall.EAGAIN)
+}
+
+// stray reports whether bytes were received that belong to no answer.
+func (c *conn) stray() bool {
+	n, _ := c.peek()
+	return c.reader.Buffered() > 0 || n > 0
+}
+
+// peek looks for a byte that was received but not read. It does not block: the
+// error is syscall.EAGAIN if there is none yet, and n is 0 without an error if
+// the peer has closed the connection.
+func (c *conn) peek() (n int, err error) {
+	s, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return -1, syscall.EAGAIN
+	}
+	r, err := s.SyscallConn()
+	if err != nil {
+		return -1, err
+	}
+	// A passed deadline would fail the call below.
+	c.within(time.Time{})
+	b := [1]byte{}
+	e := r.Read(func(fd uintptr) bool {
+		n, _, err = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		return true
+	})
+	if e != nil {
+		return -1, e
+	}
+	return n, err
+}
--- /dev/null
+++ b/io/internal/wire/error.go
@@ -0,0 +1,67 @@
+package wire
+
+import (
+	"errors"
+	"fmt"
+	"os"
+)
+
+// Step is the step of an exchange that failed.
+type Step string
+
+// The steps of an exchange.
+const (
+	StepDial  Step = "dial"
+	StepProof Step = "proof"
+	StepWrite Step = "write"
+	StepHead  Step = "head"
+	StepBody  Step = "body"
+)
+
+// Failure says why an exchange has no whole answer. It is immutable.
+type Failure struct {
+	Step Step
+	// Sent is true if the peer may have all of the request. It is false only
+	// when at least one byte that the peer needs was never written.
+	Sent bool
+	// Silent is true if the connection made no progress for too long.
+	Silent bool
+	// Reused is true if the connection had carried a request before.
+	Reused bool
+	Cause  error
+}
+
+// Error implements error.
+func (f *Failure) Error() string {
+	if f.Silent {
+		return fmt.Sprintf("wire: %s: the connection is silent", f.Step)
+	}
+	return fmt.Sprintf("wire: %s: %v", f.Step, f.Cause)
+}
+
+// Unwrap returns the cause.
+func (f *Failure) Unwrap() error {
+	return f.Cause
+}
+
+// Reasons why an answer is not the whole answer to its request.
+var (
+	// ErrForeign is the cause if the answer names another request.
+	ErrForeign = errors.New("the answer belongs to another request")
+	// ErrFraming is the cause if the answer's end cannot be known.
+	ErrFraming = errors.New("the answer states no length")
+	// ErrTrailing is the cause if bytes follow the answer's end.
+	ErrTrailing = errors.New("bytes follow the end of the answer")
+	// ErrTooLarge is the cause if the answer exceeds a bound.
+	ErrTooLarge = errors.New("the answer is too large")
+	// ErrInterim is the cause if too many or unusable interim answers came.
+	ErrInterim = errors.New("unusable interim answer")
+	// ErrNoProof is the cause if the peer did not prove the connection alive.
+	ErrNoProof = errors.New("no 100 Continue")
+	// ErrClosed is the cause after Close.
+	ErrClosed = errors.New("the pool is closed")
+)
+
+func isTimeout(err error) bool {
+	return errors.Is(err, os.ErrDeadlineExceeded)
+}
--- /dev/null
+++ b/io/internal/wire/pace.go
@@ -0,0 +1,47 @@
+package wire
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// minHeadSilence is the shortest wait for an answer's head before the
+	// connection counts as silent.
+	minHeadSilence = 150 * time.Millisecond
+	// headSilenceFactor is how many usual waits count as silence.
+	headSilenceFactor = 8
+	// paceWeight is the weight of the newest wait in the usual one.
+	paceWeight = 0.1
+	// BodySilence is the longest pause between bytes of a body.
+	BodySilence = 500 * time.Millisecond
+)
+
+// pace follows how long a peer usually takes until its answer's head. It is
+// safe for concurrent use.
+type pace struct {
+	mu    sync.Mutex
+	usual time.Duration
+}
+
+func (p *pace) observe(d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.usual == 0 {
+		p.usual = d
+		return
+	}
+	p.usual += time.Duration(paceWeight * float64(d-p.usual))
+}
+
+// silence returns when a head that is waited for since now counts as overdue:
+// after several usual waits, but with half of the time left for another try.
+func (p *pace) silence(now, deadline time.Time) time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	d := max(minHeadSilence, headSilenceFactor*p.usual)
+	if deadline.IsZero() {
+		return now.Add(d)
+	}
+	return now.Add(min(d, deadline.Sub(now)/2))
+}
--- /dev/null
+++ b/io/internal/wire/pool.go
@@ -0,0 +1,269 @@
+package wire
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+// idleTimeout is how long an unused connection is kept.
+const idleTimeout = 30 * time.Second
+
+// Options describe a pool.
+type Options struct {
+	Address netip.AddrPort
+	// Connections is the most open connections, at least 1. An exchange that
+	// finds them all in use waits for one.
+	Connections int
+	// DialsPerSecond and DialBurst bound new connections.
+	DialsPerSecond float64
+	DialBurst      int
+	// IDHeader names the header that carries an exchange's identifier and that
+	// the peer echoes.
+	IDHeader string
+	// Whole is the longest body that is read whole before Do returns.
+	Whole int
+	// MaxAnswer is the longest body that is taken at all.
+	MaxAnswer int64
+}
+
+// Counts are what a pool has seen.
+type Counts struct {
+	Dials uint64
+	// Proofs are requests that were held back until a 100 Continue.
+	Proofs uint64
+	// Unproved are requests that took a fresh connection for want of it.
+	Unproved uint64
+	// Silent are connections that were closed for want of progress.
+	Silent uint64
+	// Distrusted are idle connections that were closed because a sibling was
+	// silent.
+	Distrusted uint64
+}
+
+// Pool keeps the connections to one address. It is safe for concurrent use.
+type Pool struct {
+	options Options
+	dials   *rate.Limiter
+	pace    pace
+	// open holds one element for each open connection.
+	open chan struct{}
+
+	mu sync.Mutex
+	// idle is ordered by idleSince; the newest goes first out.
+	idle   []*conn
+	counts Counts
+	closed bool
+	// freed is closed and replaced when a connection becomes idle or is closed.
+	freed chan struct{}
+}
+
+// New returns a pool without connections.
+func New(o Options) *Pool {
+	return &Pool{
+		options: o,
+		dials:   rate.NewLimiter(rate.Limit(o.DialsPerSecond), max(1, o.DialBurst)),
+		open:    make(chan struct{}, max(1, o.Connections)),
+		freed:   make(chan struct{}),
+	}
+}
+
+// Counts returns what the pool has seen.
+func (p *Pool) Counts() Counts {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.counts
+}
+
+// Close closes all idle connections, and others after their exchange.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	p.closed = true
+	idle := p.idle
+	p.idle = nil
+	p.mu.Unlock()
+	for _, c := range idle {
+		p.discard(c)
+	}
+}
+
+// take returns an idle connection or a new one; with fresh, always a new one.
+func (p *Pool) take(ctx context.Context, fresh bool) (*conn, bool, error) {
+	for {
+		wait := p.freedSignal()
+		if !fresh {
+			if c := p.reuse(); c != nil {
+				return c, true, nil
+			}
+		}
+		select {
+		case p.open <- struct{}{}:
+			c, err := p.dial(ctx)
+			return c, false, err
+		default:
+		}
+		if fresh && p.evict() {
+			continue
+		}
+		select {
+		case <-wait:
+		case <-ctx.Done():
+			return nil, false, ctx.Err()
+		}
+	}
+}
+
+func (p *Pool) freedSignal() <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.freed
+}
+
+// reuse returns the newest idle connection that is fit for use, or nil.
+func (p *Pool) reuse() *conn {
+	for {
+		c := p.pop()
+		if c == nil {
+			return nil
+		}
+		if time.Since(c.idleSince) < idleTimeout && c.clean() {
+			return c
+		}
+		p.discard(c)
+	}
+}
+
+func (p *Pool) pop() *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := len(p.idle)
+	if n == 0 {
+		return nil
+	}
+	c := p.idle[n-1]
+	p.idle = p.idle[:n-1]
+	return c
+}
+
+// evict closes the connection that was idle the longest and reports whether
+// there was one.
+func (p *Pool) evict() bool {
+	p.mu.Lock()
+	if len(p.idle) == 0 {
+		p.mu.Unlock()
+		return false
+	}
+	c := p.idle[0]
+	p.idle = p.idle[1:]
+	p.mu.Unlock()
+	p.discard(c)
+	return true
+}
+
+// dial opens a connection at the bounded rate. The caller holds a place in
+// open, which dial gives back on failure.
+func (p *Pool) dial(ctx context.Context) (*conn, error) {
+	c, err := p.connect(ctx)
+	if err != nil {
+		<-p.open
+		p.signal()
+		return nil, err
+	}
+	return newConn(c), nil
+}
+
+func (p *Pool) connect(ctx context.Context) (net.Conn, error) {
+	if p.isClosed() {
+		return nil, ErrClosed
+	}
+	if err := p.dials.Wait(ctx); err != nil {
+		return nil, errors.Join(context.DeadlineExceeded, err)
+	}
+	p.count(func(c *Counts) { c.Dials++ })
+	d := net.Dialer{}
+	return d.DialContext(ctx, "tcp", p.options.Address.String())
+}
+
+func (p *Pool) isClosed() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.closed
+}
+
+// give takes c back after a whole exchange.
+func (p *Pool) give(c *conn) {
+	c.within(time.Time{})
+	c.idleSince = time.Now()
+	p.mu.Lock()
+	keep := !p.closed && c.reader.Buffered() == 0
+	if keep {
+		p.idle = append(p.idle, c)
+	}
+	expired := p.expired()
+	p.mu.Unlock()
+	if !keep {
+		p.discard(c)
+	}
+	for _, x := range expired {
+		p.discard(x)
+	}
+	p.signal()
+}
+
+// expired takes out the connections that were idle for too long.
+func (p *Pool) expired() []*conn {
+	n := 0
+	for n < len(p.idle) && time.Since(p.idle[n].idleSince) >= idleTimeout {
+		n++
+	}
+	old := p.idle[:n:n]
+	p.idle = p.idle[n:]
+	return old
+}
+
+// discard closes c, which is neither idle nor in use any more.
+func (p *Pool) discard(c *conn) {
+	_ = c.Close()
+	<-p.open
+	p.signal()
+}
+
+func (p *Pool) signal() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	close(p.freed)
+	p.freed = make(chan struct{})
+}
+
+// distrust closes the idle connections from which nothing was heard since a
+// sibling's exchange began that ended in silence.
+func (p *Pool) distrust(since time.Time) {
+	p.mu.Lock()
+	p.counts.Silent++
+	old := []*conn{}
+	kept := []*conn{}
+	for _, c := range p.idle {
+		if c.idleSince.Before(since) {
+			old = append(old, c)
+			continue
+		}
+		kept = append(kept, c)
+	}
+	p.idle = kept
+	p.counts.Distrusted += uint64(len(old))
+	p.mu.Unlock()
+	for _, c := range old {
+		p.discard(c)
+	}
+}
+
+func (p *Pool) count(f func(c *Counts)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	f(&p.counts)
+}
--- a/io/upstream/sender.go
+++ b/io/upstream/sender.go
@@ -1,18 +1,17 @@
 package upstream
 
 import (
-	"bytes"
 	"context"
+	"crypto/rand"
 	"errors"
-	"net/http"
+	"net/netip"
 	"strconv"
 	"sync"
-	"syscall"
-	"time"
 
 	"heatherford/core/code"
 	"heatherford/core/intent"
 	"heatherford/core/work"
+	"heatherford/io/internal/wire"
 )
 
 // Headers between a host and an endpoint; docs/ADAPTERS.md describes each.
@@ -22,19 +21,38 @@
 	headerNotRun    = "Upstream-Not-Run"
 )
 
-const idleConnTimeout = 30 * time.Second
+const (
+	// wholeBytes is the longest answer that is checked whole before its first
+	// byte goes on.
+	wholeBytes = 64 << 10
+	// maxAnswerBytes is the longest answer that is taken.
+	maxAnswerBytes = 64 << 20
+	// dialsPerSecond and dialBurst bound a host's new connections to one
+	// endpoint, which needs about 1 ms for each.
+	dialsPerSecond = 50
+	// maxHosts is the number of hosts whose connections an endpoint has to bear
+	// together.
+	maxHosts = 32
+	// connectionsPerSlot leaves room for new connections beside silent ones.
+	connectionsPerSlot = 2
+)
 
 // Sender sends requests to endpoints. It is safe for concurrent use.
 type Sender struct {
 	mu sync.Mutex
-	// transports holds one transport for each endpoint's address.
-	transports map[string]*http.Transport
+	// pools holds one pool for each endpoint's address and bound.
+	pools map[poolKey]*wire.Pool
+}
+
+type poolKey struct {
+	address     netip.AddrPort
+	connections int
 }
 
 // New returns a sender without connections.
 func New() *Sender {
 	return &Sender{
-		transports: map[string]*http.Transport{},
+		pools: map[poolKey]*wire.Pool{},
 	}
 }
 
@@ -42,77 +60,97 @@
 func (s *Sender) Close() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, t := range s.transports {
-		t.CloseIdleConnections()
+	for _, p := range s.pools {
+		p.Close()
 	}
 }
 
-// Send sends r to e and returns the head of the answer. An error's code says
-// whether r was run.
+// Send sends r to e and returns the answer, whole if it is small. An error's
+// code says whether r was run: work that may not be repeated is never sent
+// again after its first byte, repeatable work once more on a new connection if
+// a used one gave no whole answer.
 func (s *Sender) Send(ctx context.Context, e intent.Endpoint, r *work.Request) (*work.Answer, error) {
-	q, err := newRequest(ctx, e, r)
-	if err != nil {
-		return nil, err
+	p := s.pool(e)
+	c := newCall(r)
+	a, err := p.Do(ctx, c)
+	if r.Kind.Repeatable && worthRetry(ctx, err) {
+		c.ID = rand.Text()
+		c.Fresh = true
+		a, err = p.Do(ctx, c)
 	}
-	a, err := s.transport(e).RoundTrip(q)
 	if err != nil {
-		return nil, sendError(r, err)
+		return nil, sendError(ctx, e, r, err)
 	}
 	if a.Header.Get(headerNotRun) != "" {
 		a.Body.Close()
 		return nil, code.New(code.UpstreamRefused, "upstream: endpoint %q did not run the request", e.Name)
 	}
-	if a.Header.Get(headerRequestID) != r.ID {
-		a.Body.Close()
-		return nil, code.New(code.AnswerForeign, "upstream: endpoint %q answered another request", e.Name)
-	}
 	a.Header.Del(headerRequestID)
 	return &work.Answer{
-		Status:   a.StatusCode,
-		Header:   a.Header,
-		Body:     a.Body,
-		Length:   a.ContentLength,
+		Status: a.Status,
+		Header: a.Header,
+		Body: &coded{
+			ReadCloser: a.Body,
+		},
+		Length:   a.Length,
 		Endpoint: e.Name,
 	}, nil
 }
 
-func newRequest(ctx context.Context, e intent.Endpoint, r *work.Request) (*http.Request, error) {
-	q, err := http.NewRequestWithContext(ctx, r.Method, "http://"+e.Address.String()+r.Path, bytes.NewReader(r.Body))
-	if err != nil {
-		return nil, code.Wrap(code.RequestInvalid, err, "upstream: cannot build the request")
+// newCall returns the call that carries r. Its identifier is the host's own,
+// since callers' identifiers may collide.
+func newCall(r *work.Request) *wire.Call {
+	h := r.Header.Clone()
+	if h == nil {
+		h = map[string][]string{}
+	}
+	h.Set(headerDeadline, strconv.FormatInt(r.Deadline.UnixMilli(), 10))
+	return &wire.Call{
+		ID:     rand.Text(),
+		Method: r.Method,
+		Path:   r.Path,
+		Header: h,
+		Body:   r.Body,
+		Once:   !r.Kind.Repeatable,
 	}
-	// Without GetBody the transport does not send a request again by itself.
-	q.GetBody = nil
-	q.Header = r.Header.Clone()
-	q.Header.Set(headerRequestID, r.ID)
-	q.Header.Set(headerDeadline, strconv.FormatInt(r.Deadline.UnixMilli(), 10))
-	return q, nil
 }
 
-func sendError(r *work.Request, err error) error {
-	switch {
-	case errors.Is(err, syscall.ECONNREFUSED):
-		return code.Wrap(code.UpstreamRefused, err, "upstream: the endpoint takes no connection")
-	case r.Kind.Repeatable:
-		return code.Wrap(code.RepeatableNoAnswer, err, "upstream: the endpoint did not answer")
-	default:
-		return code.Wrap(code.OutcomeUnknown, err, "upstream: the endpoint did not answer")
-	}
+// worthRetry reports whether a new connection may help.
+func worthRetry(ctx context.Context, err error) bool {
+	f := (*wire.Failure)(nil)
+	return errors.As(err, &f) && f.Reused && ctx.Err() == nil
 }
 
-func (s *Sender) transport(e intent.Endpoint) *http.Transport {
+func (s *Sender) pool(e intent.Endpoint) *wire.Pool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	a := e.Address.String()
-	t, ok := s.transports[a]
+	n := connections(e)
+	k := poolKey{
+		address:     e.Address,
+		connections: n,
+	}
+	p, ok := s.pools[k]
 	if !ok {
-		t = &http.Transport{
-			MaxConnsPerHost:     e.Connections,
-			MaxIdleConnsPerHost: e.Slots,
-			IdleConnTimeout:     idleConnTimeout,
-			DisableCompression:  true,
-		}
-		s.transports[a] = t
+		p = wire.New(wire.Options{
+			Address:        e.Address,
+			Connections:    n,
+			DialsPerSecond: dialsPerSecond,
+			DialBurst:      n,
+			IDHeader:       headerRequestID,
+			Whole:          wholeBytes,
+			MaxAnswer:      maxAnswerBytes,
+		})
+		s.pools[k] = p
+	}
+	return p
+}
+
+// connections returns the most connections to e, such that those of all hosts
+// together stay within what e takes.
+func connections(e intent.Endpoint) int {
+	n := connectionsPerSlot * e.Slots
+	if e.Connections > 0 {
+		n = min(n, max(e.Slots, e.Connections/maxHosts))
 	}
-	return t
+	return max(1, n)
 }
--- a/standin/upstream/endpoint.go
+++ b/standin/upstream/endpoint.go
@@ -80,6 +80,7 @@
 }
 
 func (e *Endpoint) serveWork(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
@@ -102,7 +103,6 @@
 		return
 	}
 	e.count(func(c *Counts) { c.Ran++ })
-	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
 	w.Header().Set("Content-Type", "text/plain")
 	fmt.Fprintf(w, "%s %s ran on %s: %s\n", r.Method, r.URL.RequestURI(), e.options.Name, body)
 }
