--- a/core/kernel.go
+++ b/core/kernel.go
@@ -81,6 +81,8 @@
 	tomb    tomb.Tomb
 	events  chan func(c *control)
 	current atomic.Pointer[snapshot.Snapshot]
+	// stopping is the state of a planned stop.
+	stopping stopping
 }
 
 // New returns a kernel with its plug-ins attached. It does not start them.
@@ -101,6 +103,8 @@
 	}
 	k.current.Store(&snapshot.Snapshot{})
 	k.Clock = timeline.NewClock(k.Now)
+	k.stopping.begun = make(chan struct{})
+	k.OnStop(PhaseExpire, "core", k.expireLookups)
 	k.Ring = timeline.NewRing(ringSize(o.Settings.Limits.TimelineEvents))
 	k.Rolls = rollup.New(rollup.Options{
 		Host:        o.Settings.Host,
@@ -154,13 +158,6 @@
 	return nil
 }
 
-// Stop ends the daemon and waits for all its goroutines. It may be called more
-// than once.
-func (k *Kernel) Stop() error {
-	k.tomb.Kill(nil)
-	return k.tomb.Wait()
-}
-
 // Dead is closed after the daemon has ended.
 func (k *Kernel) Dead() <-chan struct{} {
 	return k.tomb.Dead()
--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -24,10 +24,23 @@
 	// CollectorAddress is where the daemon serves its metrics.
 	CollectorAddress netip.AddrPort `json:"collector_address"`
 	Platform         Platform       `json:"platform"`
+	Operators        Operators      `json:"operators,omitempty"`
+	Peers            Peers          `json:"peers,omitempty"`
 	Log              Log            `json:"log,omitempty"`
 	Limits           Limits         `json:"limits,omitempty"`
+	// Policy says how endpoints are chosen; the default is PolicyOwners.
+	Policy string `json:"policy,omitempty"`
 }
 
+// Policies.
+const (
+	// PolicyOwners sends to each endpoint from the one host that owns it.
+	PolicyOwners = "owners"
+	// PolicyIndependent makes every host choose for itself, by the load that
+	// endpoints report. It is the baseline of measurements.
+	PolicyIndependent = "independent"
+)
+
 // Platform says how to reach the platform's service.
 type Platform struct {
 	// Adapter is the name of a registered adapter.
@@ -77,17 +90,26 @@
 	if problems := strict.Decode(data, s); len(problems) > 0 {
 		return nil, problems
 	}
-	s.setDefaults()
-	if problems := s.validate(); len(problems) > 0 {
+	if problems := s.Complete(); len(problems) > 0 {
 		return nil, problems
 	}
 	return s, nil
 }
 
+// Complete fills in defaults and returns every breach of a rule. Settings that
+// are not parsed from a file are completed before use.
+func (s *Settings) Complete() []error {
+	s.setDefaults()
+	return s.validate()
+}
+
 func (s *Settings) setDefaults() {
 	if s.Log.Level == "" {
 		s.Log.Level = "info"
 	}
+	if s.Policy == "" {
+		s.Policy = PolicyOwners
+	}
 	if s.Log.Format == "" {
 		s.Log.Format = "logfmt"
 	}
--- a/io/collector/plugin.go
+++ b/io/collector/plugin.go
@@ -42,7 +42,11 @@
 func (p *plugin) start(k *core.Kernel, t *tomb.Tomb) error {
 	m := http.NewServeMux()
 	m.Handle("/metrics", p.metrics.handler)
-	if err := serve.Run(t, k.Settings.CollectorAddress, m); err != nil {
+	if err := serve.Run(k, t, serve.Options{
+		Name:    Name,
+		Address: k.Settings.CollectorAddress,
+		Handler: m,
+	}); err != nil {
 		return err
 	}
 	s := &sampler{
--- a/io/peer/plugin.go
+++ b/io/peer/plugin.go
@@ -50,7 +50,11 @@
 	m.HandleFunc(carry.WorkPrefix, func(w http.ResponseWriter, r *http.Request) {
 		carry.Serve(k, w, r, true)
 	})
-	if err := serve.Run(t, k.Settings.PeerAddress, stamp.Handler(k.Clock, m)); err != nil {
+	if err := serve.Run(k, t, serve.Options{
+		Name:    Name,
+		Address: k.Settings.PeerAddress,
+		Handler: stamp.Handler(k.Clock, m),
+	}); err != nil {
 		return err
 	}
 	t.Go(func() error {
