--- a/core/code/code.go
+++ b/core/code/code.go
@@ -55,6 +55,7 @@
 	RequestCancelled Code = 3017
 	NotRunTombstone  Code = 3018
 	LookupInvalid    Code = 3019
+	GrantLapsed      Code = 3020
 )
 
 // Requests whose outcome is unknown.
--- a/core/code/table.go
+++ b/core/code/table.go
@@ -72,6 +72,7 @@
 		entry(RequestCancelled, "RequestCancelled", "The caller went away before the request was started.", "Nothing."),
 		entry(NotRunTombstone, "NotRunTombstone", "The request was not run and its ticket cannot be used any more.", "Look up again and use a new ticket."),
 		entry(LookupInvalid, "LookupInvalid", "The look-up is not valid.", "Mend what the message names."),
+		entry(GrantLapsed, "GrantLapsed", "The host's lease of the endpoint ends before the request would, and the part that needs no lease is in use.", "Look up again."),
 	}
 }
 
--- a/core/control.go
+++ b/core/control.go
@@ -1,6 +1,9 @@
 package core
 
 import (
+	"time"
+
+	"heatherford/core/grant"
 	"heatherford/core/intent"
 	"heatherford/core/lookup"
 	"heatherford/core/snapshot"
@@ -16,6 +19,13 @@
 	hosts []store.Host
 	// stopping is true once a planned stop has begun.
 	stopping bool
+	// grants is this host's part in the grants of endpoints.
+	grants *grant.Machine
+	// granted is the revision of the grants that was published last.
+	granted uint64
+	// table is the newest table of look-ups, built from tableInputs.
+	table       *lookup.Table
+	tableInputs tableInputs
 	// changed is true if the state differs from the published snapshot.
 	changed bool
 }
@@ -25,14 +35,20 @@
 func (k *Kernel) control() error {
 	c := &control{
 		kernel: k,
+		grants: newGrants(k),
 	}
+	tick := time.NewTicker(grantTick)
+	defer tick.Stop()
 	for {
 		select {
 		case f := <-k.events:
 			f(c)
+		case <-tick.C:
+			c.tickGrants()
 		case <-k.tomb.Dying():
 			return nil
 		}
+		c.carryOutGrants()
 		c.publish()
 	}
 }
@@ -55,12 +71,7 @@
 	}
 	if c.version != nil {
 		c.publishGrants(s)
-		s.Table = lookup.New(lookup.Options{
-			Declaration: c.version.Declaration,
-			Hosts:       c.hosts,
-			Owners:      s.Owners,
-			Zone:        c.kernel.Settings.Zone,
-		})
+		s.Table = c.lookupTable(s.Owners)
 	}
 	c.kernel.current.Store(s)
 }
--- a/core/controlconfig.go
+++ b/core/controlconfig.go
@@ -15,6 +15,7 @@
 		return
 	}
 	c.version = v
+	c.grants.SetVersion(v)
 	c.changed = true
 	level.Info(c.kernel.Log).Log("msg", "config: version in force", "version", v.Number)
 	c.kernel.Record(timeline.Event{
--- a/core/controlgrant.go
+++ b/core/controlgrant.go
@@ -1,25 +1,271 @@
 package core
 
 import (
+	"context"
+	"crypto/rand"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"heatherford/core/code"
 	"heatherford/core/grant"
+	"heatherford/core/quota"
 	"heatherford/core/snapshot"
+	"heatherford/core/store"
+	"heatherford/core/timeline"
 )
 
+const (
+	// grantTick is how often the grants' deadlines are looked at.
+	grantTick = 50 * time.Millisecond
+	// grantTimeout bounds one call to the platform or to a host about grants.
+	grantTimeout = time.Second
+)
+
+// GrantCalls are the calls to other hosts about the grants of endpoints. An
+// error says that the host gave no answer; it may have acted all the same.
+type GrantCalls struct {
+	Ask   func(ctx context.Context, h store.Host, q grant.Ask) (grant.Acknowledgement, error)
+	Cede  func(ctx context.Context, h store.Host, c grant.Cede) (grant.Reply, error)
+	Offer func(ctx context.Context, h store.Host, o grant.Offer) (grant.Reply, error)
+	Tell  func(ctx context.Context, h store.Host, t grant.Tell) error
+}
+
+func newGrants(k *Kernel) *grant.Machine {
+	return grant.New(grant.Options{
+		Self:        k.Settings.Host,
+		Incarnation: rand.Text(),
+		Started:     k.Now(),
+		Timing:      grant.Standard,
+		Ledger: func(endpoint string) *quota.Ledger {
+			return k.Dispatcher.Ledger(endpoint)
+		},
+	})
+}
+
+func (c *control) tickGrants() {
+	c.grants.Tick(c.kernel.Now())
+}
+
 // publishGrants fills in the owners of all endpoints and what this host owns.
 func (c *control) publishGrants(s *snapshot.Snapshot) {
-	d := c.version.Declaration
-	for _, u := range d.Upstreams {
+	s.Owners = c.grants.Serving()
+	rights := c.grants.Rights()
+	for _, u := range c.version.Declaration.Upstreams {
 		for _, e := range u.Endpoints {
-			h := grant.Prefer(d, e, c.hosts)
-			s.Owners[e.Name] = h
-			if h != c.kernel.Settings.Host {
+			r, ok := rights[e.Name]
+			if !ok || (r.Full.IsZero() && r.Smaller.IsZero()) {
 				continue
 			}
-			s.Owned[u.Name] = append(s.Owned[u.Name], snapshot.Own{
+			o := snapshot.Own{
 				Endpoint: e,
-				Slots:    e.Slots,
-				Reduced:  e.Slots,
-			})
+				Slots:    r.Full.Slots,
+				Reduced:  r.Smaller.Slots,
+				Until:    r.Until,
+				Longest:  c.grants.Longest(),
+			}
+			if r.Until.IsZero() {
+				o.Slots = o.Reduced
+			}
+			s.Owned[u.Name] = append(s.Owned[u.Name], o)
+		}
+	}
+}
+
+// carryOutGrants starts what the grants ask for, each in a goroutine that posts
+// its result.
+func (c *control) carryOutGrants() {
+	if n := c.grants.Revision(); n != c.granted {
+		c.granted = n
+		c.changed = true
+	}
+	for _, e := range c.grants.Take() {
+		c.carryOutGrant(e)
+	}
+}
+
+func (c *control) carryOutGrant(e grant.Effect) {
+	k := c.kernel
+	switch {
+	case e.Note != nil:
+		c.noteGrant(*e.Note)
+	case e.Commit != nil:
+		k.call(func(ctx context.Context) func(c *control) {
+			return k.commitGrants(ctx, *e.Commit)
+		})
+	case e.Read != nil:
+		k.call(func(ctx context.Context) func(c *control) {
+			return k.readGrants(ctx, *e.Read)
+		})
+	case e.Ask != nil:
+		c.callHost(e.Ask.Host, func(ctx context.Context, h store.Host) func(c *control) {
+			return k.askGrant(ctx, h, *e.Ask)
+		})
+	case e.Cede != nil:
+		c.callHost(e.Cede.Host, func(ctx context.Context, h store.Host) func(c *control) {
+			return k.cedeGrant(ctx, h, *e.Cede)
+		})
+	case e.Offer != nil:
+		c.callHost(e.Offer.Host, func(ctx context.Context, h store.Host) func(c *control) {
+			return k.offerGrant(ctx, h, *e.Offer)
+		})
+	case e.Tell != nil:
+		c.callHost(e.Tell.Host, func(ctx context.Context, h store.Host) func(c *control) {
+			return k.tellGrant(ctx, h, *e.Tell)
+		})
+	}
+}
+
+func (c *control) noteGrant(n grant.Note) {
+	level.Info(c.kernel.Log).Log("msg", "grant: "+n.Text, "subject", n.Endpoint)
+	c.kernel.Record(timeline.Event{
+		Kind:    timeline.KindGrant,
+		Subject: n.Endpoint,
+		Text:    n.Text,
+	})
+}
+
+// call runs f on a goroutine of its own and posts the event that it returns.
+func (k *Kernel) call(f func(ctx context.Context) func(c *control)) {
+	k.tomb.Go(func() error {
+		ctx, cancel := context.WithTimeout(k.tomb.Context(context.Background()), grantTimeout)
+		defer cancel()
+		k.post(f(ctx))
+		return nil
+	})
+}
+
+// callHost is call with a host, which may not be known any more.
+func (c *control) callHost(name string, f func(ctx context.Context, h store.Host) func(c *control)) {
+	host := store.Host{}
+	for _, h := range c.hosts {
+		if h.Name == name {
+			host = h
+		}
+	}
+	c.kernel.call(func(ctx context.Context) func(c *control) {
+		return f(ctx, host)
+	})
+}
+
+func (k *Kernel) commitGrants(ctx context.Context, x grant.Commit) func(c *control) {
+	a, err := k.Seams.Store.Commit(ctx, x.Transaction)
+	if err != nil {
+		level.Warn(k.Log).Log("msg", "grant: rows not written", "attempt", x.Attempt, "err", err)
+		return func(c *control) {
+			c.grants.CommitFailed(x.Attempt, err, k.Now())
+		}
+	}
+	return func(c *control) {
+		c.grants.Committed(x.Attempt, a.Version, k.Now())
+	}
+}
+
+func (k *Kernel) readGrants(ctx context.Context, r grant.Read) func(c *control) {
+	rows, err := k.Seams.Store.Read(ctx, r.Query)
+	if err != nil {
+		level.Warn(k.Log).Log("msg", "grant: rows not read", "err", err)
+		return func(c *control) {
+			c.grants.ReadFailed(r)
+		}
+	}
+	return func(c *control) {
+		c.grants.RowsRead(r, rows, k.Now())
+	}
+}
+
+func (k *Kernel) askGrant(ctx context.Context, h store.Host, q grant.Ask) func(c *control) {
+	a, err := k.Seams.Grants.Ask(ctx, h, q)
+	return func(c *control) {
+		if err == nil && a.Done {
+			c.grants.Acknowledged(q)
+		}
+	}
+}
+
+func (k *Kernel) cedeGrant(ctx context.Context, h store.Host, x grant.Cede) func(c *control) {
+	a, err := k.Seams.Grants.Cede(ctx, h, x)
+	return func(c *control) {
+		c.grants.CedeEnded(x, a.Incarnation, err == nil && !a.OK)
+	}
+}
+
+func (k *Kernel) offerGrant(ctx context.Context, h store.Host, o grant.Offer) func(c *control) {
+	a, err := k.Seams.Grants.Offer(ctx, h, o)
+	return func(c *control) {
+		c.grants.Offered(o, a.Incarnation, err == nil && a.OK, k.Now())
+	}
+}
+
+func (k *Kernel) tellGrant(ctx context.Context, h store.Host, t grant.Tell) func(c *control) {
+	if err := k.Seams.Grants.Tell(ctx, h, t); err != nil {
+		level.Info(k.Log).Log("msg", "grant: successor not told", "subject", t.Endpoint, "err", err)
+	}
+	return func(*control) {}
+}
+
+// GrantAsked answers another host's Ask. It is safe for concurrent use.
+func (k *Kernel) GrantAsked(ctx context.Context, q grant.Ask) (grant.Acknowledgement, error) {
+	return wait(ctx, k, func(c *control) grant.Acknowledgement {
+		return c.grants.Asked(q, k.Now())
+	})
+}
+
+// GrantCeded takes a part that another host cedes. It is safe for concurrent
+// use.
+func (k *Kernel) GrantCeded(ctx context.Context, x grant.Cede) (grant.Reply, error) {
+	return wait(ctx, k, func(c *control) grant.Reply {
+		return c.grants.Ceded(x)
+	})
+}
+
+// GrantOffered answers another host's Offer. It is safe for concurrent use.
+func (k *Kernel) GrantOffered(ctx context.Context) (grant.Reply, error) {
+	return wait(ctx, k, func(c *control) grant.Reply {
+		return c.grants.Accepts()
+	})
+}
+
+// GrantTold tells that another host has handed an endpoint over to this one. It
+// is safe for concurrent use.
+func (k *Kernel) GrantTold() {
+	k.post(func(c *control) {
+		c.grants.Told(k.Now())
+	})
+}
+
+// wait runs f on the control goroutine and returns its result.
+func wait[T any](ctx context.Context, k *Kernel, f func(c *control) T) (T, error) {
+	done := make(chan T, 1)
+	k.post(func(c *control) {
+		done <- f(c)
+	})
+	select {
+	case v := <-done:
+		return v, nil
+	case <-ctx.Done():
+	case <-k.tomb.Dying():
+	}
+	var none T
+	return none, code.New(code.HostStopping, "core: the host gave no answer in time")
+}
+
+// handOverGrants hands all endpoints over and waits until that has ended.
+func (k *Kernel) handOverGrants(ctx context.Context) error {
+	tick := time.NewTicker(grantTick)
+	defer tick.Stop()
+	for {
+		left, err := wait(ctx, k, func(c *control) bool {
+			c.grants.Leave()
+			return c.grants.Left(k.Now())
+		})
+		if err != nil || left {
+			return err
+		}
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return code.New(code.HostStopping, "core: not all endpoints were handed over")
 		}
 	}
 }
--- a/core/controlmember.go
+++ b/core/controlmember.go
@@ -16,6 +16,7 @@
 		return
 	}
 	c.hosts = hosts
+	c.grants.SetHosts(hosts, c.kernel.Now())
 	c.changed = true
 	level.Info(c.kernel.Log).Log("msg", "member: hosts changed", "hosts", len(hosts))
 	c.kernel.Record(timeline.Event{
--- /dev/null
+++ b/core/controltable.go
@@ -0,0 +1,42 @@
+package core
+
+import (
+	"maps"
+	"slices"
+
+	"heatherford/core/intent"
+	"heatherford/core/lookup"
+	"heatherford/core/store"
+)
+
+// tableInputs are what a table of look-ups was built from. Grants are renewed
+// several times a second, and the table does not depend on that.
+type tableInputs struct {
+	version *intent.Version
+	hosts   []store.Host
+	owners  map[string]string
+}
+
+func (t tableInputs) equal(o tableInputs) bool {
+	return t.version == o.version && slices.Equal(t.hosts, o.hosts) && maps.Equal(t.owners, o.owners)
+}
+
+// lookupTable returns the table of look-ups, the same one while its inputs stay.
+func (c *control) lookupTable(owners map[string]string) *lookup.Table {
+	t := tableInputs{
+		version: c.version,
+		hosts:   c.hosts,
+		owners:  owners,
+	}
+	if c.table != nil && t.equal(c.tableInputs) {
+		return c.table
+	}
+	c.tableInputs = t
+	c.table = lookup.New(lookup.Options{
+		Declaration: c.version.Declaration,
+		Hosts:       c.hosts,
+		Owners:      owners,
+		Zone:        c.kernel.Settings.Zone,
+	})
+	return c.table
+}
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -45,6 +45,8 @@
 	mu      sync.Mutex
 	// gates holds a gate for every endpoint that this host has owned.
 	gates map[string]*admission.Gate
+	// ledgers holds a *quota.Ledger for every endpoint's name that was asked for.
+	ledgers sync.Map
 }
 
 // New returns a dispatcher with the options.
--- a/core/dispatch/send.go
+++ b/core/dispatch/send.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 
-	"heatherford/core/code"
 	"heatherford/core/snapshot"
 	"heatherford/core/timeline"
 	"heatherford/core/work"
@@ -16,10 +15,17 @@
 	if err := g.Acquire(ctx, r.Rank, r.Deadline); err != nil {
 		return nil, err
 	}
-	if err := d.fence(o, r); err != nil {
+	f, err := d.fence(o, r)
+	if err != nil {
 		g.Release()
 		return nil, err
 	}
+	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
+	end := func() {
+		cancel()
+		d.Ledger(o.Endpoint.Name).Leave(f)
+		g.Release()
+	}
 	d.options.Record(timeline.Event{
 		Kind:    timeline.KindUpstream,
 		Request: r.ID,
@@ -28,27 +34,15 @@
 	})
 	a, err := d.options.Send(ctx, o.Endpoint, r)
 	if err != nil {
-		g.Release()
+		end()
 		return nil, err
 	}
 	a.Host = d.options.Self
 	a.Body = &body{
 		ReadCloser: a.Body,
 		done: func(error) {
-			g.Release()
+			end()
 		},
 	}
 	return a, nil
 }
-
-// fence reads the grant again right before the request is written, so that a
-// host that was paused sends nothing on an old grant.
-func (d *Dispatcher) fence(o snapshot.Own, r *work.Request) error {
-	if !o.Last.IsZero() && r.Deadline.After(o.Last) {
-		r.Deadline = o.Last
-	}
-	if !d.options.Now().Before(r.Deadline) {
-		return code.New(code.DeadlinePassed, "dispatch: the deadline passed in the queue")
-	}
-	return nil
-}
--- /dev/null
+++ b/core/grant/machine_test.go
@@ -0,0 +1,187 @@
+package grant
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"heatherford/core/store"
+)
+
+// TestGrantBounds checks for random interleavings of pauses, lost and late
+// answers, outages, deaths, restarts, partitions and changes of the
+// declaration, on clocks that differ, that no endpoint gets more than its slots,
+// and no region or link more than its cap.
+func TestGrantBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		fault := func() int {
+			return rapid.SampledFrom(faults).Draw(t, "fault")
+		}
+		for range 20 {
+			w.advance(100*time.Millisecond, func() int { return faultNone })
+		}
+		host := rapid.SampledFrom(w.names)
+		for range worldSteps {
+			w.act(
+				rapid.SampledFrom(actions).Draw(t, "action"),
+				host.Draw(t, "host"),
+				host.Draw(t, "other"),
+			)
+			d := rapid.SampledFrom([]time.Duration{20, 50, 100, 100, 200, 700}).Draw(t, "ms")
+			w.advance(d*time.Millisecond, fault)
+			w.finish(rapid.SampledFrom(masks).Draw(t, "finish"))
+			w.send(rapid.SampledFrom(profiles).Draw(t, "send"))
+			w.check()
+		}
+	})
+}
+
+// faults holds each fault as often as it should be drawn.
+var faults = []int{
+	faultNone, faultNone, faultNone, faultNone, faultNone, faultNone, faultNone,
+	faultNone, faultNone, faultNone, faultNone, faultNone, faultNone, faultNone,
+	faultLost, faultLate, faultSlow,
+}
+
+// masks chooses among the hosts, profiles what each sends.
+var (
+	masks    = upTo(1 << worldHosts)
+	profiles = upTo(1 << (2 * worldHosts))
+)
+
+func upTo(n int) []int {
+	s := make([]int, n)
+	for i := range s {
+		s[i] = i
+	}
+	return s
+}
+
+// action is something that happens to a host or to all.
+type action string
+
+const (
+	nothing         action = "nothing"
+	kill            action = "kill"
+	restart         action = "restart"
+	pause           action = "pause"
+	resume          action = "resume"
+	wake            action = "wake"
+	cutPlatform     action = "cut platform"
+	restorePlatform action = "restore platform"
+	outage          action = "outage"
+	recovery        action = "recovery"
+	cutPeers        action = "cut peers"
+	restorePeers    action = "restore peers"
+	unlist          action = "unlist"
+	list            action = "list"
+	change          action = "change"
+	learn           action = "learn"
+	land            action = "land"
+	leave           action = "leave"
+)
+
+// actions holds each action as often as it should be drawn.
+var actions = []action{
+	nothing, nothing, nothing, nothing, nothing, nothing, nothing, nothing,
+	nothing, nothing, nothing, nothing, nothing, nothing, nothing, nothing,
+	kill, restart, restart, pause, resume, resume, wake, wake,
+	cutPlatform, restorePlatform, restorePlatform, outage, recovery, recovery,
+	cutPeers, restorePeers, restorePeers, unlist, list, list,
+	change, learn, learn, land, leave,
+}
+
+func (w *world) act(a action, host, other string) {
+	p := w.procs[host]
+	if a != nothing {
+		w.t.Logf("%v %s %s (%s)", w.now, a, host, other)
+	}
+	switch a {
+	case nothing:
+	case kill:
+		p.dead = true
+	case restart:
+		if p.dead {
+			w.start(host)
+		}
+	case pause:
+		p.paused = true
+	case resume:
+		p.paused = false
+		p.wake()
+	case wake:
+		p.wake()
+	case cutPlatform, restorePlatform:
+		p.cut = a == cutPlatform
+	case outage, recovery:
+		w.down = a == outage
+	case cutPeers, restorePeers:
+		w.peerCuts[host+other] = a == cutPeers
+	case unlist:
+		if p.dead {
+			w.relist(without(w.hosts, host))
+		}
+	case list:
+		w.relist(append(without(w.hosts, host), p.entry()))
+	case change:
+		w.change(other)
+	case learn:
+		p.learn()
+	case leave:
+		if p.runs() {
+			p.machine.Leave()
+		}
+	case land:
+		w.land()
+	}
+}
+
+// wake delivers what has waited.
+func (p *process) wake() {
+	if !p.runs() {
+		return
+	}
+	s := p.inbox
+	p.inbox = nil
+	for _, f := range s {
+		f()
+	}
+}
+
+// relist changes the platform's list.
+func (w *world) relist(hosts []store.Host) {
+	w.hosts = hosts
+	for _, p := range w.live() {
+		p.machine.SetHosts(w.hosts, p.clock())
+	}
+}
+
+// change confirms another version, which all hosts but one know at once.
+func (w *world) change(unaware string) {
+	const variants = 5
+	i := len(w.versions) % variants
+	regionCap := []int{6, 6, 6, 10, 4}[i]
+	w.confirm(regionCap, []int{3, 3, 4, 2, 3}[i], []int{1, 2, 0, 0, 2}[i])
+	for _, name := range w.names {
+		if name != unaware {
+			w.procs[name].learn()
+		}
+	}
+}
+
+// learn tells the process of the newest version.
+func (p *process) learn() {
+	if p.runs() {
+		p.machine.SetVersion(p.world.versions[len(p.world.versions)-1])
+	}
+}
+
+// land lets the late commits reach the table.
+func (w *world) land() {
+	for _, c := range w.late {
+		w.table.Commit(c.Transaction)
+	}
+	w.late = nil
+}
--- /dev/null
+++ b/core/grant/read.go
@@ -0,0 +1,236 @@
+package grant
+
+import (
+	"slices"
+	"time"
+
+	"heatherford/core/store"
+)
+
+// read asks for the rows that this host has to know now.
+func (m *Machine) read(now time.Time) {
+	if !m.surveying && !now.Before(m.nextAll) {
+		m.surveying = true
+		m.surveySent = now
+		m.nextAll = now.Add(m.options.Timing.Survey)
+		m.emit(Effect{
+			Read: &Read{
+				All: true,
+				Query: store.Query{
+					Prefixes: []string{Prefix},
+				},
+			},
+		})
+	}
+	if m.reading || now.Before(m.nextRead) {
+		return
+	}
+	m.nextRead = now.Add(m.options.Timing.Watch)
+	keys := m.watched()
+	if len(keys) == 0 {
+		return
+	}
+	m.reading = true
+	m.readSent = now
+	m.emit(Effect{
+		Read: &Read{
+			Query: store.Query{
+				Keys: keys,
+			},
+		},
+	})
+}
+
+// watched returns the keys of the rows that this host may have to take over
+// soon, and of its own while they are unsettled.
+func (m *Machine) watched() []string {
+	keys := []string{}
+	for _, e := range sortedKeys(m.rows) {
+		s := m.rows[e]
+		switch {
+		case m.held[e] != nil:
+			if m.unsettled {
+				keys = append(keys, Key(e))
+			}
+		case s.row.Standby == m.options.Self:
+			keys = append(keys, Key(e))
+		}
+	}
+	return keys
+}
+
+// ReadFailed tells that a read got no answer.
+func (m *Machine) ReadFailed(r Read) {
+	if r.All {
+		m.surveying = false
+	} else {
+		m.reading = false
+	}
+}
+
+// RowsRead tells the result of a read.
+func (m *Machine) RowsRead(r Read, rows []store.Row, now time.Time) {
+	sent := m.readSent
+	if r.All {
+		sent = m.surveySent
+	}
+	m.ReadFailed(r)
+	if !sent.After(m.forgotten) {
+		return
+	}
+	present := map[string]bool{}
+	for _, w := range rows {
+		row, err := decode(w.Key, w.Value)
+		if err != nil {
+			m.note("", err.Error())
+			continue
+		}
+		present[row.Endpoint] = true
+		m.see(row, w.Version, now)
+	}
+	if r.All {
+		m.forgetAbsent(present, sent, now)
+		m.surveyed = sent
+	}
+	if m.unsettled && sent.After(m.unsettledAt) && m.coversHeld(r) {
+		m.unsettled = false
+	}
+	for e, h := range m.held {
+		if m.raisable(e, h) {
+			h.changed = true
+		}
+	}
+}
+
+// coversHeld reports whether the read was of all rows of this host.
+func (m *Machine) coversHeld(r Read) bool {
+	if r.All {
+		return true
+	}
+	for e := range m.held {
+		if !slices.Contains(r.Query.Keys, Key(e)) {
+			return false
+		}
+	}
+	return true
+}
+
+// forgetAbsent forgets the rows that a survey did not find.
+func (m *Machine) forgetAbsent(present map[string]bool, sent, now time.Time) {
+	for _, e := range sortedKeys(m.rows) {
+		if present[e] || !m.rows[e].at.Before(sent) {
+			continue
+		}
+		m.forget(e, now)
+	}
+}
+
+// forget forgets a row that is no longer in the table. Reads that were sent
+// earlier may still have found it, so they are not heeded.
+func (m *Machine) forget(e string, now time.Time) {
+	m.forgotten = now
+	delete(m.rows, e)
+	delete(m.acknowledged, e)
+	m.drop(e)
+}
+
+// see takes a row that was in the table after a read or commit had been sent.
+func (m *Machine) see(row Row, version uint64, now time.Time) {
+	e := row.Endpoint
+	if s := m.rows[e]; s != nil && version <= s.version {
+		return
+	}
+	m.revision++
+	m.rows[e] = &seenRow{
+		row:     row,
+		version: version,
+		at:      now,
+		renewed: m.rows[e] != nil,
+	}
+	if row.Owner != "" {
+		delete(m.unowned, e)
+	}
+	mine := row.Owner == m.options.Self && row.Incarnation == m.options.Incarnation
+	h := m.held[e]
+	switch {
+	case h != nil && mine:
+		m.confirm(e, row, version, now)
+	case h != nil:
+		m.drop(e)
+		m.note(e, lost(row))
+	case mine && row.Epoch > m.acknowledged[e].epoch:
+		m.hold(row, version, now)
+	case m.received[e].Epoch < row.Epoch:
+		delete(m.received, e)
+		m.apply(e)
+	}
+}
+
+func lost(row Row) string {
+	if row.Owner == "" {
+		return "given up"
+	}
+	return "now owned by " + row.Owner
+}
+
+// hold begins a holding with a row that names this incarnation.
+func (m *Machine) hold(row Row, version uint64, now time.Time) {
+	e := row.Endpoint
+	delete(m.claims, e)
+	delete(m.received, e)
+	m.held[e] = &holding{
+		row:     row,
+		version: version,
+		until:   m.deadline(row),
+		adopted: now,
+		ended:   map[reservationKey]bool{},
+		changed: true,
+	}
+	m.nextAll = now
+	m.apply(e)
+	m.note(e, "owned")
+}
+
+// confirm takes a row of a holding that is known to be in the table.
+func (m *Machine) confirm(e string, row Row, version uint64, now time.Time) {
+	h := m.held[e]
+	if row.Version != h.row.Version {
+		h.adopted = now
+		m.nextAll = now
+	}
+	if d := m.deadline(row); d.After(h.until) {
+		h.until = d
+	}
+	h.row = row
+	h.version = version
+	h.pending = nil
+	written := map[reservationKey]bool{}
+	serials := map[uint64]bool{}
+	for _, v := range row.Reserved {
+		written[v.key()] = true
+		serials[v.Serial] = true
+	}
+	ceded := []Reservation{}
+	for _, v := range h.ceded {
+		if !serials[v.Serial] {
+			ceded = append(ceded, v)
+		}
+	}
+	h.ceded = ceded
+	for k := range h.ended {
+		if !written[k] {
+			delete(h.ended, k)
+		}
+	}
+	m.apply(e)
+}
+
+// deadline returns until when the row's write gives this incarnation a lease: a
+// term from before the write was sent. It is zero for a write of another.
+func (m *Machine) deadline(row Row) time.Time {
+	t, ok := m.sent[row.Renewal]
+	if !ok {
+		return time.Time{}
+	}
+	return t.Add(row.Term.Std())
+}
--- /dev/null
+++ b/core/grant/world_test.go
@@ -0,0 +1,475 @@
+package grant
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"heatherford/core/code"
+	"heatherford/core/intent"
+	"heatherford/core/quota"
+	"heatherford/core/store"
+	"heatherford/core/strict"
+	"heatherford/standin/platform"
+)
+
+// world runs several machines against one table. Time stands still but for the
+// action that advances it; each process reads it on a clock of its own.
+type world struct {
+	t     *rapid.T
+	now   time.Duration
+	table *platform.Table
+	hosts []store.Host
+	// names are those of all hosts, listed or not.
+	names []string
+	procs map[string]*process
+	// versions are all that were confirmed, the oldest first.
+	versions []*intent.Version
+	down     bool
+	// flights are the requests that endpoints hold.
+	flights []*flight
+	// late are commits that reach the table after their sender gave them up.
+	late     []*Commit
+	started  int
+	peerCuts map[string]bool
+}
+
+// process is one run of a daemon.
+type process struct {
+	world   *world
+	name    string
+	id      string
+	machine *Machine
+	ledgers map[string]*quota.Ledger
+	paused  bool
+	dead    bool
+	// cut is true while the process cannot reach the platform.
+	cut bool
+	// inbox holds what arrives while the process is paused or its network slow.
+	inbox []func()
+	// rate is how fast the process's clock runs, in thousandths.
+	rate   time.Duration
+	offset time.Duration
+}
+
+type flight struct {
+	endpoint string
+	caps     []quota.Name
+	// ends is when the endpoint ends the request at the latest.
+	ends   time.Duration
+	sender *process
+	entry  *quota.Flight
+	// version is the sender's when it sent the request.
+	version uint64
+}
+
+const (
+	worldHosts = 3
+	worldSlots = 6
+	worldSteps = 100
+	// endpointLag is how far an endpoint's clock is behind.
+	endpointLag = 30 * time.Millisecond
+	longKind    = 4 * time.Second
+	worldLink   = quota.Name("link/west/east")
+	worldRegion = "east"
+)
+
+func newWorld(t *rapid.T) *world {
+	w := &world{
+		t:        t,
+		now:      time.Hour,
+		table:    platform.NewTable(),
+		procs:    map[string]*process{},
+		peerCuts: map[string]bool{},
+	}
+	for i := range worldHosts {
+		w.names = append(w.names, fmt.Sprintf("h%d", i))
+	}
+	w.confirm(worldSlots, worldSlots/2, 0)
+	for _, n := range w.names {
+		w.start(n)
+		w.hosts = append(w.hosts, w.procs[n].entry())
+	}
+	for _, p := range w.live() {
+		p.machine.SetHosts(w.hosts, p.clock())
+	}
+	return w
+}
+
+// confirm adds a version. Bit i of leaving makes endpoint i leave.
+func (w *world) confirm(regionCap, linkCap, leaving int) {
+	d := &intent.Declaration{
+		Kinds: []intent.Kind{
+			{
+				Name:     "k",
+				Deadline: strict.Duration(longKind),
+			},
+		},
+		Regions: []intent.Region{
+			{
+				Name:  worldRegion,
+				Zones: []string{"east-0", "east-1"},
+				Cap:   regionCap,
+			},
+		},
+		Links: []intent.Link{
+			{
+				From: "west",
+				To:   worldRegion,
+				Cap:  linkCap,
+			},
+		},
+		Upstreams: []intent.Upstream{
+			{
+				Name: "u",
+			},
+		},
+	}
+	for i := range 2 {
+		d.Upstreams[0].Endpoints = append(d.Upstreams[0].Endpoints, intent.Endpoint{
+			Name:    fmt.Sprintf("e%d", i),
+			Zone:    fmt.Sprintf("east-%d", i),
+			Slots:   worldSlots,
+			Leaving: leaving&(1<<i) != 0,
+		})
+	}
+	w.versions = append(w.versions, &intent.Version{
+		Number:      uint64(len(w.versions) + 1),
+		Declaration: d,
+	})
+}
+
+func (w *world) start(name string) {
+	w.started++
+	p := &process{
+		world:   w,
+		name:    name,
+		id:      fmt.Sprintf("%s-%d", name, w.started),
+		ledgers: map[string]*quota.Ledger{},
+		rate:    time.Duration(1000 + (w.started*3)%9 - 4),
+		offset:  time.Duration(w.started) * 17 * time.Minute,
+	}
+	p.machine = New(Options{
+		Self:        name,
+		Incarnation: p.id,
+		Started:     p.clock(),
+		Timing:      Standard,
+		Ledger:      p.ledger,
+	})
+	p.machine.SetVersion(w.versions[len(w.versions)-1])
+	p.machine.SetHosts(w.hosts, p.clock())
+	w.procs[name] = p
+}
+
+// entry returns the host's entry of the platform's list.
+func (p *process) entry() store.Host {
+	i := slices.Index(p.world.names, p.name)
+	return store.Host{
+		Name:   p.name,
+		Zone:   fmt.Sprintf("east-%d", i%2),
+		Region: worldRegion,
+		State:  store.HostLive,
+	}
+}
+
+func (p *process) ledger(endpoint string) *quota.Ledger {
+	if p.ledgers[endpoint] == nil {
+		p.ledgers[endpoint] = &quota.Ledger{}
+	}
+	return p.ledgers[endpoint]
+}
+
+// clock returns the time as the process reads it.
+func (p *process) clock() time.Time {
+	return time.Unix(0, 0).Add(p.world.now*p.rate/1000 + p.offset)
+}
+
+// instant returns when the process's clock shows t.
+func (p *process) instant(t time.Time) time.Duration {
+	return (t.Sub(time.Unix(0, 0)) - p.offset) * 1000 / p.rate
+}
+
+func (p *process) runs() bool {
+	return !p.dead && !p.paused
+}
+
+// deliver runs f in the process now, or once it runs again.
+func (p *process) deliver(slow bool, f func()) {
+	switch {
+	case p.dead:
+	case p.paused || slow:
+		p.inbox = append(p.inbox, f)
+	default:
+		f()
+	}
+}
+
+// live returns the processes that run, ordered by name.
+func (w *world) live() []*process {
+	s := []*process{}
+	for _, n := range w.names {
+		if w.procs[n].runs() {
+			s = append(s, w.procs[n])
+		}
+	}
+	return s
+}
+
+// settle carries out effects until there are none.
+func (w *world) settle(fault func() int) {
+	for range 50 {
+		idle := true
+		for _, p := range w.live() {
+			for _, e := range p.machine.Take() {
+				idle = false
+				w.carryOut(p, e, fault)
+			}
+		}
+		if idle {
+			return
+		}
+	}
+}
+
+// The faults of one call.
+const (
+	faultNone = iota
+	// faultLost lets the call take effect and loses the answer.
+	faultLost
+	// faultLate loses the answer and lets the call take effect later.
+	faultLate
+	// faultSlow delays the answer.
+	faultSlow
+)
+
+func (w *world) carryOut(p *process, e Effect, fault func() int) {
+	switch {
+	case e.Commit != nil:
+		w.commit(p, e.Commit, fault())
+	case e.Read != nil:
+		w.read(p, *e.Read, fault())
+	case e.Ask != nil:
+		q := *e.Ask
+		w.call(p, q.Host, fault(), func(to *process) func() {
+			a := to.machine.Asked(q, to.clock())
+			return func() {
+				if a.Done {
+					p.machine.Acknowledged(q)
+				}
+			}
+		}, func() {})
+	case e.Cede != nil:
+		c := *e.Cede
+		w.call(p, c.Host, fault(), func(to *process) func() {
+			a := to.machine.Ceded(c)
+			return func() {
+				p.machine.CedeEnded(c, a.Incarnation, !a.OK)
+			}
+		}, func() {
+			p.machine.CedeEnded(c, "", false)
+		})
+	case e.Offer != nil:
+		o := *e.Offer
+		w.call(p, o.Host, fault(), func(to *process) func() {
+			a := to.machine.Accepts()
+			return func() {
+				p.machine.Offered(o, a.Incarnation, a.OK, p.clock())
+			}
+		}, func() {
+			p.machine.Offered(o, "", false, p.clock())
+		})
+	}
+}
+
+func (w *world) commit(p *process, c *Commit, fault int) {
+	m := p.machine
+	if w.down || p.cut {
+		p.deliver(fault == faultSlow, func() {
+			m.CommitFailed(c.Attempt, code.New(code.PlatformDown, "down"), p.clock())
+		})
+		return
+	}
+	if fault == faultLate {
+		w.late = append(w.late, c)
+		m.CommitFailed(c.Attempt, code.New(code.PlatformUnknown, "lost"), p.clock())
+		return
+	}
+	a, ok := w.table.Commit(c.Transaction)
+	p.deliver(fault == faultSlow, func() {
+		switch {
+		case fault == faultLost:
+			m.CommitFailed(c.Attempt, code.New(code.PlatformUnknown, "lost"), p.clock())
+		case !ok:
+			m.CommitFailed(c.Attempt, code.New(code.PlatformConflict, "conflict"), p.clock())
+		default:
+			m.Committed(c.Attempt, a.Version, p.clock())
+		}
+	})
+}
+
+func (w *world) read(p *process, r Read, fault int) {
+	if w.down || p.cut || fault == faultLost {
+		p.machine.ReadFailed(r)
+		return
+	}
+	rows := w.table.Read(r.Query)
+	p.deliver(fault == faultSlow, func() {
+		p.machine.RowsRead(r, rows, p.clock())
+	})
+}
+
+// call runs f at the host's process and its result at p, or lost at p if p gets
+// no answer.
+func (w *world) call(p *process, host string, fault int, f func(to *process) func(), lost func()) {
+	to := w.procs[host]
+	if to.dead || w.peerCuts[p.name+host] || w.peerCuts[host+p.name] {
+		lost()
+		return
+	}
+	if to.paused || fault == faultLate {
+		to.inbox = append(to.inbox, func() {
+			f(to)
+		})
+		lost()
+		return
+	}
+	answer := f(to)
+	if fault == faultLost {
+		lost()
+		return
+	}
+	p.deliver(fault == faultSlow, answer)
+}
+
+// advance moves the time and lets every process do what is due.
+func (w *world) advance(d time.Duration, fault func() int) {
+	w.now += d
+	w.expire()
+	for _, p := range w.live() {
+		p.machine.Tick(p.clock())
+	}
+	w.settle(fault)
+}
+
+// expire ends the requests whose deadlines have passed: a sender that runs ends
+// its own, the endpoint's clock ends the others.
+func (w *world) expire() {
+	w.flights = slices.DeleteFunc(w.flights, func(f *flight) bool {
+		if f.sender.runs() {
+			if f.ends <= w.now {
+				f.sender.ledger(f.endpoint).Leave(f.entry)
+			}
+			return f.ends <= w.now
+		}
+		return f.ends+endpointLag <= w.now
+	})
+}
+
+// send lets every process send all that its ledgers admit.
+func (w *world) send(profile int) {
+	for i, p := range w.live() {
+		for _, e := range []string{"e0", "e1"} {
+			for n := range worldSlots + 1 {
+				w.sendOne(p, e, (profile>>(2*i))&3, n)
+			}
+		}
+	}
+}
+
+// The profiles of a sender's requests.
+const (
+	sendNothing = iota
+	sendShort
+	sendLong
+	sendMixed
+)
+
+func (w *world) sendOne(p *process, endpoint string, profile, n int) {
+	d := 300 * time.Millisecond
+	caps := []quota.Name(nil)
+	switch {
+	case profile == sendNothing:
+		return
+	case profile == sendLong:
+		d = longKind
+	case profile == sendMixed && n%2 == 0:
+		d = 1800 * time.Millisecond
+		caps = []quota.Name{worldLink}
+	}
+	deadline := p.clock().Add(min(d, p.machine.Longest()))
+	f, refusal := p.ledger(endpoint).Enter(p.clock(), deadline, caps)
+	if refusal != quota.Allowed {
+		return
+	}
+	w.flights = append(w.flights, &flight{
+		endpoint: endpoint,
+		caps:     caps,
+		ends:     p.instant(deadline),
+		sender:   p,
+		entry:    f,
+		version:  p.machine.version.Number,
+	})
+}
+
+// finish ends the requests of every running process whose bit is set.
+func (w *world) finish(bits int) {
+	live := w.live()
+	w.flights = slices.DeleteFunc(w.flights, func(f *flight) bool {
+		i := slices.Index(live, f.sender)
+		if i < 0 || bits&(1<<i) == 0 {
+			return false
+		}
+		f.sender.ledger(f.endpoint).Leave(f.entry)
+		return true
+	})
+}
+
+// check fails if the endpoints hold more than any version allows that a process
+// knows or knew when it sent what is still in flight.
+func (w *world) check() {
+	oldest := uint64(len(w.versions))
+	newest := uint64(1)
+	note := func(v uint64) {
+		oldest = min(oldest, v)
+		newest = max(newest, v)
+	}
+	for _, p := range w.procs {
+		note(p.machine.version.Number)
+	}
+	total, link := 0, 0
+	of := map[string]int{}
+	for _, f := range w.flights {
+		note(f.version)
+		of[f.endpoint]++
+		total++
+		if len(f.caps) > 0 {
+			link++
+		}
+	}
+	regionCap, linkCap := 0, 0
+	for _, v := range w.versions[oldest-1 : newest] {
+		regionCap = max(regionCap, v.Declaration.Regions[0].Cap)
+		linkCap = max(linkCap, v.Declaration.Links[0].Cap)
+	}
+	for e, n := range of {
+		if n > worldSlots {
+			w.fail("%s holds %d requests in %d slots", e, n, worldSlots)
+		}
+	}
+	if total > regionCap {
+		w.fail("the region holds %d requests over its cap of %d", total, regionCap)
+	}
+	if link > linkCap {
+		w.fail("the link holds %d requests over its cap of %d", link, linkCap)
+	}
+}
+
+// fail tells what is in flight and ends the test.
+func (w *world) fail(format string, args ...any) {
+	for _, f := range w.flights {
+		w.t.Logf("%v in flight at %s from %s until %v", w.now, f.endpoint, f.sender.id, f.ends)
+	}
+	w.t.Fatalf(format, args...)
+}
--- a/core/kernel.go
+++ b/core/kernel.go
@@ -47,6 +47,8 @@
 	Timeline func(ctx context.Context, q timeline.Query) []timeline.Answer
 	// Keep hands roll-ups that could not be written to another host.
 	Keep func(ctx context.Context, s []rollup.Object) error
+	// Grants calls other hosts about the grants of endpoints.
+	Grants GrantCalls
 	// Once runs work that may not be repeated; nil stands for a direct call.
 	Once func(ctx context.Context, r *work.Request, run dispatch.Run) (*work.Answer, error)
 }
@@ -105,6 +107,7 @@
 	k.Clock = timeline.NewClock(k.Now)
 	k.stopping.begun = make(chan struct{})
 	k.OnStop(PhaseExpire, "core", k.expireLookups)
+	k.OnStop(PhaseHandOver, "grants", k.handOverGrants)
 	k.Ring = timeline.NewRing(ringSize(o.Settings.Limits.TimelineEvents))
 	k.Rolls = rollup.New(rollup.Options{
 		Host:        o.Settings.Host,
--- /dev/null
+++ b/core/quota/ledger.go
@@ -0,0 +1,179 @@
+package quota
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+// Right is what a host may send to an endpoint.
+type Right struct {
+	// Full bounds the requests in flight until Until, Smaller those in flight
+	// after it. Full covers Smaller.
+	Full    Limits
+	Smaller Limits
+	// Until is the lease's deadline. The zero value stands for no lease.
+	Until time.Time
+	// Covered is when requests under Full end at the latest. It is not before
+	// Until.
+	Covered time.Time
+}
+
+// Refusal says which bound keeps a request out. The zero value is none.
+type Refusal int
+
+// The refusals of a Ledger.
+const (
+	// Allowed is no refusal.
+	Allowed Refusal = iota
+	// NoSlot says that all slots are in use.
+	NoSlot
+	// NoLease says that the request may outlast the lease and that the part
+	// that needs none is in use.
+	NoLease
+	// NoPart says that the endpoint's part of a cap is in use.
+	NoPart
+)
+
+// Ledger counts one endpoint's requests in flight and admits new ones within the
+// host's right. It is safe for concurrent use; the zero value is empty and admits
+// nothing.
+type Ledger struct {
+	mu    sync.Mutex
+	right Right
+	// pressedAt is when requests that may outlast the lease last used up the
+	// part that needs none.
+	pressedAt time.Time
+	// flight is short: an endpoint has few slots.
+	flight []*Flight
+}
+
+// Flight is a request in flight.
+type Flight struct {
+	// deadline is when the endpoint ends the request at the latest.
+	deadline time.Time
+	caps     []Name
+}
+
+// Set replaces the right. Requests in flight stay.
+func (l *Ledger) Set(r Right) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.right = r
+}
+
+// Right returns the right.
+func (l *Ledger) Right() Right {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.right
+}
+
+// PressedAt returns when requests that may outlast the lease last used up the
+// part that needs none.
+func (l *Ledger) PressedAt() time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.pressedAt
+}
+
+// Enter counts a request that may be in flight until its deadline and counts
+// against the caps. The caller writes the request after Enter returned Allowed,
+// and calls Leave once it has ended.
+func (l *Ledger) Enter(now, deadline time.Time, caps []Name) (*Flight, Refusal) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	f := &Flight{
+		deadline: deadline,
+		caps:     caps,
+	}
+	if e := l.check(now, f); e != Allowed {
+		return nil, e
+	}
+	l.flight = append(l.flight, f)
+	return f, Allowed
+}
+
+func (l *Ledger) check(now time.Time, f *Flight) Refusal {
+	r := l.right
+	bound := r.Full
+	if !now.Before(r.Until) {
+		bound = r.Smaller
+	}
+	all := time.Time{}
+	if l.count(all, "") >= bound.Slots {
+		return NoSlot
+	}
+	for _, n := range f.caps {
+		if l.count(all, n) >= bound.Of(n) {
+			return NoPart
+		}
+	}
+	if !f.deadline.After(r.Until) {
+		return Allowed
+	}
+	if l.count(r.Until, "")+1 >= r.Smaller.Slots {
+		l.pressedAt = now
+	}
+	if !f.deadline.After(r.Covered) {
+		return Allowed
+	}
+	if l.count(r.Covered, "") >= r.Smaller.Slots {
+		return NoLease
+	}
+	for _, n := range f.caps {
+		if l.count(r.Covered, n) >= r.Smaller.Of(n) {
+			return NoLease
+		}
+	}
+	return Allowed
+}
+
+// Leave ends a request.
+func (l *Ledger) Leave(f *Flight) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if i := slices.Index(l.flight, f); i >= 0 {
+		l.flight = slices.Delete(l.flight, i, i+1)
+	}
+}
+
+// Drained reports whether no request is in flight.
+func (l *Ledger) Drained() bool {
+	return l.InFlight() == 0
+}
+
+// Fits reports whether the requests whose deadlines are later than after stay
+// within the limits.
+func (l *Ledger) Fits(after time.Time, limits Limits) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.count(after, "") > limits.Slots {
+		return false
+	}
+	for _, p := range limits.Parts {
+		if l.count(after, p.Name) > limits.Of(p.Name) {
+			return false
+		}
+	}
+	return true
+}
+
+// InFlight returns the number of requests in flight.
+func (l *Ledger) InFlight() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.flight)
+}
+
+// count returns the requests whose deadlines are later than after and that
+// count against the cap, an empty name standing for all.
+func (l *Ledger) count(after time.Time, n Name) int {
+	k := 0
+	for _, f := range l.flight {
+		if f.deadline.After(after) && (n == "" || slices.Contains(f.caps, n)) {
+			k++
+		}
+	}
+	return k
+}
--- /dev/null
+++ b/core/quota/quota_test.go
@@ -0,0 +1,157 @@
+package quota
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"heatherford/core/intent"
+	"heatherford/internal/rapidtb"
+)
+
+func limits() *rapid.Generator[Limits] {
+	return rapid.Custom(func(t *rapid.T) Limits {
+		l := Limits{
+			Slots: rapid.IntRange(0, 9).Draw(t, "slots"),
+		}
+		for _, n := range []Name{"link/a/b", "shift/s"} {
+			if rapid.Bool().Draw(t, "has") {
+				l.Parts = append(l.Parts, Part{
+					Name:  n,
+					Limit: rapid.IntRange(0, 9).Draw(t, "limit"),
+				})
+			}
+		}
+		return l
+	})
+}
+
+// TestCapSplit checks that the parts that an owner keeps and gives up never sum
+// to more than the whole, nor do a part and what is left beside it.
+func TestCapSplit(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		c := rapidtb.New(t, r)
+		a := limits().Draw(r, "a")
+		b := limits().Draw(r, "b")
+		c.Assert(a.Covers(a.Smaller().Plus(a.Rest())), qt.IsTrue)
+		c.Assert(a.Covers(a.Min(b)), qt.IsTrue)
+		c.Assert(b.Covers(a.Min(b)), qt.IsTrue)
+		if a.Covers(b) {
+			c.Assert(a.Covers(b.Plus(a.Minus(b))), qt.IsTrue)
+		}
+		c.Assert(a.Slots == 0 || a.Smaller().Slots >= a.Rest().Slots, qt.IsTrue)
+	})
+}
+
+// TestCapDivide checks that the parts of every cap sum to at most the cap, and
+// that no upstream gets nothing while another has more than one.
+func TestCapDivide(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		c := rapidtb.New(t, r)
+		d := &intent.Declaration{
+			Regions: []intent.Region{
+				{
+					Name:  "a",
+					Zones: []string{"a1", "a2"},
+					Cap:   rapid.IntRange(1, 60).Draw(r, "cap"),
+				},
+			},
+			Links: []intent.Link{
+				{
+					From: "b",
+					To:   "a",
+					Cap:  rapid.IntRange(1, 60).Draw(r, "link"),
+				},
+			},
+			Shifts: []intent.Shift{
+				{
+					Name:     "s",
+					Upstream: "u0",
+					From:     "b",
+					To:       "a",
+					Cap:      rapid.IntRange(1, 30).Draw(r, "shift"),
+				},
+			},
+		}
+		for i := range 3 {
+			u := intent.Upstream{
+				Name: fmt.Sprintf("u%d", i),
+			}
+			for j := range rapid.IntRange(1, 6).Draw(r, "endpoints") {
+				u.Endpoints = append(u.Endpoints, intent.Endpoint{
+					Name:    fmt.Sprintf("u%d-%d", i, j),
+					Zone:    d.Regions[0].Zones[j%2],
+					Slots:   rapid.IntRange(1, 9).Draw(r, "slots"),
+					Leaving: j > 0 && rapid.Bool().Draw(r, "leaving"),
+				})
+			}
+			d.Upstreams = append(d.Upstreams, u)
+		}
+		m := Divide(d)
+		total, link, shift, least, most := 0, 0, 0, 1000, 0
+		for i, u := range d.Upstreams {
+			sum := 0
+			for _, e := range u.Endpoints {
+				l := m[e.Name]
+				c.Assert(l.Slots <= e.Slots, qt.IsTrue)
+				c.Assert(e.Leaving && l.Slots > 0, qt.IsFalse)
+				sum += l.Slots
+				link += l.Of(Link("b", "a"))
+				if i == 0 {
+					shift += l.Of(Shift("s"))
+				}
+			}
+			total += sum
+			least = min(least, sum)
+			most = max(most, sum)
+		}
+		c.Assert(total <= d.Regions[0].Cap, qt.IsTrue)
+		c.Assert(link <= d.Links[0].Cap, qt.IsTrue)
+		c.Assert(shift <= d.Shifts[0].Cap, qt.IsTrue)
+		c.Assert(least > 0 || most <= 1, qt.IsTrue)
+	})
+}
+
+// TestCapLedger checks the bounds of one endpoint as its lease runs out.
+func TestCapLedger(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(100, 0)
+	until := now.Add(time.Second)
+	l := &Ledger{}
+	l.Set(Right{
+		Full: Limits{
+			Slots: 4,
+			Parts: []Part{
+				{
+					Name:  "shift/s",
+					Limit: 1,
+				},
+			},
+		},
+		Smaller: Limits{
+			Slots: 2,
+		},
+		Until:   until,
+		Covered: until,
+	})
+	enter := func(at time.Time, d time.Duration, caps ...Name) Refusal {
+		_, r := l.Enter(at, at.Add(d), caps)
+		return r
+	}
+	c.Assert(enter(now, time.Minute), qt.Equals, Allowed)
+	c.Assert(enter(now, time.Minute), qt.Equals, Allowed)
+	c.Assert(enter(now, time.Minute), qt.Equals, NoLease)
+	c.Assert(enter(now, time.Second, "shift/s"), qt.Equals, Allowed)
+	c.Assert(enter(now, time.Second, "shift/s"), qt.Equals, NoPart)
+	f, r := l.Enter(now, until, nil)
+	c.Assert(r, qt.Equals, Allowed)
+	c.Assert(enter(now, time.Second), qt.Equals, NoSlot)
+	l.Leave(f)
+	c.Assert(l.InFlight(), qt.Equals, 3)
+	c.Assert(enter(until, time.Millisecond), qt.Equals, NoSlot)
+	c.Assert(l.Fits(until, Limits{Slots: 2}), qt.IsTrue)
+	c.Assert(l.Fits(time.Time{}, Limits{Slots: 2}), qt.IsFalse)
+}
--- a/core/snapshot/snapshot.go
+++ b/core/snapshot/snapshot.go
@@ -33,9 +33,8 @@
 	Reduced int
 	// Until is the grant's deadline. The zero value stands for never.
 	Until time.Time
-	// Last is the latest deadline that a request to the endpoint may carry.
-	// The zero value stands for none.
-	Last time.Time
+	// Longest bounds how long a request to the endpoint may take.
+	Longest time.Duration
 }
 
 // Limit returns the most requests in flight at the time now.
--- /dev/null
+++ b/io/peer/grants.go
@@ -0,0 +1,174 @@
+package peer
+
+import (
+	"context"
+	"net/http"
+
+	"heatherford/core"
+	"heatherford/core/code"
+	"heatherford/core/grant"
+	"heatherford/core/quota"
+	"heatherford/core/store"
+	"heatherford/io/peer/peerpb"
+)
+
+// grantCalls returns the calls about grants that the kernel makes.
+func (c *client) grantCalls() core.GrantCalls {
+	return core.GrantCalls{
+		Ask:   c.askGrant,
+		Cede:  c.cedeGrant,
+		Offer: c.offerGrant,
+		Tell:  c.tellGrant,
+	}
+}
+
+func (c *client) grants(h store.Host) (peerpb.Grants, error) {
+	if !h.PeerAddress.IsValid() {
+		return nil, code.New(code.PeerUnreachable, "peer: the host is not known any more")
+	}
+	return peerpb.NewGrantsProtobufClient("http://"+h.PeerAddress.String(), &http.Client{
+		Transport: c.transport,
+		Timeout:   exchangeTimeout,
+	}), nil
+}
+
+func (c *client) askGrant(ctx context.Context, h store.Host, q grant.Ask) (grant.Acknowledgement, error) {
+	p, err := c.grants(h)
+	if err != nil {
+		return grant.Acknowledgement{}, err
+	}
+	a, err := p.Ask(ctx, &peerpb.AskRequest{
+		Endpoint:    q.Endpoint,
+		Epoch:       q.Epoch,
+		Incarnation: q.Incarnation,
+		Serial:      q.Serial,
+	})
+	return grant.Acknowledgement{
+		Incarnation: a.GetIncarnation(),
+		Done:        a.GetDone(),
+	}, grantError(h, err)
+}
+
+func (c *client) cedeGrant(ctx context.Context, h store.Host, x grant.Cede) (grant.Reply, error) {
+	p, err := c.grants(h)
+	if err != nil {
+		return grant.Reply{}, err
+	}
+	q := &peerpb.CedeRequest{
+		Endpoint: x.Endpoint,
+		Epoch:    x.Epoch,
+		Serial:   x.Serial,
+		Version:  x.Version,
+		Slots:    uint32(x.Limits.Slots),
+	}
+	for _, l := range x.Limits.Parts {
+		q.Parts = append(q.Parts, &peerpb.GrantPart{
+			Name:  string(l.Name),
+			Limit: uint32(l.Limit),
+		})
+	}
+	return grantReply(h)(p.Cede(ctx, q))
+}
+
+func (c *client) offerGrant(ctx context.Context, h store.Host, o grant.Offer) (grant.Reply, error) {
+	p, err := c.grants(h)
+	if err != nil {
+		return grant.Reply{}, err
+	}
+	return grantReply(h)(p.Offer(ctx, &peerpb.OfferRequest{
+		Endpoint: o.Endpoint,
+	}))
+}
+
+func (c *client) tellGrant(ctx context.Context, h store.Host, t grant.Tell) error {
+	p, err := c.grants(h)
+	if err != nil {
+		return err
+	}
+	_, err = p.Tell(ctx, &peerpb.TellRequest{
+		Endpoint: t.Endpoint,
+	})
+	return grantError(h, err)
+}
+
+// grantReply returns a function that converts the host's answer.
+func grantReply(h store.Host) func(a *peerpb.GrantReply, err error) (grant.Reply, error) {
+	return func(a *peerpb.GrantReply, err error) (grant.Reply, error) {
+		return grant.Reply{
+			Incarnation: a.GetIncarnation(),
+			OK:          a.GetOk(),
+		}, grantError(h, err)
+	}
+}
+
+func grantError(h store.Host, err error) error {
+	if err == nil {
+		return nil
+	}
+	return code.Wrap(code.PeerUnreachable, err, "peer: host %q gave no answer about a grant", h.Name)
+}
+
+// grantsServer answers other daemons about grants.
+type grantsServer struct {
+	kernel *core.Kernel
+}
+
+// Ask implements peerpb.Grants.
+func (s *grantsServer) Ask(ctx context.Context, r *peerpb.AskRequest) (*peerpb.AskResponse, error) {
+	a, err := s.kernel.GrantAsked(ctx, grant.Ask{
+		Host:        s.kernel.Settings.Host,
+		Endpoint:    r.Endpoint,
+		Epoch:       r.Epoch,
+		Incarnation: r.Incarnation,
+		Serial:      r.Serial,
+	})
+	if err != nil {
+		return nil, err
+	}
+	return &peerpb.AskResponse{
+		Incarnation: a.Incarnation,
+		Done:        a.Done,
+	}, nil
+}
+
+// Cede implements peerpb.Grants.
+func (s *grantsServer) Cede(ctx context.Context, r *peerpb.CedeRequest) (*peerpb.GrantReply, error) {
+	l := quota.Limits{
+		Slots: int(r.Slots),
+	}
+	for _, p := range r.Parts {
+		l.Parts = append(l.Parts, quota.Part{
+			Name:  quota.Name(p.Name),
+			Limit: int(p.Limit),
+		})
+	}
+	return reply(s.kernel.GrantCeded(ctx, grant.Cede{
+		Host:     s.kernel.Settings.Host,
+		Endpoint: r.Endpoint,
+		Epoch:    r.Epoch,
+		Serial:   r.Serial,
+		Version:  r.Version,
+		Limits:   l,
+	}))
+}
+
+// Offer implements peerpb.Grants.
+func (s *grantsServer) Offer(ctx context.Context, _ *peerpb.OfferRequest) (*peerpb.GrantReply, error) {
+	return reply(s.kernel.GrantOffered(ctx))
+}
+
+// Tell implements peerpb.Grants.
+func (s *grantsServer) Tell(_ context.Context, _ *peerpb.TellRequest) (*peerpb.GrantReply, error) {
+	s.kernel.GrantTold()
+	return &peerpb.GrantReply{}, nil
+}
+
+func reply(a grant.Reply, err error) (*peerpb.GrantReply, error) {
+	if err != nil {
+		return nil, err
+	}
+	return &peerpb.GrantReply{
+		Incarnation: a.Incarnation,
+		Ok:          a.OK,
+	}, nil
+}
--- a/io/peer/plugin.go
+++ b/io/peer/plugin.go
@@ -36,6 +36,7 @@
 	k.Seams.Push = p.client.push
 	k.Seams.Timeline = p.client.timeline
 	k.Seams.Keep = p.client.keep
+	k.Seams.Grants = p.client.grantCalls()
 	return nil
 }
 
@@ -47,6 +48,9 @@
 	m.Handle(peerpb.TimelinePathPrefix, peerpb.NewTimelineServer(&timelineServer{
 		kernel: k,
 	}))
+	m.Handle(peerpb.GrantsPathPrefix, peerpb.NewGrantsServer(&grantsServer{
+		kernel: k,
+	}))
 	m.HandleFunc(carry.WorkPrefix, func(w http.ResponseWriter, r *http.Request) {
 		carry.Serve(k, w, r, true)
 	})
