cmd/heatherford: write the evening page from any one host

What the platform does not give is told line by line, and an answer without its last line is refused as cut off.

The session evening_page runs an outage of the platform in which one host is stopped by plan and one is killed: the first one's counts are kept and written by another host, the second one's are missing in words.

Shown by: go test -race -run 'TestSessions/evening_page' ./sessions

--- a/cmd/heatherford/main.go
+++ b/cmd/heatherford/main.go
@@ -51,6 +51,11 @@
 			about: "show the version in force",
 			run:   status,
 		},
+		{
+			name:  "report",
+			about: "write the evening page of a day",
+			run:   reportCommand,
+		},
 		{
 			name:  "timeline",
 			about: "show the events of all hosts in causal order",
--- a/core/kernel.go
+++ b/core/kernel.go
@@ -110,6 +110,7 @@
 		Host:        o.Settings.Host,
 		Region:      o.Settings.Region,
 		Incarnation: strconv.FormatInt(k.Now().UnixMilli(), incarnationBase),
+		Interval:    o.Settings.Limits.RollUpInterval.Std(),
 		Now:         k.Now,
 	})
 	k.Results = outcome.New(k.Rolls.Result)
--- a/core/report/build.go
+++ b/core/report/build.go
@@ -63,7 +63,7 @@
 			MadeAt:   in.Now,
 			location: in.Location,
 			Reasons:  []string{},
-			Missing:  append([]string{}, in.Problems...),
+			Missing:  slices.Sorted(slices.Values(in.Problems)),
 			Notes:    []string{},
 			Ranks:    []Rank{},
 			Kinds:    []Kind{},
@@ -82,6 +82,9 @@
 		slots:   map[time.Time]map[string]*SlotRank{},
 		regions: map[string]map[time.Time]*RegionSlot{},
 	}
+	if in.Problems == nil {
+		b.report.Missing = []string{}
+	}
 	b.distinct()
 	for _, r := range b.rolls {
 		b.add(r)
--- a/core/report/coverage.go
+++ b/core/report/coverage.go
@@ -12,8 +12,8 @@
 const (
 	// graceIntervals is how many intervals a host may be late with a roll-up
 	// before the page takes it for missing.
-	graceIntervals = 2
-	graceExtra     = 15 * time.Second
+	graceIntervals = 3
+	graceExtra     = time.Second
 	// maxGapTexts bounds the gaps that are told one by one.
 	maxGapTexts = 200
 	// listLag is how long the platform may list a host that has stopped.
--- a/core/report/day_test.go
+++ b/core/report/day_test.go
@@ -39,6 +39,7 @@
 		Host:        host,
 		Region:      "ulaanbaatar",
 		Incarnation: incarnation,
+		Interval:    5 * time.Second,
 		Now: func() time.Time {
 			return d.now
 		},
--- a/core/rollup/interval.go
+++ b/core/rollup/interval.go
@@ -9,16 +9,18 @@
 const (
 	// spacing is the mean time between two roll-ups written by any host.
 	spacing     = 100 * time.Millisecond
-	minInterval = 5 * time.Second
 	maxInterval = 5 * time.Minute
+	// defaultInterval is how much of its counts a host that dies loses at most
+	// in a small fleet.
+	defaultInterval = 5 * time.Second
 	// listers is the number of hosts that give the platform's list of hosts.
 	listers = 3
 )
 
-// Interval returns how often each of n hosts writes its roll-up, so that all
-// together write about ten a second at most.
-func Interval(n int) time.Duration {
-	return min(max(time.Duration(n)*spacing, minInterval), maxInterval)
+// Interval returns how often each of n hosts writes its roll-up: no more often
+// than least, and so that all together write about ten a second at most.
+func Interval(n int, least time.Duration) time.Duration {
+	return max(min(time.Duration(n)*spacing, maxInterval), least)
 }
 
 // Lister reports whether the host is one of those that give the list of hosts
--- a/core/rollup/keeper.go
+++ b/core/rollup/keeper.go
@@ -22,6 +22,8 @@
 	Host        string
 	Region      string
 	Incarnation string
+	// Interval is the shortest time between two writings, 0 for the default.
+	Interval time.Duration
 	// Now returns the time.
 	Now func() time.Time
 }
@@ -57,10 +59,13 @@
 
 // New returns a keeper that counts from now on.
 func New(o Options) *Keeper {
+	if o.Interval == 0 {
+		o.Interval = defaultInterval
+	}
 	k := &Keeper{
 		options:  o,
 		started:  o.Now().UTC(),
-		interval: minInterval,
+		interval: o.Interval,
 	}
 	k.current = newHour(k.roll(k.started))
 	return k
@@ -118,7 +123,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.turn(k.options.Now())
-	k.interval = Interval(len(names))
+	k.interval = Interval(len(names), k.options.Interval)
 	if !Lister(names, k.options.Host, k.current.roll.Hour) {
 		return
 	}
--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -67,6 +67,10 @@
 	// TimelineEvents is how many events the daemon keeps for the time line: 0
 	// stands for the kernel's default, -1 for none.
 	TimelineEvents int `json:"timeline_events,omitempty"`
+	// RollUpInterval is the shortest time between two writings of the daemon's
+	// roll-up; with many hosts it is longer. Zero stands for the kernel's
+	// default.
+	RollUpInterval strict.Duration `json:"roll_up_interval,omitempty"`
 }
 
 const (
--- a/core/settings/validate.go
+++ b/core/settings/validate.go
@@ -92,5 +92,6 @@
 		v.add("limits.timeline_events", "expected at least -1, found %d", l.TimelineEvents)
 	}
 	v.atLeast("limits.lookup_ttl", l.LookupTTL.Std(), time.Millisecond)
+	v.atLeast("limits.roll_up_interval", l.RollUpInterval.Std(), 0)
 	v.atLeast("limits.stop_deadline", l.StopDeadline.Std(), time.Second)
 }
--- a/io/operator/handler.go
+++ b/io/operator/handler.go
@@ -48,6 +48,7 @@
 	m.HandleFunc(pat.Post("/v1/confirm"), s.serveConfirm)
 	m.HandleFunc(pat.Get("/v1/status"), s.serveStatus)
 	m.HandleFunc(pat.Get("/v1/timeline"), s.serveTimeline)
+	m.HandleFunc(pat.Get("/v1/rollups"), s.serveRollUps)
 	return m
 }
 
--- a/sessions/sessions_test.go
+++ b/sessions/sessions_test.go
@@ -57,6 +57,7 @@
 			"start":  cmdStart,
 			"signal": cmdSignal,
 			"ended":  cmdEnded,
+			"noon":   cmdNoon,
 		},
 		RequireExplicitExec: true,
 		UpdateScripts:       os.Getenv("UPDATE_SESSIONS") != "",
