core: write the last roll-up in a phase of the planned stop

The last roll-up has to hold all results, so it comes after the requests in flight have ended; it was written when the tomb died, past the stop's deadline. PhaseRecord now follows PhaseFinish within the deadline, with a tenth of the stop's time kept for it. A periodic write that is still running is waited for, so that no older copy is put after the last one. Metrics keep the names of kinds as they are declared ("deposit-charge").

Shown by: go test -race ./io/collector ./core go test -race -run TestSessions ./sessions

--- a/core/report/build.go
+++ b/core/report/build.go
@@ -137,12 +137,13 @@
 	s.kind.Rank = k.Rank
 	s.kind.RankIndex = k.RankIndex
 	s.kind.Repeatable = k.Repeatable
-	b.merge(r, s, k)
+	s.merge(k)
 	t := find(b.ranks, k.Rank)
 	t.kind.Name = k.Rank
 	t.kind.RankIndex = k.RankIndex
 	t.target = k.Target
-	b.merge(r, t, k)
+	t.merge(k)
+	b.latency(r, k, s.latency, t.latency)
 }
 
 func find(m map[string]*sum, name string) *sum {
@@ -157,14 +158,17 @@
 	return s
 }
 
-func (b *builder) merge(r *rollup.Roll, s *sum, k rollup.Kind) {
+func (s *sum) merge(k rollup.Kind) {
 	s.kind.Merge(k.Counts)
 	s.kind.Score += k.Score
 	s.kind.Worth += k.Worth
 	for c, n := range k.Codes {
 		s.codes[c] += n
 	}
-	if err := rollup.MergeLatency(s.latency, k.Latency); err != nil {
+}
+
+func (b *builder) latency(r *rollup.Roll, k rollup.Kind, sums ...*hdrhistogram.Histogram) {
+	if err := rollup.MergeLatency(k.Latency, sums...); err != nil {
 		b.miss(fmt.Sprintf("The times of answers of %q at host %s in the hour from %s cannot be read: %v.",
 			k.Name, r.Host, b.clock(r.Hour), err))
 	}
--- a/core/rollup/latency.go
+++ b/core/rollup/latency.go
@@ -33,8 +33,8 @@
 	return h.Encode(hdrhistogram.V2CompressedEncodingCookieBase)
 }
 
-// MergeLatency adds an encoded histogram to h.
-func MergeLatency(h *hdrhistogram.Histogram, encoded []byte) error {
+// MergeLatency adds an encoded histogram to each of the sums.
+func MergeLatency(encoded []byte, sums ...*hdrhistogram.Histogram) error {
 	if len(encoded) == 0 {
 		return nil
 	}
@@ -42,8 +42,10 @@
 	if err != nil {
 		return fmt.Errorf("rollup: cannot decode a histogram: %w", err)
 	}
-	if n := h.Merge(o); n > 0 {
-		return fmt.Errorf("rollup: %d values lie outside the histogram", n)
+	for _, h := range sums {
+		if n := h.Merge(o); n > 0 {
+			return fmt.Errorf("rollup: %d values lie outside the histogram", n)
+		}
 	}
 	return nil
 }
--- a/core/rollup/roll.go
+++ b/core/rollup/roll.go
@@ -1,8 +1,11 @@
 package rollup
 
 import (
+	"bytes"
+	"compress/gzip"
 	"encoding/json"
 	"fmt"
+	"io"
 	"strings"
 	"time"
 
@@ -166,22 +169,33 @@
 	return err == nil
 }
 
-// Encode returns r's object.
+// Encode returns r's object: JSON, compressed by gzip.
 func (r *Roll) Encode() (Object, error) {
-	b, err := json.Marshal(r)
-	if err != nil {
+	b := &bytes.Buffer{}
+	z := gzip.NewWriter(b)
+	if err := json.NewEncoder(z).Encode(r); err != nil {
+		return Object{}, fmt.Errorf("rollup: cannot encode: %w", err)
+	}
+	if err := z.Close(); err != nil {
 		return Object{}, fmt.Errorf("rollup: cannot encode: %w", err)
 	}
 	return Object{
 		Name: r.Name(),
-		Data: b,
+		Data: b.Bytes(),
 	}, nil
 }
 
+// maxRollBytes bounds a roll-up, uncompressed.
+const maxRollBytes = 4 << 20
+
 // Decode reads a roll-up.
 func Decode(b []byte) (*Roll, error) {
+	z, err := gzip.NewReader(bytes.NewReader(b))
+	if err != nil {
+		return nil, fmt.Errorf("rollup: cannot decode: %w", err)
+	}
 	r := &Roll{}
-	if err := json.Unmarshal(b, r); err != nil {
+	if err := json.NewDecoder(io.LimitReader(z, maxRollBytes)).Decode(r); err != nil {
 		return nil, fmt.Errorf("rollup: cannot decode: %w", err)
 	}
 	if r.Format != Format {
--- a/core/rollup/rollup_test.go
+++ b/core/rollup/rollup_test.go
@@ -70,7 +70,7 @@
 		latency := rollup.NewLatency()
 		for _, k := range r.Kinds {
 			sum.Merge(k.Counts)
-			if err := rollup.MergeLatency(latency, k.Latency); err != nil {
+			if err := rollup.MergeLatency(k.Latency, latency); err != nil {
 				t.Fatal(err)
 			}
 			if n := latency.TotalCount(); n != int64(k.Correct+k.Late) {
--- a/core/stop.go
+++ b/core/stop.go
@@ -25,6 +25,8 @@
 	PhaseHandOver
 	// PhaseFinish ends the requests in flight and closes the listeners.
 	PhaseFinish
+	// PhaseRecord writes what the daemon has counted up to its end.
+	PhaseRecord
 	phaseCount
 )
 
@@ -39,6 +41,8 @@
 		return "hand over"
 	case PhaseFinish:
 		return "finish"
+	case PhaseRecord:
+		return "record"
 	default:
 		return strconv.Itoa(int(p))
 	}
@@ -48,6 +52,10 @@
 // phases before it run late.
 const stopReserve = 3
 
+// recordReserve is the part of the stop's time that PhaseFinish leaves to
+// PhaseRecord.
+const recordReserve = 10
+
 // stopHook is what a plug-in does in a phase.
 type stopHook struct {
 	name string
@@ -100,6 +108,7 @@
 	level.Info(k.Log).Log("msg", "stop: begun", "deadline", deadline.UTC().Format(time.RFC3339))
 	k.Record(timeline.Event{
 		Kind:    timeline.KindStop,
+		Phase:   timeline.PhaseBegun,
 		Subject: k.Settings.Host,
 		Text:    "planned stop begun",
 	})
@@ -118,12 +127,7 @@
 
 // runPhase runs the hooks of p and waits for them.
 func (k *Kernel) runPhase(ctx context.Context, p Phase, deadline time.Time) {
-	end := deadline
-	if p != PhaseFinish {
-		left := deadline.Sub(k.Now())
-		end = deadline.Add(-left / stopReserve)
-	}
-	ctx, cancel := context.WithDeadline(ctx, end)
+	ctx, cancel := context.WithDeadline(ctx, k.phaseEnd(p, deadline))
 	defer cancel()
 	wg := sync.WaitGroup{}
 	for _, h := range k.stopping.hooks[p] {
@@ -134,11 +138,35 @@
 		})
 	}
 	wg.Wait()
-	k.Record(timeline.Event{
+	k.recordPhase(p)
+}
+
+// phaseEnd returns when p ends at the latest.
+func (k *Kernel) phaseEnd(p Phase, deadline time.Time) time.Time {
+	switch p {
+	case PhaseRecord:
+		return deadline
+	case PhaseFinish:
+		return deadline.Add(-k.Settings.Limits.StopDeadline.Std() / recordReserve)
+	default:
+		left := deadline.Sub(k.Now())
+		return deadline.Add(-left / stopReserve)
+	}
+}
+
+// recordPhase tells that p has ended. For the evening page the stop ends with
+// PhaseFinish, since the last roll-up is written after it.
+func (k *Kernel) recordPhase(p Phase) {
+	e := timeline.Event{
 		Kind:    timeline.KindStop,
 		Subject: k.Settings.Host,
 		Text:    "phase " + p.String() + " ended",
-	})
+	}
+	if p == PhaseFinish {
+		e.Phase = timeline.PhaseEnded
+		e.Text = "no request is in flight any more"
+	}
+	k.Record(e)
 }
 
 // expireLookups waits until look-ups that name this host have run out.
--- a/io/collector/metrics.go
+++ b/io/collector/metrics.go
@@ -39,6 +39,18 @@
 	10 * time.Second,
 }
 
+// sanitizeOptions are tally's for Prometheus, but that values of tags keep the
+// characters that names in declarations have.
+var sanitizeOptions = tally.SanitizeOptions{
+	NameCharacters: tallyprometheus.DefaultSanitizerOpts.NameCharacters,
+	KeyCharacters:  tallyprometheus.DefaultSanitizerOpts.KeyCharacters,
+	ValueCharacters: tally.ValidCharacters{
+		Ranges:     tally.AlphanumericRange,
+		Characters: tally.UnderscoreDashDotCharacters,
+	},
+	ReplacementCharacter: tally.DefaultReplacementCharacter,
+}
+
 // metrics is the daemon's scope and its HTTP handler. It is safe for concurrent
 // use.
 type metrics struct {
@@ -84,7 +96,7 @@
 		Prefix:          metricsPrefix,
 		CachedReporter:  p,
 		Separator:       tallyprometheus.DefaultSeparator,
-		SanitizeOptions: &tallyprometheus.DefaultSanitizerOpts,
+		SanitizeOptions: &sanitizeOptions,
 	}, reportInterval)
 	return &metrics{
 		Closer:  c,
--- a/io/collector/plugin.go
+++ b/io/collector/plugin.go
@@ -53,13 +53,12 @@
 		kernel: k,
 		scope:  p.metrics.scope,
 	}
-	w := &writer{
-		kernel: k,
-	}
+	w := newWriter(k)
 	t.Go(func() error {
 		defer p.metrics.Close()
 		return s.run(t)
 	})
+	k.OnStop(core.PhaseRecord, Name, w.last)
 	t.Go(func() error {
 		return w.run(t)
 	})
--- a/io/collector/writer.go
+++ b/io/collector/writer.go
@@ -17,18 +17,24 @@
 	// putSpacing spreads the roll-ups that were kept in an outage, so that its
 	// end brings no burst.
 	putSpacing = 50 * time.Millisecond
-	// lastTimeout bounds the writing at a planned stop, lastWait the wait for
-	// requests in flight before it.
-	lastTimeout = 5 * time.Second
-	lastWait    = 10 * time.Second
-	lastPoll    = 50 * time.Millisecond
-	// keepShare is the part of lastTimeout left for handing roll-ups over.
+	// keepShare is the part of a stop's last phase that is left for handing
+	// roll-ups over.
 	keepShare = 2
 )
 
 // writer writes roll-ups to the platform.
 type writer struct {
 	kernel *core.Kernel
+	// turn holds a value while a write runs: an older copy of a roll-up must
+	// not be put after its last one.
+	turn chan struct{}
+}
+
+func newWriter(k *core.Kernel) *writer {
+	return &writer{
+		kernel: k,
+		turn:   make(chan struct{}, 1),
+	}
 }
 
 func (w *writer) run(t *tomb.Tomb) error {
@@ -43,7 +49,6 @@
 			w.write(ctx)
 		case <-t.Dying():
 			d.Stop()
-			w.last()
 			return nil
 		}
 	}
@@ -51,6 +56,14 @@
 
 // write writes all that waits, until the platform fails.
 func (w *writer) write(ctx context.Context) {
+	select {
+	case w.turn <- struct{}{}:
+	case <-ctx.Done():
+		return
+	}
+	defer func() {
+		<-w.turn
+	}()
 	s, err := w.kernel.Rolls.Objects()
 	if err != nil {
 		level.Error(w.kernel.Log).Log("msg", "collector: cannot encode a roll-up", "err", err)
@@ -85,46 +98,28 @@
 	return nil
 }
 
-// last closes the roll-up when no request is in flight any more, and writes it
-// or hands it to another host.
-func (w *writer) last() {
-	w.waitIdle()
+// last closes the roll-up at the end of a planned stop and writes it, or hands it
+// to another host.
+func (w *writer) last(ctx context.Context) error {
 	w.kernel.Rolls.Stop()
-	ctx, cancel := context.WithTimeout(context.Background(), lastTimeout/keepShare)
-	defer cancel()
-	w.write(ctx)
+	w.writeShare(ctx)
 	s, err := w.kernel.Rolls.Objects()
-	if err != nil || len(s) == 0 {
-		return
-	}
-	w.hand(s)
-}
-
-func (w *writer) hand(s []rollup.Object) {
-	if w.kernel.Seams.Keep == nil {
-		return
+	if err != nil || len(s) == 0 || w.kernel.Seams.Keep == nil {
+		return err
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), lastTimeout-lastTimeout/keepShare)
-	defer cancel()
 	if err := w.kernel.Seams.Keep(ctx, s); err != nil {
-		level.Error(w.kernel.Log).Log("msg", "collector: roll-ups are lost", "count", len(s), "err", err)
-		return
+		return err
 	}
 	level.Info(w.kernel.Log).Log("msg", "collector: another host keeps the roll-ups", "count", len(s))
+	return nil
 }
 
-func (w *writer) waitIdle() {
-	end := time.Now().Add(lastWait)
-	for w.busy() && time.Now().Before(end) {
-		time.Sleep(lastPoll)
-	}
-}
-
-func (w *writer) busy() bool {
-	for _, n := range w.kernel.Dispatcher.InFlight() {
-		if n > 0 {
-			return true
-		}
+// writeShare writes for a part of the time that ctx leaves.
+func (w *writer) writeShare(ctx context.Context) {
+	if end, ok := ctx.Deadline(); ok {
+		part, cancel := context.WithTimeout(ctx, time.Until(end)/keepShare)
+		defer cancel()
+		ctx = part
 	}
-	return false
+	w.write(ctx)
 }
--- a/sessions/cost_test.go
+++ b/sessions/cost_test.go
@@ -42,6 +42,11 @@
 )
 
 func newPair(c *qt.C) *pair {
+	return newPairWith(c, map[string]any{})
+}
+
+// newPairWith is newPair with limits in the daemon's settings.
+func newPairWith(c *qt.C, limits map[string]any) *pair {
 	a := addresses(c, 6)
 	d := c.TempDir()
 	writeJSON(c, d, "standin.json", map[string]any{
@@ -86,6 +91,7 @@
 			"adapter": "http",
 			"url":     "http://" + a[0],
 		},
+		"limits": limits,
 	})
 	run(c, d, "heatherford-standin", "standin.json")
 	return &pair{
