--- a/cmd/heatherford-capacity/control.go
+++ b/cmd/heatherford-capacity/control.go
@@ -124,12 +124,8 @@
 			endpoints := n * 2
 			d := newDeclaration(0, planSites, endpoints)
 			hosts := newHosts(n)
-			prefer := timeOf(func() {
-				for _, u := range d.Upstreams {
-					for _, e := range u.Endpoints {
-						grant.Prefer(d, e, hosts)
-					}
-				}
+			assign := timeOf(func() {
+				grant.Assign(d, hosts, nil)
 			})
 			o := lookup.Options{
 				Declaration: d,
@@ -139,9 +135,9 @@
 			}
 			f := []figure{
 				{
-					name:  "prefer, for an endpoint",
+					name:  "assign, for an endpoint",
 					unit:  "us",
-					value: microseconds(prefer) / float64(endpoints),
+					value: microseconds(assign) / float64(endpoints),
 				},
 				{
 					name:  "routes",
--- a/cmd/heatherford/report.go
+++ b/cmd/heatherford/report.go
@@ -32,6 +32,7 @@
 	day := f.String("day", "", "the `date`, such as 2026-12-04; today if empty")
 	zone := f.String("zone", "UTC", "the `time zone` of the day, such as Asia/Ulaanbaatar")
 	out := f.String("out", ".", "`directory` for the page as HTML, text and JSON")
+	asJSON := f.Bool("json", false, "print the whole page as JSON in place of its first line")
 	if err := f.Parse(args); err != nil {
 		return err
 	}
@@ -46,6 +47,9 @@
 	if err := writeReport(*out, r); err != nil {
 		return err
 	}
+	if *asJSON {
+		return json.NewEncoder(e.stdout).Encode(r)
+	}
 	fmt.Fprintln(e.stdout, r.Headline)
 	return nil
 }
