sessions: an owner dies, and its endpoint is back in use within 3 s

core/grant: a host that has taken an endpoint over tells the others, which read the table at once; before, they learnt of it by their survey, up to 0.5 s later.

--- a/core/controlgrant.go
+++ b/core/controlgrant.go
@@ -199,7 +199,7 @@
 
 func (k *Kernel) tellGrant(ctx context.Context, h store.Host, t grant.Tell) func(c *control) {
 	if err := k.Seams.Grants.Tell(ctx, h, t); err != nil {
-		level.Info(k.Log).Log("msg", "grant: successor not told", "subject", t.Endpoint, "err", err)
+		level.Info(k.Log).Log("msg", "grant: host not told of the owner", "subject", t.Endpoint, "err", err)
 	}
 	return func(*control) {}
 }
@@ -226,8 +226,8 @@
 	})
 }
 
-// GrantTold tells that another host has handed an endpoint over to this one. It
-// is safe for concurrent use.
+// GrantTold tells that an endpoint's owner has changed. It is safe for
+// concurrent use.
 func (k *Kernel) GrantTold() {
 	k.post(func(c *control) {
 		c.grants.Told(k.Now())
--- a/core/grant/effect.go
+++ b/core/grant/effect.go
@@ -70,7 +70,7 @@
 	Endpoint string
 }
 
-// Tell tells a host that it owns an endpoint now. It may get lost.
+// Tell tells a host that an endpoint's owner has changed. It may get lost.
 type Tell struct {
 	Host     string
 	Endpoint string
--- a/core/grant/move.go
+++ b/core/grant/move.go
@@ -100,7 +100,7 @@
 	}
 }
 
-// Told tells that another host has handed an endpoint over to this one.
+// Told tells that an endpoint's owner has changed.
 func (m *Machine) Told(now time.Time) {
 	m.nextAll = now
 }
--- a/core/grant/read.go
+++ b/core/grant/read.go
@@ -189,6 +189,24 @@
 	m.nextAll = now
 	m.apply(e)
 	m.note(e, "owned")
+	if row.Renewal != 0 && row.Epoch > 1 {
+		m.tellAll(e, now)
+	}
+}
+
+// tellAll tells the other hosts that this one has taken the endpoint over, so
+// that they need not wait for their next survey.
+func (m *Machine) tellAll(e string, now time.Time) {
+	for _, h := range m.answering(now) {
+		if h.Name != m.options.Self {
+			m.emit(Effect{
+				Tell: &Tell{
+					Host:     h.Name,
+					Endpoint: e,
+				},
+			})
+		}
+	}
 }
 
 // confirm takes a row of a holding that is known to be in the table.
--- a/io/peer/peerpb/grants.twirp.go
+++ b/io/peer/peerpb/grants.twirp.go
@@ -45,7 +45,7 @@
 	// Offer asks whether the receiver takes an endpoint over.
 	Offer(context.Context, *OfferRequest) (*GrantReply, error)
 
-	// Tell tells the receiver that it owns an endpoint now.
+	// Tell tells the receiver that an endpoint's owner has changed.
 	Tell(context.Context, *TellRequest) (*GrantReply, error)
 }
 
--- a/sessions/sessions_test.go
+++ b/sessions/sessions_test.go
@@ -58,6 +58,10 @@
 			"signal": cmdSignal,
 			"ended":  cmdEnded,
 			"noon":   cmdNoon,
+			"hosts":  cmdHosts,
+			"burst":  cmdBurst,
+
+			"backinuse": cmdBackInUse,
 		},
 		RequireExplicitExec: true,
 		UpdateScripts:       os.Getenv("UPDATE_SESSIONS") != "",
