core/grant: back in use 2.4 s after a death, also with long requests

Cause: an owner whose long requests needed more than the part without a lease made its standby wait for the longest of them (up to 10 s) before it used anything.

Change: the row says how many requests may outlast the lease (Lasting), all but one slot where there are more than three; the standby reserves these, uses the rest at once and the others after the longest request. A holding keeps what every version since the row's allows (bound); one that skips a version uses only what the caps leave beside all other rows.

--- a/core/controlgrant.go
+++ b/core/controlgrant.go
@@ -62,7 +62,7 @@
 				Slots:    r.Full.Slots,
 				Reduced:  r.Smaller.Slots,
 				Until:    r.Until,
-				Longest:  c.grants.Longest(),
+				Longest:  c.grants.Longest(e.Name),
 			}
 			if r.Until.IsZero() {
 				o.Slots = o.Reduced
--- a/core/grant/claim.go
+++ b/core/grant/claim.go
@@ -73,7 +73,7 @@
 	m.submit(Row{
 		Endpoint: e.Name,
 		Epoch:    m.acknowledged[e.Name].epoch + 1,
-		Longest:  strict.Duration(m.longest),
+		Longest:  m.longestOf(e.Name),
 		Version:  m.version.Number,
 	}, 0, now)
 }
@@ -84,11 +84,10 @@
 	return time.Duration(i+2) * m.options.Timing.Unclaimed
 }
 
-// claimLapsed takes an endpoint over whose lease has lapsed, and whose requests
-// under the lease have ended. The parts that the owner and the standby may still
+// claimLapsed takes an endpoint over whose lease has lapsed. The parts that the owner and the standby may still
 // use are reserved.
 func (m *Machine) claimLapsed(e intent.Endpoint, s *seenRow, hosts []store.Host, now time.Time) {
-	lapsed := s.at.Add(m.guarded(s.row.Term.Std() + s.row.Grace.Std()))
+	lapsed := s.at.Add(m.guarded(s.row.Term.Std()))
 	if now.Before(lapsed) || m.version.Number < s.row.Version {
 		return
 	}
@@ -99,9 +98,9 @@
 	}
 	r := s.row
 	r.Epoch++
-	r.Longest = max(r.Longest, strict.Duration(m.longest))
+	r.Longest = max(r.Longest, m.longestOf(e.Name))
 	r.Reserved = m.reservations(s, now)
-	if r.Own().IsZero() && !orphaned && !s.row.Limits.IsZero() {
+	if r.ownLater().IsZero() && !orphaned && !s.row.Limits.IsZero() {
 		return
 	}
 	m.submit(r, s.version, now)
@@ -118,11 +117,17 @@
 			kept = append(kept, v)
 		}
 	}
-	add(Reservation{
+	smaller := own.Smaller()
+	v := Reservation{
 		Host:        s.row.Owner,
 		Incarnation: s.row.Incarnation,
-		Limits:      own.Smaller(),
-	})
+		Limits:      smaller,
+	}
+	if !smaller.Covers(s.row.Lasting) {
+		v.Limits = s.row.Lasting.Max(smaller)
+		v.Later = &smaller
+	}
+	add(v)
 	// An earlier incarnation of this host may have been the standby. What it was
 	// ceded before the row was last renewed, the row says.
 	young := !s.renewed && now.Before(m.options.Started.Add(m.guarded(max(m.longest, s.row.Longest.Std()))))
@@ -144,7 +149,7 @@
 	r.Standby = chooseStandby(m.version.Declaration, endpoint, m.answering(now), m.options.Self)
 	r.Renewal = m.number(now)
 	r.Term = strict.Duration(m.options.Timing.Term)
-	r.Grace = 0
+	r.Lasting = r.Own().Smaller()
 	m.claims[e] = r
 	m.emit(Effect{
 		Commit: &Commit{
--- a/core/grant/holding.go
+++ b/core/grant/holding.go
@@ -25,9 +25,14 @@
 	nextCede time.Time
 	// ended holds the reservations that the next row leaves out.
 	ended map[reservationKey]bool
-	// shortened is true while the requests may not outlast the lease, whatever
-	// the row says.
+	// shortened is true while no more requests may outlast the lease than need
+	// none, whatever the row says.
 	shortened bool
+	// since is when the holding began.
+	since time.Time
+	// bound is within what every version since the row's allows. It is raised
+	// only with the row.
+	bound quota.Limits
 	// moving is the successor's name while the endpoint is handed over, and
 	// incarnation that of the successor once it has agreed.
 	moving      string
@@ -74,16 +79,14 @@
 	return l
 }
 
-// covered returns when requests under the lease end at the latest.
-func (h *holding) covered() time.Time {
-	if h.shortened {
-		return h.until
-	}
-	g := h.row.Grace
+// lasting returns what every possible row leaves for requests that may outlast
+// the lease.
+func (h *holding) lasting() quota.Limits {
+	l := h.row.Lasting
 	for i := range h.pending {
-		g = min(g, h.pending[i].row.Grace)
+		l = l.Min(h.pending[i].row.Lasting)
 	}
-	return h.until.Add(g.Std())
+	return l
 }
 
 // right returns what this host may send to the endpoint.
@@ -96,25 +99,28 @@
 		return quota.Right{}
 	}
 	full := h.own()
-	if len(h.ceded) > 0 {
-		full = full.Min(h.smaller())
-	}
 	smaller := h.smaller()
-	// A lower limit holds from the moment that its version is known. An older
-	// version than the row's says nothing.
-	if m.version.Number >= h.row.Version {
-		bound := m.bound(endpoint, h)
-		full = full.Min(bound)
-		smaller = smaller.Min(bound)
+	if len(h.ceded) > 0 {
+		full = full.Min(smaller)
 	}
+	bound := h.left()
+	full = full.Min(bound)
+	smaller = smaller.Min(bound)
 	return quota.Right{
 		Full:    full,
+		Lasting: m.lastingRight(h, full, smaller),
 		Smaller: smaller,
 		Until:   h.until,
-		Covered: h.covered(),
 	}
 }
 
+func (m *Machine) lastingRight(h *holding, full, smaller quota.Limits) quota.Limits {
+	if h.shortened {
+		return smaller
+	}
+	return h.lasting().Max(smaller).Min(full)
+}
+
 func (m *Machine) receivedRight(endpoint string) quota.Right {
 	c, ok := m.received[endpoint]
 	if !ok {
@@ -126,6 +132,7 @@
 	}
 	return quota.Right{
 		Full:    l,
+		Lasting: l,
 		Smaller: l,
 	}
 }
--- a/core/grant/machine.go
+++ b/core/grant/machine.go
@@ -8,6 +8,7 @@
 	"heatherford/core/intent"
 	"heatherford/core/quota"
 	"heatherford/core/store"
+	"heatherford/core/strict"
 )
 
 // Options are what a Machine is built from. All fields are required.
@@ -32,8 +33,10 @@
 	version *intent.Version
 	// limits are what the version allows each endpoint.
 	limits map[string]quota.Limits
-	// longest is the longest deadline of the version's kinds.
-	longest time.Duration
+	// longest is the longest deadline of the version's kinds, and longestBy that
+	// of the kinds that each endpoint works for.
+	longest   time.Duration
+	longestBy map[string]time.Duration
 	// hosts is the platform's list.
 	hosts []store.Host
 	// alive are the hosts that are not known to be dead.
@@ -134,11 +137,9 @@
 	}
 	m.version = v
 	m.limits = quota.Divide(v.Declaration)
-	m.longest = 0
-	for _, k := range v.Declaration.Kinds {
-		m.longest = max(m.longest, k.Deadline.Std())
-	}
+	m.setLongest(v.Declaration)
 	for _, h := range m.held {
+		h.bound = h.bound.Min(m.boundOf(h.row))
 		h.changed = true
 	}
 	m.applyAll()
@@ -223,9 +224,35 @@
 	return m.revision
 }
 
-// Longest returns how long a request to an endpoint may take at most.
-func (m *Machine) Longest() time.Duration {
-	return m.longest
+// Longest returns how long a request to the endpoint may take at most.
+func (m *Machine) Longest(endpoint string) time.Duration {
+	return m.longestOf(endpoint).Std()
+}
+
+// longestOf returns the longest deadline of the endpoint's kinds, or of all kinds
+// if the version does not have the endpoint.
+func (m *Machine) longestOf(endpoint string) strict.Duration {
+	d, ok := m.longestBy[endpoint]
+	if !ok {
+		d = m.longest
+	}
+	return strict.Duration(d)
+}
+
+func (m *Machine) setLongest(d *intent.Declaration) {
+	m.longest = 0
+	m.longestBy = map[string]time.Duration{}
+	for _, k := range d.Kinds {
+		m.longest = max(m.longest, k.Deadline.Std())
+		for _, u := range d.Upstreams {
+			if u.Name != k.Upstream {
+				continue
+			}
+			for _, e := range u.Endpoints {
+				m.longestBy[e.Name] = max(m.longestBy[e.Name], k.Deadline.Std())
+			}
+		}
+	}
 }
 
 func (m *Machine) emit(e Effect) {
--- a/core/grant/read.go
+++ b/core/grant/read.go
@@ -183,6 +183,8 @@
 		version: version,
 		until:   m.deadline(row),
 		adopted: now,
+		since:   now,
+		bound:   m.boundOf(row),
 		ended:   map[reservationKey]bool{},
 		changed: true,
 	}
@@ -221,6 +223,9 @@
 	}
 	h.row = row
 	h.version = version
+	if m.version != nil && row.Version == m.version.Number {
+		h.bound = m.boundOf(row)
+	}
 	h.pending = nil
 	written := map[reservationKey]bool{}
 	serials := map[uint64]bool{}
--- a/core/grant/renew.go
+++ b/core/grant/renew.go
@@ -4,10 +4,15 @@
 	"slices"
 	"time"
 
+	"heatherford/core/quota"
 	"heatherford/core/store"
 	"heatherford/core/strict"
 )
 
+// fewSlots is the most slots of which none is kept free of requests that may
+// outlast the lease.
+const fewSlots = 3
+
 // renew writes all held rows in one transaction if that is due. A second one is
 // begun only after the effect of the first is known.
 func (m *Machine) renew(now time.Time) {
@@ -48,8 +53,8 @@
 	if !now.Before(m.nextRenew) {
 		return true
 	}
-	for _, h := range m.held {
-		if h.changed {
+	for e, h := range m.held {
+		if h.changed || (h.shortened && m.pressed(e, now)) {
 			return true
 		}
 	}
@@ -61,12 +66,9 @@
 	r := h.row
 	r.Renewal = m.batch
 	r.Term = strict.Duration(m.options.Timing.Term)
-	r.Reserved = slices.DeleteFunc(slices.Clone(r.Reserved), func(v Reservation) bool {
-		return h.ended[v.key()]
-	})
-	r.Reserved = append(r.Reserved, h.ceded...)
+	r.Reserved = m.nextReserved(h, now)
 	l := m.options.Ledger(e)
-	r.Longest = strict.Duration(m.longest)
+	r.Longest = m.longestOf(e)
 	if !l.Drained() || len(r.Reserved) > 0 {
 		r.Longest = max(r.Longest, h.row.Longest)
 	}
@@ -75,7 +77,7 @@
 		r.Standby = s
 	}
 	m.nextLimits(e, h, &r)
-	m.nextGrace(e, h, &r, now)
+	m.nextLasting(e, h, &r, now)
 	a := attempted{
 		attempt: m.batch,
 		row:     r,
@@ -106,7 +108,7 @@
 	if m.version.Number <= r.Version {
 		return
 	}
-	l := r.Limits.Min(m.limits[e])
+	l := r.Limits.Min(h.bound)
 	if m.options.Ledger(e).Fits(time.Time{}, l.Minus(sum(r.Reserved))) {
 		r.Limits = l
 		r.Version = m.version.Number
@@ -130,20 +132,49 @@
 	return true
 }
 
-// nextGrace lets requests outlast the lease while the part that needs no lease
-// is too small for them.
-func (m *Machine) nextGrace(e string, h *holding, r *Row, now time.Time) {
-	l := m.options.Ledger(e)
-	if now.Before(l.PressedAt().Add(m.options.Timing.Extension)) {
+// nextLasting lets more requests outlast the lease than the part that needs none,
+// while that is too small for them: all but one slot, so that the standby has one
+// as soon as the lease has lapsed; all of an endpoint with few slots, which would
+// miss that one too much.
+func (m *Machine) nextLasting(e string, h *holding, r *Row, now time.Time) {
+	own := r.Own()
+	r.Lasting = own.Smaller()
+	if m.pressed(e, now) {
 		h.shortened = false
-		r.Grace = strict.Duration(m.longest)
+		r.Lasting = own
+		if own.Slots > fewSlots {
+			r.Lasting = own.Minus(quota.Limits{
+				Slots: 1,
+			}).Max(own.Smaller())
+		}
 		return
 	}
 	h.shortened = true
 	m.apply(e)
-	if l.Fits(h.until, m.right(e).Smaller) {
-		r.Grace = 0
+	if !m.options.Ledger(e).Fits(h.until, m.right(e).Smaller) {
+		r.Lasting = h.row.Lasting
+	}
+}
+
+func (m *Machine) pressed(e string, now time.Time) bool {
+	return now.Before(m.options.Ledger(e).PressedAt().Add(m.options.Timing.Extension))
+}
+
+// nextReserved returns the reservations that have not ended, and those of the
+// parts that were ceded meanwhile.
+func (m *Machine) nextReserved(h *holding, now time.Time) []Reservation {
+	s := []Reservation{}
+	for _, v := range h.row.Reserved {
+		if h.ended[v.key()] {
+			continue
+		}
+		if v.Later != nil && !now.Before(h.since.Add(m.guarded(h.row.Longest.Std()))) {
+			v.Limits = *v.Later
+			v.Later = nil
+		}
+		s = append(s, v)
 	}
+	return append(s, h.ceded...)
 }
 
 // Committed tells that an attempt took effect and gave the rows the version.
--- a/core/grant/reserve.go
+++ b/core/grant/reserve.go
@@ -1,10 +1,6 @@
 package grant
 
-import (
-	"time"
-
-	"heatherford/core/quota"
-)
+import "time"
 
 // ask calls the hosts that have a part reserved, until each has said that it
 // does not use it or has left the platform's list.
@@ -122,7 +118,7 @@
 			Epoch:    h.row.Epoch,
 			Serial:   m.serial,
 			Version:  h.row.Version,
-			Limits:   h.rest().Min(m.bound(e, h).Minus(h.smaller())),
+			Limits:   h.rest().Min(h.left().Minus(h.smaller())),
 		}
 		h.ceding++
 		h.ceded = append(h.ceded, Reservation{
@@ -149,16 +145,11 @@
 			return false
 		}
 	}
-	l := h.rest().Min(m.bound(e, h).Minus(h.smaller()))
+	l := h.rest().Min(h.left().Minus(h.smaller()))
 	return !l.IsZero() && listed(m.hosts, h.row.Standby) &&
 		m.options.Ledger(e).Fits(time.Time{}, m.right(e).Smaller)
 }
 
-// bound returns what the version allows this host of the endpoint.
-func (m *Machine) bound(e string, h *holding) quota.Limits {
-	return m.limits[e].Minus(h.row.reserved()).Minus(sum(h.ceded))
-}
-
 // CedeEnded tells how a cession ended. It is taken unless the host has refused;
 // without an answer its incarnation is empty.
 func (m *Machine) CedeEnded(c Cede, incarnation string, refused bool) {
--- a/core/grant/row.go
+++ b/core/grant/row.go
@@ -36,10 +36,11 @@
 	Renewal uint64 `json:"renewal"`
 	// Term is the length of the lease.
 	Term strict.Duration `json:"term"`
-	// Grace is how long requests under the lease may outlast it.
-	Grace strict.Duration `json:"grace"`
-	// Longest is how long a request that needs no lease may take.
+	// Longest is how long a request may take.
 	Longest strict.Duration `json:"longest"`
+	// Lasting is what requests that may outlast the lease use at most. It covers
+	// the part that the owner keeps without a lease.
+	Lasting quota.Limits `json:"lasting"`
 	// Version is the declaration that Limits are within.
 	Version uint64 `json:"version"`
 	// Limits are divided among the owner and the reservations.
@@ -56,6 +57,9 @@
 	// Incarnation is empty if the owner does not know it.
 	Incarnation string       `json:"incarnation,omitempty"`
 	Limits      quota.Limits `json:"limits"`
+	// Later is what is left of Limits once the requests that outlasted the
+	// lease have ended, or nil if that has come.
+	Later *quota.Limits `json:"later,omitempty"`
 	// Serial is that of the cession, 0 for an earlier owner's part.
 	Serial uint64 `json:"serial,omitempty"`
 }
@@ -84,6 +88,19 @@
 	return l
 }
 
+// ownLater returns what is left for the owner once the requests that outlasted
+// earlier owners' leases have ended.
+func (r *Row) ownLater() quota.Limits {
+	l := r.Limits
+	for _, v := range r.Reserved {
+		if v.Later != nil {
+			v.Limits = *v.Later
+		}
+		l = l.Minus(v.Limits)
+	}
+	return l
+}
+
 // reserved returns the sum of the reservations.
 func (r *Row) reserved() quota.Limits {
 	return sum(r.Reserved)
--- a/core/grant/timing.go
+++ b/core/grant/timing.go
@@ -17,8 +17,8 @@
 	// Skew bounds how much two clocks drift apart over Term, and how much an
 	// endpoint's clock differs from a host's.
 	Skew time.Duration
-	// Extension is how long an owner keeps its requests free to outlast the
-	// lease after it last needed that.
+	// Extension is how long an owner lets more requests outlast the lease after
+	// it last needed that.
 	Extension time.Duration
 	// Unclaimed is how long the first choice for an endpoint without an owner
 	// has before the second, and each further one, claims it.
@@ -31,7 +31,7 @@
 
 // Standard is the timing of all daemons.
 var Standard = Timing{
-	Term:      2200 * time.Millisecond,
+	Term:      2400 * time.Millisecond,
 	Renew:     250 * time.Millisecond,
 	Watch:     100 * time.Millisecond,
 	Survey:    500 * time.Millisecond,
--- a/core/quota/divide.go
+++ b/core/quota/divide.go
@@ -32,6 +32,18 @@
 	return m
 }
 
+// Caps returns the caps of d on links and shifts, by name.
+func Caps(d *intent.Declaration) map[Name]int {
+	m := map[Name]int{}
+	for _, l := range d.Links {
+		m[Link(l.From, l.To)] = l.Cap
+	}
+	for _, s := range d.Shifts {
+		m[Shift(s.Name)] = s.Cap
+	}
+	return m
+}
+
 // divideRegion divides the cap over the region's upstreams and each part over
 // the upstream's endpoints, so that a small cap leaves no upstream without any.
 func divideRegion(m map[string]Limits, d *intent.Declaration, r intent.Region) {
--- a/core/quota/ledger.go
+++ b/core/quota/ledger.go
@@ -8,15 +8,14 @@
 
 // Right is what a host may send to an endpoint.
 type Right struct {
-	// Full bounds the requests in flight until Until, Smaller those in flight
-	// after it. Full covers Smaller.
+	// Full bounds the requests in flight until Until, Smaller those that begin
+	// after it, and Lasting those that begin before it and may end after it.
+	// Full covers Lasting, which covers Smaller.
 	Full    Limits
+	Lasting Limits
 	Smaller Limits
 	// Until is the lease's deadline. The zero value stands for no lease.
 	Until time.Time
-	// Covered is when requests under Full end at the latest. It is not before
-	// Until.
-	Covered time.Time
 }
 
 // Refusal says which bound keeps a request out. The zero value is none.
@@ -29,7 +28,7 @@
 	// NoSlot says that all slots are in use.
 	NoSlot
 	// NoLease says that the request may outlast the lease and that the part
-	// that needs none is in use.
+	// for such requests is in use.
 	NoLease
 	// NoPart says that the endpoint's part of a cap is in use.
 	NoPart
@@ -112,17 +111,15 @@
 	if !f.deadline.After(r.Until) {
 		return Allowed
 	}
-	if l.count(r.Until, "")+1 >= r.Smaller.Slots {
+	n := l.count(r.Until, "")
+	if n+1 >= r.Smaller.Slots {
 		l.pressedAt = now
 	}
-	if !f.deadline.After(r.Covered) {
-		return Allowed
-	}
-	if l.count(r.Covered, "") >= r.Smaller.Slots {
+	if n >= r.Lasting.Slots {
 		return NoLease
 	}
 	for _, n := range f.caps {
-		if l.count(r.Covered, n) >= r.Smaller.Of(n) {
+		if l.count(r.Until, n) >= r.Lasting.Of(n) {
 			return NoLease
 		}
 	}
--- a/core/quota/limits.go
+++ b/core/quota/limits.go
@@ -46,6 +46,13 @@
 	return min(l.Parts[i].Limit, l.Slots)
 }
 
+// Has reports whether l has a part of the cap.
+func (l Limits) Has(n Name) bool {
+	return slices.ContainsFunc(l.Parts, func(p Part) bool {
+		return p.Name == n
+	})
+}
+
 // IsZero reports whether l allows no request.
 func (l Limits) IsZero() bool {
 	return l.Slots == 0
@@ -76,6 +83,13 @@
 	})
 }
 
+// Max returns what l or o allows.
+func (l Limits) Max(o Limits) Limits {
+	return l.combine(o, func(a, b int) int {
+		return max(a, b)
+	})
+}
+
 // Plus returns what l and o allow together.
 func (l Limits) Plus(o Limits) Limits {
 	return l.combine(o, func(a, b int) int {
