core/admission, core/lookup, core/dispatch: policy under load at the owner

The thin path had a gate for each endpoint that served strictly by rank, and a look-up that drew one owner of the nearest zone whatever its load.

A gate now holds the queues of all endpoints of one upstream that a host owns, so that a request takes whichever slot comes free first. It admits the most urgent rank within its planned share, then floors, then planned shares, then by rank; use is a decayed mean of slots in flight, so that shares hold on endpoints of three slots. It refuses what cannot be answered in time, keeps queues short in a flood, and rests endpoints that fail.

Look-ups spread a zone's work over owners by what they bear and have room for, nearest first, from loads that hosts swap twice a second (twirp service Loads), and name up to three. A request without a free slot is offered to up to two hosts that are thought to have one, which refuse it rather than queue it; none passes it on. Repeatable work is tried again within a budget of a tenth of the successes, never at an endpoint that was tried.

The setting policy=independent is the baseline: every host sends to the less loaded of two endpoints by the load that they report.

--- a/cmd/heatherford-load/lab.go
+++ b/cmd/heatherford-load/lab.go
@@ -275,7 +275,7 @@
 
 func (l *lab) endpoint(u intent.Upstream, e intent.Endpoint) labEndpoint {
 	const (
-		sigma        = 0.4
+		sigma        = 0.3
 		loadLag      = time.Second
 		connectCost  = time.Millisecond
 		coldFactor   = 3
--- a/cmd/heatherford-load/profile.go
+++ b/cmd/heatherford-load/profile.go
@@ -32,9 +32,9 @@
 		"authority": {
 			callers: 100,
 			service: map[string]time.Duration{
-				"waiver-desk":  120 * time.Millisecond,
-				"group-ledger": 150 * time.Millisecond,
-				"deposit-till": 200 * time.Millisecond,
+				"waiver-desk":  200 * time.Millisecond,
+				"group-ledger": 250 * time.Millisecond,
+				"deposit-till": 300 * time.Millisecond,
 			},
 			network: Network{
 				Callers: strict.Duration(3 * time.Millisecond),
@@ -54,9 +54,9 @@
 		"pitchwise": {
 			callers: 100,
 			service: map[string]time.Duration{
-				"rota-view":        60 * time.Millisecond,
-				"booking-desk":     80 * time.Millisecond,
-				"steward-dispatch": 80 * time.Millisecond,
+				"rota-view":        120 * time.Millisecond,
+				"booking-desk":     150 * time.Millisecond,
+				"steward-dispatch": 150 * time.Millisecond,
 			},
 			probeCost: 6 * time.Millisecond,
 			network: Network{
--- a/cmd/heatherford-load/request.go
+++ b/cmd/heatherford-load/request.go
@@ -19,8 +19,8 @@
 // maxTries bounds what a caller does for one request.
 const maxTries = 3
 
-// backoff is the shortest wait of a caller that was refused; the longest is
-// twice that.
+// backoff is the shortest wait of a caller that was refused, if the refusal says
+// no other; the longest is twice that.
 const backoff = 50 * time.Millisecond
 
 // outcome is how a request ended for its caller.
@@ -42,8 +42,10 @@
 	intended time.Time
 	deadline time.Time
 	tries    int
-	// code is the last numbered code that a host answered with.
-	code code.Code
+	// code is the last numbered code that a host answered with, retryAfter the
+	// wait that it asked for.
+	code       code.Code
+	retryAfter time.Duration
 }
 
 // run carries out the request as a caller does: it looks up, sends, and tries
@@ -75,7 +77,11 @@
 				return o
 			}
 			refused = true
-			sleep(ctx, backoff+rand.N(backoff))
+			w := max(backoff, r.retryAfter)
+			if time.Until(r.deadline) < w {
+				return o
+			}
+			sleep(ctx, w+rand.N(w))
 		default:
 			r.caller.forget(r.flow.Kind)
 		}
@@ -146,6 +152,8 @@
 func (r *request) judge(a *http.Response, body []byte, path string) outcome {
 	n, _ := strconv.Atoi(a.Header.Get(work.HeaderCode))
 	r.code = code.Code(n)
+	wait, _ := strconv.Atoi(a.Header.Get("Retry-After"))
+	r.retryAfter = time.Duration(wait) * time.Second
 	switch r.code.Outcome() {
 	case code.NotRun:
 		return outcomeNotRun
--- /dev/null
+++ b/core/admission/seat.go
@@ -0,0 +1,51 @@
+package admission
+
+import (
+	"time"
+
+	"heatherford/core/snapshot"
+)
+
+const (
+	// firstPause is how long an endpoint rests after its first failure in a
+	// row; each further failure doubles it up to longestPause.
+	firstPause   = 50 * time.Millisecond
+	longestPause = 2 * time.Second
+)
+
+// seat is the state of one endpoint at a gate.
+type seat struct {
+	name string
+	// inFlight is the number of requests that hold a slot. It exceeds the
+	// endpoint's limit only after the limit was lowered.
+	inFlight int
+	// failures is the number of failed requests since the last success.
+	failures int
+	// restUntil is when the endpoint may be tried again after a failure.
+	restUntil time.Time
+}
+
+// limit returns the most requests in flight at the time now. An endpoint that
+// failed rests, then gets one request at a time until one succeeds.
+func (s *seat) limit(o *snapshot.Own, now time.Time) int {
+	switch {
+	case o.Endpoint.Leaving:
+		return 0
+	case s.failures == 0:
+		return o.Limit(now)
+	case now.Before(s.restUntil):
+		return 0
+	default:
+		return min(1, o.Limit(now))
+	}
+}
+
+func (s *seat) fail(now time.Time) {
+	d := longestPause
+	const doublings = 5
+	if s.failures < doublings {
+		d = firstPause << s.failures
+	}
+	s.failures++
+	s.restUntil = now.Add(d)
+}
--- /dev/null
+++ b/core/budget/doc.go
@@ -0,0 +1,2 @@
+// Package budget bounds retries and hedges in proportion to successes.
+package budget
--- a/core/control.go
+++ b/core/control.go
@@ -3,6 +3,7 @@
 import (
 	"heatherford/core/intent"
 	"heatherford/core/lookup"
+	"heatherford/core/settings"
 	"heatherford/core/snapshot"
 	"heatherford/core/store"
 )
@@ -14,6 +15,8 @@
 	version *intent.Version
 	// hosts is the platform's list of hosts as last read.
 	hosts []store.Host
+	// blocks are those of version.
+	blocks *lookup.Blocks
 	// changed is true if the state differs from the published snapshot.
 	changed bool
 }
@@ -54,10 +57,15 @@
 		c.publishGrants(s)
 		s.Table = lookup.New(lookup.Options{
 			Declaration: c.version.Declaration,
+			Blocks:      c.blocks,
 			Hosts:       c.hosts,
 			Owners:      s.Owners,
+			Loads:       c.kernel.loads.table(),
+			Everyone:    c.kernel.Settings.Policy == settings.PolicyIndependent,
+			Self:        c.kernel.Settings.Host,
 			Zone:        c.kernel.Settings.Zone,
 		})
 	}
 	c.kernel.current.Store(s)
+	c.kernel.Dispatcher.Refresh()
 }
--- a/core/controlconfig.go
+++ b/core/controlconfig.go
@@ -6,6 +6,7 @@
 	"github.com/go-kit/log/level"
 
 	"heatherford/core/intent"
+	"heatherford/core/lookup"
 	"heatherford/core/timeline"
 )
 
@@ -15,6 +16,7 @@
 		return
 	}
 	c.version = v
+	c.blocks = lookup.NewBlocks(v.Declaration)
 	c.changed = true
 	level.Info(c.kernel.Log).Log("msg", "config: version in force", "version", v.Number)
 	c.kernel.Record(timeline.Event{
--- a/core/controlmember.go
+++ b/core/controlmember.go
@@ -17,6 +17,14 @@
 	}
 	c.hosts = hosts
 	c.changed = true
+	c.kernel.loads.forget(func(host string) bool {
+		for _, h := range hosts {
+			if h.Name == host {
+				return true
+			}
+		}
+		return false
+	})
 	level.Info(c.kernel.Log).Log("msg", "member: hosts changed", "hosts", len(hosts))
 	c.kernel.Record(timeline.Event{
 		Kind: timeline.KindMember,
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"heatherford/core/admission"
+	"heatherford/core/budget"
 	"heatherford/core/code"
 	"heatherford/core/intent"
 	"heatherford/core/outcome"
@@ -15,7 +16,8 @@
 	"heatherford/core/work"
 )
 
-// Options are the seams of a Dispatcher. All are required but Once.
+// Options are the seams of a Dispatcher. All are required but Once, Reported
+// and Independent.
 type Options struct {
 	// Self is the name of this host.
 	Self string
@@ -32,6 +34,12 @@
 	Record func(e timeline.Event)
 	// Results takes how each request ended.
 	Results *outcome.Recorder
+	// Reported returns the share of an endpoint's slots that it last reported
+	// as in use. It is set only if Independent is.
+	Reported func(endpoint string) float64
+	// Independent makes this host choose endpoints by the load that they report,
+	// whoever owns them.
+	Independent bool
 	// Now returns the time.
 	Now func() time.Time
 }
@@ -43,8 +51,10 @@
 type Dispatcher struct {
 	options Options
 	mu      sync.Mutex
-	// gates holds a gate for every endpoint that this host has owned.
-	gates map[string]*admission.Gate
+	// gates holds a gate for every upstream that this host has owned endpoints
+	// of, budgets a budget for every upstream it has sent work for.
+	gates   map[string]*admission.Gate
+	budgets map[string]*budget.Budget
 }
 
 // New returns a dispatcher with the options.
@@ -52,6 +62,7 @@
 	return &Dispatcher{
 		options: o,
 		gates:   map[string]*admission.Gate{},
+		budgets: map[string]*budget.Budget{},
 	}
 }
 
@@ -82,11 +93,15 @@
 }
 
 func (d *Dispatcher) run(ctx context.Context, r *work.Request) (*work.Answer, error) {
+	route := d.route
+	if d.options.Independent {
+		route = d.independent
+	}
 	if r.Kind.Repeatable {
-		return d.retry(ctx, r)
+		return d.retry(ctx, r, route)
 	}
 	if d.options.Once == nil {
-		return d.route(ctx, r)
+		return route(ctx, r)
 	}
-	return d.options.Once(ctx, r, d.route)
+	return d.options.Once(ctx, r, route)
 }
--- /dev/null
+++ b/core/dispatch/load.go
@@ -0,0 +1,79 @@
+package dispatch
+
+import (
+	"heatherford/core/admission"
+	"heatherford/core/budget"
+	"heatherford/core/intent"
+	"heatherford/core/lookup"
+	"heatherford/core/snapshot"
+)
+
+// gate returns the gate of an upstream that this host owns endpoints of.
+func (d *Dispatcher) gate(upstream string) *admission.Gate {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	g, ok := d.gates[upstream]
+	if !ok {
+		g = admission.New(admission.Options{
+			Own: func() []snapshot.Own {
+				return d.options.Snapshot().Owned[upstream]
+			},
+			Ranks: func() []intent.Rank {
+				return d.options.Snapshot().Version.Declaration.Ranks
+			},
+			Now: d.options.Now,
+		})
+		d.gates[upstream] = g
+	}
+	return g
+}
+
+// allGates returns the gates by upstream.
+func (d *Dispatcher) allGates() map[string]*admission.Gate {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	m := make(map[string]*admission.Gate, len(d.gates))
+	for u, g := range d.gates {
+		m[u] = g
+	}
+	return m
+}
+
+// budget returns the budget for retries of an upstream's work.
+func (d *Dispatcher) budget(upstream string) *budget.Budget {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	b, ok := d.budgets[upstream]
+	if !ok {
+		b = budget.New()
+		d.budgets[upstream] = b
+	}
+	return b
+}
+
+// Refresh admits waiting requests after what this host owns has changed. It
+// does nothing before the first declaration is known.
+func (d *Dispatcher) Refresh() {
+	for _, g := range d.allGates() {
+		g.Refresh()
+	}
+}
+
+// Loads returns the loads of what this host owns, by upstream.
+func (d *Dispatcher) Loads() map[string]lookup.Load {
+	m := map[string]lookup.Load{}
+	for u := range d.options.Snapshot().Owned {
+		m[u] = d.gate(u).Load()
+	}
+	return m
+}
+
+// InFlight returns the requests in flight at each endpoint that this host has
+// owned, by the endpoint's name.
+func (d *Dispatcher) InFlight() map[string]int {
+	m := map[string]int{}
+	for _, g := range d.allGates() {
+		g.InFlight(m)
+	}
+	return m
+}
--- a/core/dispatch/retry.go
+++ b/core/dispatch/retry.go
@@ -3,10 +3,41 @@
 import (
 	"context"
 
+	"heatherford/core/code"
+	"heatherford/core/timeline"
 	"heatherford/core/work"
 )
 
-// retry runs repeatable work.
-func (d *Dispatcher) retry(ctx context.Context, r *work.Request) (*work.Answer, error) {
-	return d.route(ctx, r)
+// retry runs repeatable work. A try that gave no answer is followed by another,
+// at an endpoint that was not tried, as far as the upstream's budget allows. The
+// host that a request was passed to leaves that to the one that passed it on.
+func (d *Dispatcher) retry(ctx context.Context, r *work.Request, route Run) (*work.Answer, error) {
+	b := d.budget(r.Kind.Upstream)
+	for {
+		a, err := route(ctx, r)
+		if err == nil {
+			b.Succeed()
+			return a, nil
+		}
+		if r.Hop || ctx.Err() != nil || !retryable(err) || !b.Take() {
+			return nil, err
+		}
+		d.options.Record(timeline.Event{
+			Kind:    timeline.KindRequest,
+			Request: r.ID,
+			Subject: r.Kind.Name,
+			Text:    "retry after " + code.Text(err),
+		})
+	}
+}
+
+// retryable reports whether another endpoint may answer what one did not.
+func retryable(err error) bool {
+	switch code.Of(err) {
+	case code.UpstreamRefused, code.HopRefused,
+		code.OutcomeUnknown, code.AnswerIncomplete, code.AnswerForeign, code.UpstreamSilent, code.RepeatableNoAnswer:
+		return true
+	default:
+		return false
+	}
 }
--- a/core/dispatch/route.go
+++ b/core/dispatch/route.go
@@ -6,52 +6,117 @@
 	"heatherford/core/admission"
 	"heatherford/core/code"
 	"heatherford/core/snapshot"
+	"heatherford/core/store"
 	"heatherford/core/work"
 )
 
-// route sends r to an endpoint of this host, else over one hop.
+// maxHops is the number of hosts that are asked for a free slot, one after the
+// other, before a request waits for one. None of them passes it on.
+const maxHops = 2
+
+// route sends r to an endpoint of this host if a slot is free, else over one
+// hop to a host that has one, else to where it waits for one.
 func (d *Dispatcher) route(ctx context.Context, r *work.Request) (*work.Answer, error) {
 	s := d.options.Snapshot()
-	if o, ok := d.local(s, r); ok {
-		return d.send(ctx, o, r)
+	owns := len(s.Owned[r.Kind.Upstream]) > 0
+	if owns {
+		if p, ok := d.gate(r.Kind.Upstream).Try(ask(r)); ok {
+			return d.send(ctx, p, r)
+		}
 	}
 	if r.Hop {
+		return d.receive(ctx, r, owns)
+	}
+	a, err := d.hopToSpare(ctx, s, r)
+	if !refused(err) {
+		return a, err
+	}
+	if owns {
+		return d.wait(ctx, r)
+	}
+	return d.passOn(ctx, s, r)
+}
+
+func ask(r *work.Request) admission.Ask {
+	return admission.Ask{
+		Rank:     r.Rank,
+		Deadline: r.Deadline,
+		Weight:   r.Kind.Weight,
+		Avoid:    r.Tried,
+	}
+}
+
+// receive takes a request that another host passed on and for which no slot was
+// free.
+func (d *Dispatcher) receive(ctx context.Context, r *work.Request, owns bool) (*work.Answer, error) {
+	switch {
+	case !owns:
 		return nil, code.New(code.HopRefused, "dispatch: this host owns no endpoint of %q", r.Kind.Upstream)
+	case r.Immediate:
+		return nil, code.New(code.HopRefused, "dispatch: no slot is free")
+	default:
+		return d.wait(ctx, r)
 	}
-	l, ok := s.Table.Decide(r.Kind.Name, r.Caller)
-	if !ok || !l.Found {
-		return nil, code.New(code.NoEndpoint, "dispatch: no host owns an endpoint of %q", r.Kind.Upstream)
+}
+
+// wait sends r once an endpoint of this host has a slot.
+func (d *Dispatcher) wait(ctx context.Context, r *work.Request) (*work.Answer, error) {
+	p, err := d.gate(r.Kind.Upstream).Acquire(ctx, ask(r))
+	if err != nil {
+		return nil, err
 	}
-	return d.options.Carry(ctx, l.Host, r)
+	return d.send(ctx, p, r)
 }
 
-// local returns the owned endpoint with the most room.
-func (d *Dispatcher) local(s *snapshot.Snapshot, r *work.Request) (snapshot.Own, bool) {
-	best := snapshot.Own{}
-	room := 0
-	found := false
-	for _, o := range s.Owned[r.Kind.Upstream] {
-		if o.Endpoint.Leaving {
+// hopToSpare passes r on to a host that is thought to have a free slot. It
+// returns an error of HopRefused if there is none.
+func (d *Dispatcher) hopToSpare(ctx context.Context, s *snapshot.Snapshot, r *work.Request) (*work.Answer, error) {
+	r.Immediate = true
+	defer func() {
+		r.Immediate = false
+	}()
+	before := (*store.Host)(nil)
+	for range maxHops {
+		h := s.Table.Spare(r.Kind.Name)
+		if h == nil {
+			break
+		}
+		if h == before {
 			continue
 		}
-		n := d.gate(o).Room()
-		if !found || n > room {
-			best, room, found = o, n, true
+		before = h
+		a, err := d.carry(ctx, *h, r)
+		if !refused(err) {
+			return a, err
 		}
 	}
-	return best, found
+	return nil, code.New(code.HopRefused, "dispatch: no host has a free slot for %q", r.Kind.Upstream)
+}
+
+// passOn passes r on to an owner, where it may wait.
+func (d *Dispatcher) passOn(ctx context.Context, s *snapshot.Snapshot, r *work.Request) (*work.Answer, error) {
+	l, ok := s.Table.Decide(r.Kind.Name, r.Caller)
+	if !ok || !l.Found || l.Host.Name == d.options.Self {
+		return nil, code.New(code.NoEndpoint, "dispatch: no host owns an endpoint of %q", r.Kind.Upstream)
+	}
+	a, err := d.carry(ctx, l.Host, r)
+	if code.Of(err) != code.HopRefused || l.Others[0] == nil || l.Others[0].Name == d.options.Self {
+		return a, err
+	}
+	return d.carry(ctx, *l.Others[0], r)
+}
+
+func (d *Dispatcher) carry(ctx context.Context, h store.Host, r *work.Request) (*work.Answer, error) {
+	return d.options.Carry(ctx, h, r)
 }
 
-// gate returns the endpoint's gate with its present limit.
-func (d *Dispatcher) gate(o snapshot.Own) *admission.Gate {
-	n := o.Limit(d.options.Now())
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	g, ok := d.gates[o.Endpoint.Name]
-	if !ok {
-		g = admission.New(n)
-		d.gates[o.Endpoint.Name] = g
+// refused reports whether err says that a host took no part of the request, so
+// that another may be asked.
+func refused(err error) bool {
+	switch code.Of(err) {
+	case code.HopRefused, code.EndpointFull, code.NoEndpoint, code.HostStopping, code.HostBehind:
+		return true
+	default:
+		return false
 	}
-	g.SetSlots(n)
-	return g
 }
--- a/core/dispatch/send.go
+++ b/core/dispatch/send.go
@@ -3,21 +3,19 @@
 import (
 	"context"
 
+	"heatherford/core/admission"
 	"heatherford/core/code"
 	"heatherford/core/snapshot"
 	"heatherford/core/timeline"
 	"heatherford/core/work"
 )
 
-// send waits for a slot of the endpoint and sends r to it. The slot is given
-// back after the answer's end.
-func (d *Dispatcher) send(ctx context.Context, o snapshot.Own, r *work.Request) (*work.Answer, error) {
-	g := d.gate(o)
-	if err := g.Acquire(ctx, r.Rank, r.Deadline); err != nil {
-		return nil, err
-	}
+// send uses the permit to send r. The slot is given back after the answer's
+// end.
+func (d *Dispatcher) send(ctx context.Context, p admission.Permit, r *work.Request) (*work.Answer, error) {
+	o := p.Own
 	if err := d.fence(o, r); err != nil {
-		g.Release()
+		p.Release(admission.Abandoned)
 		return nil, err
 	}
 	d.options.Record(timeline.Event{
@@ -28,19 +26,36 @@
 	})
 	a, err := d.options.Send(ctx, o.Endpoint, r)
 	if err != nil {
-		g.Release()
+		r.Tried = append(r.Tried, o.Endpoint.Name)
+		p.Release(result(ctx))
 		return nil, err
 	}
 	a.Host = d.options.Self
 	a.Body = &body{
 		ReadCloser: a.Body,
-		done: func(error) {
-			g.Release()
+		done: func(err error) {
+			p.Release(ended(ctx, err))
 		},
 	}
 	return a, nil
 }
 
+// result says whether a request without an answer is the endpoint's fault.
+func result(ctx context.Context) admission.Result {
+	if ctx.Err() != nil {
+		return admission.Abandoned
+	}
+	return admission.Failed
+}
+
+// ended says how an answer's body ended.
+func ended(ctx context.Context, err error) admission.Result {
+	if err == nil {
+		return admission.Succeeded
+	}
+	return result(ctx)
+}
+
 // fence reads the grant again right before the request is written, so that a
 // host that was paused sends nothing on an old grant.
 func (d *Dispatcher) fence(o snapshot.Own, r *work.Request) error {
--- a/core/kernel.go
+++ b/core/kernel.go
@@ -38,6 +38,9 @@
 	Send func(ctx context.Context, e intent.Endpoint, r *work.Request) (*work.Answer, error)
 	// Carry passes a request on to another host.
 	Carry func(ctx context.Context, h store.Host, r *work.Request) (*work.Answer, error)
+	// Reported returns the share of an endpoint's slots that it last reported as
+	// in use.
+	Reported func(endpoint string) float64
 	// Push tells the other hosts of a version. It does not wait for them.
 	Push func(v *intent.Version)
 	// Once runs work that may not be repeated; nil stands for a direct call.
@@ -67,6 +70,8 @@
 	tomb    tomb.Tomb
 	events  chan func(c *control)
 	current atomic.Pointer[snapshot.Snapshot]
+	// loads are what hosts told of themselves, this one too.
+	loads *loads
 }
 
 // New returns a kernel with its plug-ins attached. It does not start them.
@@ -78,6 +83,7 @@
 		Now:      o.Now,
 		plugins:  o.Plugins,
 		events:   make(chan func(c *control)),
+		loads:    newLoads(),
 	}
 	if k.Now == nil {
 		k.Now = time.Now
@@ -101,6 +107,9 @@
 		Record:   k.Record,
 		Results:  k.Results,
 		Now:      k.Now,
+
+		Reported:    k.Seams.Reported,
+		Independent: k.Settings.Policy == settings.PolicyIndependent,
 	})
 	return k, nil
 }
@@ -160,6 +169,14 @@
 	})
 }
 
+// OfferLoads hands loads that hosts told of themselves to the control
+// goroutine, which takes those that are newer than what it knows.
+func (k *Kernel) OfferLoads(s []HostLoad) {
+	k.post(func(c *control) {
+		c.offerLoads(s)
+	})
+}
+
 // post runs f on the control goroutine and does not wait for it to end.
 func (k *Kernel) post(f func(c *control)) {
 	select {
--- a/core/lookup/table.go
+++ b/core/lookup/table.go
@@ -5,147 +5,174 @@
 	"net/netip"
 	"sort"
 
-	"github.com/gaissmai/bart"
-
 	"heatherford/core/intent"
 	"heatherford/core/store"
 )
 
 // Table answers look-ups. It is immutable and safe for concurrent use.
 type Table struct {
-	blocks *bart.Table[int32]
-	// zones maps a zone's name to its index in routes.
-	zones map[string]int32
+	blocks *Blocks
 	// home is the zone of callers that no block covers.
 	home  int32
-	kinds map[string]kindRoutes
+	kinds map[string]*kindRoutes
 }
 
 type kindRoutes struct {
 	kind intent.Kind
 	rank int
 	// routes holds one route for each zone.
-	routes []route
-}
-
-// route lists the owners for callers of one zone, nearest tier first.
-type route struct {
-	tiers []tier
-}
-
-type tier struct {
-	hosts []store.Host
-	// sums holds the running totals of the hosts' weights.
-	sums []int
+	routes []draw
+	// spare holds the other owners with free slots.
+	spare draw
 }
 
 // Options are what a Table is built from.
 type Options struct {
 	Declaration *intent.Declaration
+	// Blocks are those of the declaration; nil makes New build them.
+	Blocks *Blocks
 	// Hosts are the hosts that may be named.
 	Hosts []store.Host
 	// Owners maps an endpoint's name to the name of its owner.
 	Owners map[string]string
+	// Loads are the owners' loads as far as they are known.
+	Loads Loads
+	// Everyone names all hosts in place of the owners.
+	Everyone bool
+	// Self is the host that the table is for.
+	Self string
 	// Zone is the zone of callers that no block covers.
 	Zone string
 }
 
-// New returns a table for the options, which it does not keep.
+// New returns a table for the options. It keeps their blocks and loads.
 func New(o Options) *Table {
-	t := &Table{
-		blocks: &bart.Table[int32]{},
-		zones:  map[string]int32{},
-		kinds:  map[string]kindRoutes{},
-	}
-	names := []string{}
-	for _, r := range o.Declaration.Regions {
-		for _, z := range r.Zones {
-			t.zones[z] = int32(len(names))
-			names = append(names, z)
-		}
+	if o.Blocks == nil {
+		o.Blocks = NewBlocks(o.Declaration)
 	}
-	t.home = t.zones[o.Zone]
-	sites := map[string]int32{}
-	for _, s := range o.Declaration.Sites {
-		sites[s.Name] = t.zones[s.Zone]
+	t := &Table{
+		blocks: o.Blocks,
+		home:   o.Blocks.zones[o.Zone],
+		kinds:  map[string]*kindRoutes{},
 	}
-	for _, b := range o.Declaration.Blocks {
-		t.blocks.Insert(b.Prefix, sites[b.Site])
+	hosts := append([]store.Host{}, o.Hosts...)
+	sort.Slice(hosts, func(i, j int) bool {
+		return hosts[i].Name < hosts[j].Name
+	})
+	b := &builder{
+		options: o,
+		hosts:   hosts,
+		routes:  map[routeKey][]draw{},
 	}
-	routes := map[string][]route{}
-	for _, u := range o.Declaration.Upstreams {
-		w := weights(u, o.Owners)
-		for _, z := range names {
-			routes[u.Name] = append(routes[u.Name], newRoute(o, w, z))
-		}
+	for _, r := range o.Declaration.Ranks {
+		b.floors = append(b.floors, r.Floor)
 	}
 	for _, k := range o.Declaration.Kinds {
-		t.kinds[k.Name] = kindRoutes{
-			kind:   k,
-			rank:   o.Declaration.RankIndex(k.Rank),
-			routes: routes[k.Upstream],
-		}
+		t.kinds[k.Name] = b.kind(k)
 	}
 	return t
 }
 
-// weights returns the slots that each host owns of u.
-func weights(u intent.Upstream, owners map[string]string) map[string]int {
-	m := map[string]int{}
-	for _, e := range u.Endpoints {
-		if h := owners[e.Name]; h != "" && !e.Leaving {
-			m[h] += e.Slots
-		}
+// builder builds routes, which kinds of one upstream and rank share.
+type builder struct {
+	options Options
+	hosts   []store.Host
+	floors  []float64
+	routes  map[routeKey][]draw
+}
+
+type routeKey struct {
+	upstream string
+	rank     int
+}
+
+func (b *builder) kind(k intent.Kind) *kindRoutes {
+	d := b.options.Declaration
+	rank := d.RankIndex(k.Rank)
+	owners := b.owners(k.Upstream)
+	key := routeKey{
+		upstream: k.Upstream,
+		rank:     rank,
+	}
+	if b.routes[key] == nil {
+		b.routes[key] = b.routesOf(owners, rank)
+	}
+	return &kindRoutes{
+		kind:   k,
+		rank:   rank,
+		routes: b.routes[key],
+		spare:  newSpare(owners, b.options.Self, b.options.Zone, d.RegionOf(b.options.Zone)),
 	}
-	return m
 }
 
-func newRoute(o Options, weights map[string]int, zone string) route {
-	region := o.Declaration.RegionOf(zone)
-	const tierCount = 3
-	tiers := make([]tier, tierCount)
-	hosts := append([]store.Host{}, o.Hosts...)
-	sort.Slice(hosts, func(i, j int) bool {
-		return hosts[i].Name < hosts[j].Name
-	})
-	for _, h := range hosts {
-		w := weights[h.Name]
-		if w == 0 {
+func (b *builder) routesOf(owners []owner, rank int) []draw {
+	s := []draw{}
+	for _, z := range b.options.Blocks.names {
+		s = append(s, newRoute(owners, z, b.options.Declaration.RegionOf(z), func(l Load) float64 {
+			return l.useFor(rank, b.floors)
+		}))
+	}
+	return s
+}
+
+// owners returns the owners of the upstream's endpoints with their loads.
+func (b *builder) owners(upstream string) []owner {
+	slots := b.slots(upstream)
+	s := []owner{}
+	for i := range b.hosts {
+		h := &b.hosts[i]
+		if slots[h.Name] == 0 {
 			continue
 		}
-		i := 2
-		switch {
-		case h.Zone == zone:
-			i = 0
-		case h.Region == region:
-			i = 1
-		}
-		tiers[i].add(h, w)
-	}
-	r := route{}
-	for _, t := range tiers {
-		if len(t.hosts) > 0 {
-			r.tiers = append(r.tiers, t)
+		l, ok := b.options.Loads[Source{
+			Host:     h.Name,
+			Upstream: upstream,
+		}]
+		if !ok || b.options.Everyone {
+			l = unknownLoad(slots[h.Name])
 		}
+		s = append(s, owner{
+			host: h,
+			load: l,
+		})
 	}
-	return r
+	return s
 }
 
-func (t *tier) add(h store.Host, weight int) {
-	sum := weight
-	if n := len(t.sums); n > 0 {
-		sum += t.sums[n-1]
+// unknownLoad is the load that is assumed of an owner that has told nothing: it
+// takes the work of its zone, but is no better than others.
+func unknownLoad(slots int) Load {
+	return Load{
+		Slots: slots,
+		Use:   []float64{easyUse * float64(slots)},
 	}
-	t.hosts = append(t.hosts, h)
-	t.sums = append(t.sums, sum)
 }
 
-// pick returns a host drawn by weight.
-func (t *tier) pick() store.Host {
-	n := rand.IntN(t.sums[len(t.sums)-1])
-	return t.hosts[sort.SearchInts(t.sums, n+1)]
+// slots returns the slots that each host owns of the upstream.
+func (b *builder) slots(upstream string) map[string]int {
+	m := map[string]int{}
+	if b.options.Everyone {
+		for _, h := range b.hosts {
+			m[h.Name] = 1
+		}
+		return m
+	}
+	for _, u := range b.options.Declaration.Upstreams {
+		if u.Name != upstream {
+			continue
+		}
+		for _, e := range u.Endpoints {
+			if h := b.options.Owners[e.Name]; h != "" && !e.Leaving {
+				m[h] += e.Slots
+			}
+		}
+	}
+	return m
 }
 
+// alternates is the number of further hosts that a look-up names.
+const alternates = 2
+
 // Decision is the answer to a look-up.
 type Decision struct {
 	Kind intent.Kind
@@ -155,6 +182,9 @@
 	Host store.Host
 	// Found is true if Host is set.
 	Found bool
+	// Others are hosts to turn to if Host does not answer. They differ from it
+	// and from each other; unused places hold nil.
+	Others [alternates]*store.Host
 }
 
 // Decide answers a look-up for the kind and the caller's address. It reports
@@ -168,17 +198,42 @@
 		Kind: k.kind,
 		Rank: k.rank,
 	}
-	r := k.routes[t.zoneOf(caller)]
-	if len(r.tiers) > 0 {
-		d.Host = r.tiers[0].pick()
-		d.Found = true
+	r := &k.routes[t.blocks.zoneOf(caller, t.home)]
+	h := r.pick()
+	if h == nil {
+		return d, true
+	}
+	d.Host = *h
+	d.Found = true
+	for i := range d.Others {
+		d.Others[i] = r.other(h, d.Others[0])
 	}
 	return d, true
 }
 
-func (t *Table) zoneOf(caller netip.Addr) int32 {
-	if z, ok := t.blocks.Lookup(caller.Unmap()); ok {
-		return z
+// other returns a host of the route's region, or else any of its hosts, that is
+// neither a nor b, or nil. Any may be the first, so that the callers of a host
+// that has failed do not all turn to the same one.
+func (d *draw) other(a, b *store.Host) *store.Host {
+	n := len(d.backups)
+	if n == 0 {
+		return nil
+	}
+	first := rand.IntN(max(1, d.regional))
+	for i := range n {
+		if h := d.backups[(first+i)%n]; h != a && h != b {
+			return h
+		}
+	}
+	return nil
+}
+
+// Spare returns another host that is thought to have a free slot for the kind,
+// or nil. It draws by free slots and nearness and does not allocate.
+func (t *Table) Spare(kind string) *store.Host {
+	k, ok := t.kinds[kind]
+	if !ok {
+		return nil
 	}
-	return t.home
+	return k.spare.pick()
 }
--- a/core/work/work.go
+++ b/core/work/work.go
@@ -21,6 +21,8 @@
 	HeaderHost           = "Heatherford-Host"
 	HeaderEndpoint       = "Heatherford-Endpoint"
 	HeaderHop            = "Heatherford-Hop"
+	HeaderTried          = "Heatherford-Tried"
+	HeaderImmediate      = "Heatherford-Immediate"
 	HeaderIdempotencyKey = "Idempotency-Key"
 )
 
@@ -45,6 +47,12 @@
 	Key string
 	// Ticket is the ticket of a look-up, or is empty.
 	Ticket string
+	// Tried names the endpoints that the request was sent to without success.
+	// It is not sent to them again.
+	Tried []string
+	// Immediate is true if the request is to be refused rather than wait for a
+	// slot, since another host may have one.
+	Immediate bool
 	// Hop is true of a request that another host passed on. It is never
 	// passed on again.
 	Hop bool
--- a/io/caller/lookup.go
+++ b/io/caller/lookup.go
@@ -9,6 +9,7 @@
 
 	"heatherford/core/code"
 	"heatherford/core/lookup"
+	"heatherford/core/store"
 	"heatherford/io/internal/refuse"
 )
 
@@ -61,20 +62,35 @@
 	h.Set("Cache-Control", fmt.Sprintf("private, max-age=%d", int(ttl.Seconds())))
 	h.Set("Expires", e.UTC().Format(http.TimeFormat))
 	json.NewEncoder(w).Encode(Lookup{
-		Kind:    d.Kind.Name,
-		Rank:    d.Kind.Rank,
-		Version: version,
-		Hosts: []LookupHost{
-			{
-				Host:    d.Host.Name,
-				Address: d.Host.CallerAddress,
-				Zone:    d.Host.Zone,
-			},
-		},
+		Kind:      d.Kind.Name,
+		Rank:      d.Kind.Rank,
+		Version:   version,
+		Hosts:     lookupHosts(d),
 		ExpiresAt: e.UTC(),
 	})
 }
 
+// lookupHosts returns the hosts that d names, the best first.
+func lookupHosts(d lookup.Decision) []LookupHost {
+	s := []LookupHost{
+		lookupHost(&d.Host),
+	}
+	for _, h := range d.Others {
+		if h != nil {
+			s = append(s, lookupHost(h))
+		}
+	}
+	return s
+}
+
+func lookupHost(h *store.Host) LookupHost {
+	return LookupHost{
+		Host:    h.Name,
+		Address: h.CallerAddress,
+		Zone:    h.Zone,
+	}
+}
+
 // callerAddress returns the address that the caller states, else that of its
 // connection.
 func callerAddress(r *http.Request, stated string) (netip.Addr, error) {
--- a/io/internal/carry/carry.go
+++ b/io/internal/carry/carry.go
@@ -30,6 +30,9 @@
 	}
 	a, err := k.Dispatcher.Do(r.Context(), q)
 	if err != nil {
+		if n := len(q.Tried); n > 0 {
+			w.Header().Set(work.HeaderEndpoint, q.Tried[n-1])
+		}
 		level.Info(k.Log).Log("msg", "caller: request refused", "request", q.ID, "code", int(code.Of(err)), "err", err)
 		refuse.Write(w, q.ID, err)
 		return
@@ -66,6 +69,9 @@
 	if err := readHeaders(k, q, r); err != nil {
 		return q, err
 	}
+	if hop {
+		readHop(q, r)
+	}
 	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, k.Settings.Limits.RequestBytes))
 	if err != nil {
 		return q, code.Wrap(code.BodyTooLarge, err, "carry: the body")
@@ -100,6 +106,14 @@
 	return nil
 }
 
+// readHop reads what only another host may say of a request.
+func readHop(q *work.Request, r *http.Request) {
+	if s := r.Header.Get(work.HeaderTried); s != "" {
+		q.Tried = strings.Split(s, ",")
+	}
+	q.Immediate = r.Header.Get(work.HeaderImmediate) != ""
+}
+
 func requestID(r *http.Request) string {
 	if s := r.Header.Get(work.HeaderRequestID); s != "" {
 		return s
--- a/io/internal/refuse/refuse.go
+++ b/io/internal/refuse/refuse.go
@@ -18,12 +18,19 @@
 	RequestID string `json:"request_id,omitempty"`
 }
 
+// retryAfter is how many seconds a caller should wait whose rank has used its
+// share.
+const retryAfter = "1"
+
 // Write answers with err, whose code gives the status.
 func Write(w http.ResponseWriter, requestID string, err error) {
 	c := code.Of(err)
 	h := w.Header()
 	h.Set("Content-Type", "application/json")
 	h.Set("Cache-Control", "no-store")
+	if c == code.RankFull || c == code.CapReached {
+		h.Set("Retry-After", retryAfter)
+	}
 	h.Set(work.HeaderCode, strconv.Itoa(int(c)))
 	if c.Outcome() != code.NoRequest {
 		h.Set(work.HeaderOutcome, string(c.Outcome()))
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"strings"
 	"syscall"
 	"time"
 
@@ -128,12 +129,21 @@
 	q.Header.Set(work.HeaderDeadline, r.Deadline.UTC().Format(time.RFC3339Nano))
 	q.Header.Set(work.HeaderCaller, r.Caller.String())
 	q.Header.Set(work.HeaderIdempotencyKey, r.Key)
+	if len(r.Tried) > 0 {
+		q.Header.Set(work.HeaderTried, strings.Join(r.Tried, ","))
+	}
+	if r.Immediate {
+		q.Header.Set(work.HeaderImmediate, "1")
+	}
 	a, err := c.transport.RoundTrip(q)
 	if err != nil {
 		return nil, carryError(r, err)
 	}
 	if n, _ := strconv.Atoi(a.Header.Get(work.HeaderCode)); code.Code(n) != code.Answered {
 		defer a.Body.Close()
+		if e := a.Header.Get(work.HeaderEndpoint); e != "" {
+			r.Tried = append(r.Tried, e)
+		}
 		return nil, refusal(r, a)
 	}
 	if a.Header.Get(work.HeaderRequestID) != r.ID {
--- a/io/peer/plugin.go
+++ b/io/peer/plugin.go
@@ -41,6 +41,9 @@
 	m.Handle(peerpb.PeerPathPrefix, peerpb.NewPeerServer(&server{
 		kernel: k,
 	}))
+	m.Handle(peerpb.LoadsPathPrefix, peerpb.NewLoadsServer(&loadsServer{
+		kernel: k,
+	}))
 	m.HandleFunc(carry.WorkPrefix, func(w http.ResponseWriter, r *http.Request) {
 		carry.Serve(k, w, r, true)
 	})
@@ -50,5 +53,8 @@
 	t.Go(func() error {
 		return p.client.exchangeLoop(t)
 	})
+	t.Go(func() error {
+		return p.client.loadsLoop(t)
+	})
 	return nil
 }
--- a/io/upstream/plugin.go
+++ b/io/upstream/plugin.go
@@ -4,6 +4,7 @@
 	"gopkg.in/tomb.v2"
 
 	"heatherford/core"
+	"heatherford/core/settings"
 )
 
 // Name is the plug-in's name.
@@ -12,13 +13,21 @@
 func init() {
 	core.Register(Name, func() core.Plugin {
 		s := New()
+		p := (*poller)(nil)
 		return core.Plugin{
 			Name: Name,
 			Attach: func(k *core.Kernel) error {
 				k.Seams.Send = s.Send
+				p = newPoller(k)
+				k.Seams.Reported = p.reported
 				return nil
 			},
-			Start: func(_ *core.Kernel, t *tomb.Tomb) error {
+			Start: func(k *core.Kernel, t *tomb.Tomb) error {
+				if k.Settings.Policy == settings.PolicyIndependent {
+					t.Go(func() error {
+						return p.run(t)
+					})
+				}
 				t.Go(func() error {
 					<-t.Dying()
 					s.Close()
