--- a/core/control.go
+++ b/core/control.go
@@ -17,6 +17,8 @@
 	hosts []store.Host
 	// blocks are those of version.
 	blocks *lookup.Blocks
+	// stopping is true once a planned stop has begun.
+	stopping bool
 	// changed is true if the state differs from the published snapshot.
 	changed bool
 }
@@ -45,10 +47,11 @@
 	}
 	c.changed = false
 	s := &snapshot.Snapshot{
-		Version: c.version,
-		Hosts:   map[string]store.Host{},
-		Owners:  map[string]string{},
-		Owned:   map[string][]snapshot.Own{},
+		Version:  c.version,
+		Hosts:    map[string]store.Host{},
+		Owners:   map[string]string{},
+		Owned:    map[string][]snapshot.Own{},
+		Stopping: c.stopping,
 	}
 	for _, h := range c.hosts {
 		s.Hosts[h.Name] = h
--- a/core/dispatch/retry.go
+++ b/core/dispatch/retry.go
@@ -4,7 +4,6 @@
 	"context"
 
 	"heatherford/core/code"
-	"heatherford/core/timeline"
 	"heatherford/core/work"
 )
 
@@ -22,12 +21,7 @@
 		if r.Hop || ctx.Err() != nil || !retryable(err) || !b.Take() {
 			return nil, err
 		}
-		d.options.Record(timeline.Event{
-			Kind:    timeline.KindRequest,
-			Request: r.ID,
-			Subject: r.Kind.Name,
-			Text:    "retry after " + code.Text(err),
-		})
+		d.note(r, r.Kind.Name, "retry after "+code.Text(err))
 	}
 }
 
--- a/core/dispatch/route.go
+++ b/core/dispatch/route.go
@@ -107,6 +107,7 @@
 }
 
 func (d *Dispatcher) carry(ctx context.Context, h store.Host, r *work.Request) (*work.Answer, error) {
+	d.note(r, h.Name, "request passed on")
 	return d.options.Carry(ctx, h, r)
 }
 
--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -24,6 +24,8 @@
 	// CollectorAddress is where the daemon serves its metrics.
 	CollectorAddress netip.AddrPort `json:"collector_address"`
 	Platform         Platform       `json:"platform"`
+	Operators        Operators      `json:"operators,omitempty"`
+	Peers            Peers          `json:"peers,omitempty"`
 	Log              Log            `json:"log,omitempty"`
 	Limits           Limits         `json:"limits,omitempty"`
 	// Policy says how endpoints are chosen; the default is PolicyOwners.
@@ -62,6 +64,9 @@
 	LookupTTL strict.Duration `json:"lookup_ttl,omitempty"`
 	// StopDeadline is the longest that a planned stop takes.
 	StopDeadline strict.Duration `json:"stop_deadline,omitempty"`
+	// TimelineEvents is how many events the daemon keeps for the time line: 0
+	// stands for the kernel's default, -1 for none.
+	TimelineEvents int `json:"timeline_events,omitempty"`
 }
 
 const (
@@ -85,13 +90,19 @@
 	if problems := strict.Decode(data, s); len(problems) > 0 {
 		return nil, problems
 	}
-	s.setDefaults()
-	if problems := s.validate(); len(problems) > 0 {
+	if problems := s.Complete(); len(problems) > 0 {
 		return nil, problems
 	}
 	return s, nil
 }
 
+// Complete fills in defaults and returns every breach of a rule. Settings that
+// are not parsed from a file are completed before use.
+func (s *Settings) Complete() []error {
+	s.setDefaults()
+	return s.validate()
+}
+
 func (s *Settings) setDefaults() {
 	if s.Log.Level == "" {
 		s.Log.Level = "info"
--- a/core/settings/validate.go
+++ b/core/settings/validate.go
@@ -22,6 +22,8 @@
 	v.name("region", s.Region)
 	v.checkAddresses(s)
 	v.checkPlatform(s.Platform)
+	v.checkOperators(s.Operators, s.OperatorAddress)
+	v.checkPeers(s.Peers, s.PeerAddress)
 	v.oneOf("log.level", s.Log.Level, "debug", "info", "warn", "error")
 	v.oneOf("log.format", s.Log.Format, "logfmt", "json")
 	v.oneOf("policy", s.Policy, PolicyOwners, PolicyIndependent)
@@ -86,6 +88,9 @@
 	if l.RequestBytes < 1 {
 		v.add("limits.request_bytes", "expected at least 1, found %d", l.RequestBytes)
 	}
+	if l.TimelineEvents < -1 {
+		v.add("limits.timeline_events", "expected at least -1, found %d", l.TimelineEvents)
+	}
 	v.atLeast("limits.lookup_ttl", l.LookupTTL.Std(), time.Millisecond)
 	v.atLeast("limits.stop_deadline", l.StopDeadline.Std(), time.Second)
 }
--- a/sessions/cost_test.go
+++ b/sessions/cost_test.go
@@ -76,6 +76,12 @@
 		"log": map[string]any{
 			"level": "warn",
 		},
+		"operators": map[string]any{
+			"open": true,
+		},
+		"peers": map[string]any{
+			"open": true,
+		},
 		"platform": map[string]any{
 			"adapter": "http",
 			"url":     "http://" + a[0],
--- a/standin/upstream/endpoint.go
+++ b/standin/upstream/endpoint.go
@@ -195,6 +195,7 @@
 }
 
 func (e *Endpoint) serveWork(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(headerRequestID, r.Header.Get(headerRequestID))
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
@@ -209,7 +210,6 @@
 	if !pause(r, leg) {
 		return
 	}
-	w.Header().Set(headerRequestID, r.Header.Get(headerRequestID))
 	w.Header().Set("Content-Type", "text/plain")
 	fmt.Fprintf(w, "%s %s ran on %s: %s\n", r.Method, r.URL.RequestURI(), e.options.Name, body)
 }
