--- /dev/null
+++ b/core/grant/main_test.go
@@ -0,0 +1,12 @@
+package grant
+
+import (
+	"testing"
+
+	"heatherford/internal/rapidtb"
+)
+
+// TestMain fixes the seed of the property tests.
+func TestMain(m *testing.M) {
+	rapidtb.Main(m)
+}
--- a/core/grant/renew.go
+++ b/core/grant/renew.go
@@ -67,7 +67,7 @@
 	r.Reserved = append(r.Reserved, h.ceded...)
 	l := m.options.Ledger(e)
 	r.Longest = strict.Duration(m.longest)
-	if !l.Drained() || len(r.Reserved) > 0 {
+	if !l.Drained(now) || len(r.Reserved) > 0 {
 		r.Longest = max(r.Longest, h.row.Longest)
 	}
 	endpoint, declared := m.version.Declaration.Endpoint(e)
@@ -81,7 +81,7 @@
 		row:     r,
 	}
 	switch {
-	case !l.Drained():
+	case !l.Drained(now):
 	case !declared && r.Version == m.version.Number && len(r.Reserved) == 0:
 		a.removal = true
 		a.row.Limits = m.limits[e]
--- a/core/grant/reserve.go
+++ b/core/grant/reserve.go
@@ -102,7 +102,7 @@
 	m.acknowledged[e] = k
 	// Requests of an earlier incarnation may still be in flight.
 	aged := m.version != nil && !now.Before(m.options.Started.Add(m.guarded(m.longest)))
-	a.Done = m.options.Ledger(e).Drained() && (q.Incarnation == m.options.Incarnation || aged)
+	a.Done = m.options.Ledger(e).Drained(now) && (q.Incarnation == m.options.Incarnation || aged)
 	return a
 }
 
--- a/io/peer/plugin.go
+++ b/io/peer/plugin.go
@@ -45,6 +45,9 @@
 	m.Handle(peerpb.PeerPathPrefix, peerpb.NewPeerServer(&server{
 		kernel: k,
 	}))
+	m.Handle(peerpb.LoadsPathPrefix, peerpb.NewLoadsServer(&loadsServer{
+		kernel: k,
+	}))
 	m.Handle(peerpb.TimelinePathPrefix, peerpb.NewTimelineServer(&timelineServer{
 		kernel: k,
 	}))
@@ -64,5 +67,8 @@
 	t.Go(func() error {
 		return p.client.exchangeLoop(t)
 	})
+	t.Go(func() error {
+		return p.client.loadsLoop(t)
+	})
 	return nil
 }
