--- /dev/null
+++ b/core/config/config_test.go
@@ -0,0 +1,210 @@
+package config_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"heatherford/core/code"
+	"heatherford/core/config"
+	"heatherford/core/intent"
+)
+
+var at = time.Date(2026, 12, 4, 18, 0, 0, 0, time.UTC)
+
+func confirmation(base uint64, d *intent.Declaration, operation string) config.Confirmation {
+	return config.Confirmation{
+		Base:        base,
+		Declaration: d,
+		Operation:   operation,
+		Operator:    "ann",
+		Reason:      "test",
+		At:          at,
+	}
+}
+
+func confirm(f *fake, have *config.Bundle, x config.Confirmation) (*config.Confirmed, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 250*time.Millisecond)
+	defer cancel()
+	return config.Confirm(ctx, f.store(), have, x)
+}
+
+func TestConfigRaceOfTwoOperators(t *testing.T) {
+	c := qt.New(t)
+	f := newFake()
+	first, err := confirm(f, config.Empty(), confirmation(0, declaration(0, 2), "one"))
+	c.Assert(err, qt.IsNil)
+	c.Assert(first.Number, qt.Equals, uint64(1))
+
+	d := declaration(0, 2)
+	d.Upstreams[0].Endpoints[1].Leaving = true
+	a, err := confirm(f, first.Newest, confirmation(1, d, "two"))
+	c.Assert(err, qt.IsNil)
+	c.Assert(a.Number, qt.Equals, uint64(2))
+	_, err = confirm(f, first.Newest, confirmation(1, declaration(0, 3), "three"))
+	c.Assert(code.Of(err), qt.Equals, code.PlanStale)
+	c.Assert(err, qt.ErrorMatches, `.*ann confirmed version 2 \(endpoint "desk/main/desk-1" leaving false becomes true\).*`)
+
+	// The winner's operation, asked again, is still its version.
+	again, err := confirm(f, first.Newest, confirmation(1, d, "two"))
+	c.Assert(err, qt.IsNil)
+	c.Assert(again.Number, qt.Equals, uint64(2))
+	c.Assert(again.Newest.Number, qt.Equals, uint64(2))
+}
+
+func TestConfigConfirmWithLostAnswer(t *testing.T) {
+	tests := []struct {
+		name      string
+		commits   []fault
+		downReads int
+		code      code.Code
+		// number is the version in the table afterwards.
+		number uint64
+		// again is the code of the same confirmation after the faults.
+		again code.Code
+	}{
+		{
+			name:    "write took effect",
+			commits: []fault{loseAnswer},
+			number:  1,
+		},
+		{
+			name:    "write took no effect",
+			commits: []fault{holdCommit},
+			code:    code.ConfirmRefused,
+			again:   code.ConfirmRefused,
+		},
+		{
+			name:    "answer of the tombstone is lost as well",
+			commits: []fault{holdCommit, loseAnswer},
+			code:    code.ConfirmRefused,
+			again:   code.ConfirmRefused,
+		},
+		{
+			name:    "platform is down before the write",
+			commits: []fault{down},
+			code:    code.ConfirmRefused,
+			again:   0,
+		},
+	}
+	for _, x := range tests {
+		t.Run(x.name, func(t *testing.T) {
+			c := qt.New(t)
+			f := newFake()
+			f.commits = x.commits
+			_, err := confirm(f, config.Empty(), confirmation(0, declaration(0, 1), "one"))
+			c.Assert(code.Of(err), qt.Equals, x.code)
+			// A commit that was held back arrives after the verdict.
+			for _, h := range f.held {
+				f.table.Commit(h)
+			}
+			b, err := config.Load(context.Background(), f.store(), config.Empty())
+			c.Assert(err, qt.IsNil)
+			c.Assert(b.Number, qt.Equals, x.number)
+			_, err = confirm(f, config.Empty(), confirmation(0, declaration(0, 1), "one"))
+			c.Assert(code.Of(err), qt.Equals, x.again)
+		})
+	}
+}
+
+func TestConfigConfirmNotKnownYet(t *testing.T) {
+	c := qt.New(t)
+	f := newFake()
+	f.commits = []fault{loseAnswer}
+	s := f.store()
+	commit := s.Commit
+	reads := s.Read
+	s.Commit = commit
+	// The table cannot be read after the commit.
+	const readsBefore = 2
+	n := 0
+	s.Read = reads
+	calls := func() {
+		n++
+		if n > readsBefore {
+			f.downReads = 1
+		}
+	}
+	s.Read = hook(reads, calls)
+	ctx, cancel := context.WithTimeout(context.Background(), 250*time.Millisecond)
+	defer cancel()
+	x := confirmation(0, declaration(0, 1), "one")
+	_, err := config.Confirm(ctx, s, config.Empty(), x)
+	c.Assert(code.Of(err), qt.Equals, code.ConfirmUnknown)
+	c.Assert(err, qt.ErrorMatches, `.*confirm again with operation "one" or look at the history.*`)
+
+	// Asked again after the outage, the operation has taken effect once.
+	f.downReads = 0
+	a, err := confirm(f, config.Empty(), x)
+	c.Assert(err, qt.IsNil)
+	c.Assert(a.Number, qt.Equals, uint64(1))
+}
+
+func TestConfigRefusesATableThatWentBack(t *testing.T) {
+	c := qt.New(t)
+	f := newFake()
+	a, err := confirm(f, config.Empty(), confirmation(0, declaration(0, 1), "one"))
+	c.Assert(err, qt.IsNil)
+	_, err = confirm(newFake(), a.Newest, confirmation(1, declaration(0, 2), "two"))
+	c.Assert(code.Of(err), qt.Equals, code.ConfirmRefused)
+}
+
+func TestConfigCostsBytesInProportion(t *testing.T) {
+	c := qt.New(t)
+	f := newFake()
+	const blocks = 20000
+	d := declaration(blocks, 40)
+	a, err := confirm(f, config.Empty(), confirmation(0, d, "one"))
+	c.Assert(err, qt.IsNil)
+	whole := f.written
+
+	f.written = 0
+	d = declaration(blocks, 40)
+	d.Blocks[77].Site = "site-0"
+	b, err := confirm(f, a.Newest, confirmation(1, d, "two"))
+	c.Assert(err, qt.IsNil)
+	c.Logf("first version %d bytes, one block changed %d bytes", whole, f.written)
+	c.Assert(f.written < whole/100, qt.IsTrue)
+
+	// A reader that has version 1 reads as little, and one delta is as small.
+	f.readBytes = 0
+	r, err := config.Load(context.Background(), f.store(), a.Newest)
+	c.Assert(err, qt.IsNil)
+	c.Assert(r.Root, qt.Equals, b.Newest.Root)
+	c.Assert(f.readBytes < whole/100, qt.IsTrue)
+	s, ok := r.Since(1)
+	c.Assert(ok, qt.IsTrue)
+	e, err := a.Newest.Apply(s[0])
+	c.Assert(err, qt.IsNil)
+	c.Assert(e.Root, qt.Equals, b.Newest.Root)
+
+	// A reader that has nothing reads it whole, and the two are equal.
+	w, err := config.Load(context.Background(), f.store(), config.Empty())
+	c.Assert(err, qt.IsNil)
+	c.Assert(w.Version.Declaration, qt.CmpEquals(cmpAddresses), r.Version.Declaration)
+}
+
+func TestConfigRollbackIsAnEarlierDeclaration(t *testing.T) {
+	c := qt.New(t)
+	f := newFake()
+	have := config.Empty()
+	for i := range 5 {
+		a, err := confirm(f, have, confirmation(uint64(i), declaration(i*10, 5-i), fmt.Sprint(i)))
+		c.Assert(err, qt.IsNil)
+		have = a.Newest
+	}
+	for i := range 5 {
+		d, err := config.At(context.Background(), f.store(), have, uint64(i+1))
+		c.Assert(err, qt.IsNil)
+		c.Assert(intent.Diff(d, declaration(i*10, 5-i)), qt.HasLen, 0)
+	}
+	h, err := config.History(context.Background(), f.store(), 2)
+	c.Assert(err, qt.IsNil)
+	c.Assert(h, qt.HasLen, 2)
+	c.Assert(h[0].Number, qt.Equals, uint64(5))
+	c.Assert(h[0].Operator, qt.Equals, "ann")
+	c.Assert(h[0].ConfirmedAt.Equal(at), qt.IsTrue)
+}
--- /dev/null
+++ b/core/config/confirm.go
@@ -0,0 +1,340 @@
+package config
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"heatherford/core/code"
+	"heatherford/core/intent"
+	"heatherford/core/store"
+)
+
+// Confirmation asks for a declaration to be put in force.
+type Confirmation struct {
+	// Base is the version that the declaration was planned against.
+	Base        uint64
+	Declaration *intent.Declaration
+	// Operation identifies the confirmation when it is tried again.
+	Operation string
+	// Operator is the name of who confirms.
+	Operator string
+	// Reason says why, in a few words.
+	Reason string
+	At     time.Time
+}
+
+// Confirmed is the result of a confirmation that took effect.
+type Confirmed struct {
+	// Number is the version that the confirmation made.
+	Number uint64
+	// Newest is the newest version that is known now. It is older than Number
+	// if the table could not be read again.
+	Newest *Bundle
+}
+
+const (
+	// settleInterval is the time between tries to settle a lost answer.
+	settleInterval = 100 * time.Millisecond
+	// shownChanges bounds the changes that the history keeps of a version.
+	shownChanges = 50
+)
+
+// Confirm makes the confirmation's declaration the version after Base. Have is the newest version that the caller has. It is safe to
+// call again with the same operation, which takes effect once.
+//
+// It returns PlanStale if Base is not in force any more, ConfirmRefused if the
+// confirmation took no effect and never will, and ConfirmUnknown if the
+// platform's answer was lost and cannot be read until ctx ends.
+func Confirm(ctx context.Context, s *store.Store, have *Bundle, c Confirmation) (*Confirmed, error) {
+	have, err := Load(ctx, s, have)
+	if err != nil {
+		return nil, code.Wrap(code.ConfirmRefused, err, "config: the table cannot be read, nothing was written")
+	}
+	state, err := read(ctx, s, c)
+	if err != nil {
+		return nil, code.Wrap(code.ConfirmRefused, err, "config: the table cannot be read, nothing was written")
+	}
+	if state.ended {
+		return settled(ctx, s, have, c, state)
+	}
+	if state.head.Number < have.Number {
+		return nil, code.New(code.ConfirmRefused, "config: the table holds version %d, older than version %d, which is in force", state.head.Number, have.Number)
+	}
+	if state.head.Number != c.Base {
+		return nil, stale(ctx, s, c.Base)
+	}
+	b, t, err := prepare(have, c, state)
+	if err != nil {
+		return nil, err
+	}
+	_, err = s.Commit(ctx, t)
+	switch code.Of(err) {
+	case 0:
+		return &Confirmed{
+			Number: b.Number,
+			Newest: b,
+		}, nil
+	case code.PlatformDown:
+		return nil, code.Wrap(code.ConfirmRefused, err, "config: nothing was written")
+	case code.PlatformConflict:
+		return afterConflict(ctx, s, have, c)
+	default:
+		return settle(ctx, s, have, c, err)
+	}
+}
+
+// readState is what the table says before a confirmation.
+type readState struct {
+	head Entry
+	// headRow is the version of the head's row, or 0.
+	headRow uint64
+	// ended is true if the operation's row exists, which operation then holds.
+	ended     bool
+	operation operation
+	// expired is the operation that falls out of the kept versions, or empty.
+	expired string
+}
+
+func read(ctx context.Context, s *store.Store, c Confirmation) (readState, error) {
+	x := readState{}
+	q := store.Query{
+		Keys: []string{headKey, operationPrefix + c.Operation},
+	}
+	if c.Base >= keptVersions {
+		q.Keys = append(q.Keys, historyKey(c.Base+1-keptVersions))
+	}
+	rows, err := s.Read(ctx, q)
+	if err != nil {
+		return x, err
+	}
+	m := newRowSet(rows)
+	if _, err := m.decode(headKey, &x.head); err != nil {
+		return x, err
+	}
+	x.headRow = m[headKey].Version
+	if x.ended, err = m.decode(operationPrefix+c.Operation, &x.operation); err != nil {
+		return x, err
+	}
+	old := Entry{}
+	if c.Base >= keptVersions {
+		if _, err := m.decode(historyKey(c.Base+1-keptVersions), &old); err != nil {
+			return x, err
+		}
+	}
+	x.expired = old.Operation
+	return x, nil
+}
+
+// prepare returns the next version and the transaction that makes it.
+func prepare(have *Bundle, c Confirmation, x readState) (*Bundle, store.Transaction, error) {
+	t := store.Transaction{
+		Conditions: []store.Condition{
+			{
+				Key:     headKey,
+				Version: x.headRow,
+			},
+			{
+				Key: operationPrefix + c.Operation,
+			},
+		},
+	}
+	next, err := New(&intent.Version{
+		Number:      c.Base + 1,
+		Declaration: c.Declaration,
+		Operation:   c.Operation,
+		Operator:    c.Operator,
+		ConfirmedAt: c.At,
+	})
+	if err != nil {
+		return nil, t, err
+	}
+	d, err := next.DeltaFor(c.Base, have.digests)
+	if err != nil {
+		return nil, t, err
+	}
+	b, err := have.Apply(d)
+	if err != nil {
+		return nil, t, err
+	}
+	back, err := have.DeltaFor(0, next.digests)
+	if err != nil {
+		return nil, t, err
+	}
+	e := entry(have, b, d, c)
+	u := undo{
+		Parts: back.Parts,
+		Added: back.Removed,
+	}
+	o := operation{
+		Number: b.Number,
+	}
+	for key, v := range map[string]any{
+		headKey:                       e,
+		historyKey(b.Number):          e,
+		undoKey(b.Number):             u,
+		operationPrefix + c.Operation: o,
+	} {
+		w, err := write(key, v)
+		if err != nil {
+			return nil, t, err
+		}
+		t.Writes = append(t.Writes, w)
+	}
+	t.Writes = append(t.Writes, partWrites(d)...)
+	t.Writes = append(t.Writes, expire(b.Number, x.expired)...)
+	return b, t, nil
+}
+
+func partWrites(d *Delta) []store.Write {
+	s := []store.Write{}
+	for _, p := range d.Parts {
+		s = append(s, store.Write{
+			Key:   partPrefix + p.Name,
+			Value: p.Data,
+		})
+	}
+	for _, n := range d.Removed {
+		s = append(s, store.Write{
+			Key:    partPrefix + n,
+			Delete: true,
+		})
+	}
+	return s
+}
+
+// expire deletes the rows of the version that is not kept any more.
+func expire(number uint64, operation string) []store.Write {
+	if number <= keptVersions || operation == "" {
+		return nil
+	}
+	s := []store.Write{}
+	for _, k := range []string{historyKey(number - keptVersions), undoKey(number - keptVersions), operationPrefix + operation} {
+		s = append(s, store.Write{
+			Key:    k,
+			Delete: true,
+		})
+	}
+	return s
+}
+
+func entry(have, next *Bundle, d *Delta, c Confirmation) Entry {
+	e := Entry{
+		Meta:    next.Meta,
+		Reason:  c.Reason,
+		Removed: d.Removed,
+	}
+	for _, p := range d.Parts {
+		e.Changed = append(e.Changed, p.Name)
+	}
+	old := (*intent.Declaration)(nil)
+	if have.Version != nil {
+		old = have.Version.Declaration
+	}
+	e.Changes = intent.Diff(old, next.Version.Declaration)
+	if n := len(e.Changes); n > shownChanges {
+		e.Changes = e.Changes[:shownChanges]
+		e.More = n - shownChanges
+	}
+	return e
+}
+
+// afterConflict tells a confirmation that had taken effect before from one that
+// lost a race.
+func afterConflict(ctx context.Context, s *store.Store, have *Bundle, c Confirmation) (*Confirmed, error) {
+	x, err := read(ctx, s, c)
+	if err != nil {
+		return nil, code.Wrap(code.ConfirmRefused, err, "config: another confirmation was first")
+	}
+	if x.ended {
+		return settled(ctx, s, have, c, x)
+	}
+	return nil, stale(ctx, s, c.Base)
+}
+
+// settled returns the result of a confirmation that has ended.
+func settled(ctx context.Context, s *store.Store, have *Bundle, c Confirmation, x readState) (*Confirmed, error) {
+	if x.operation.Number == 0 {
+		return nil, code.New(code.ConfirmRefused, "config: operation %q was given up before it took effect and never will", c.Operation)
+	}
+	a := &Confirmed{
+		Number: x.operation.Number,
+		Newest: have,
+	}
+	if b, err := Load(ctx, s, have); err == nil {
+		a.Newest = b
+	}
+	return a, nil
+}
+
+// settle finds out how a commit whose answer was lost has ended. If the
+// operation has no row, it writes one that keeps a late commit from taking
+// effect.
+func settle(ctx context.Context, s *store.Store, have *Bundle, c Confirmation, cause error) (*Confirmed, error) {
+	t := time.NewTicker(settleInterval)
+	defer t.Stop()
+	for {
+		x, err := read(ctx, s, c)
+		if err == nil && x.ended {
+			return settled(ctx, s, have, c, x)
+		}
+		if err == nil && giveUp(ctx, s, c) == nil {
+			return nil, code.Wrap(code.ConfirmRefused, cause, "config: the confirmation took no effect and never will")
+		}
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return nil, code.Wrap(code.ConfirmUnknown, cause, "config: it is not known whether version %d was confirmed; confirm again with operation %q or look at the history", c.Base+1, c.Operation)
+		}
+	}
+}
+
+// giveUp ends the operation without effect. It returns PlatformConflict if it
+// has ended before.
+func giveUp(ctx context.Context, s *store.Store, c Confirmation) error {
+	key := operationPrefix + c.Operation
+	w, err := write(key, operation{})
+	if err != nil {
+		return err
+	}
+	_, err = s.Commit(ctx, store.Transaction{
+		Conditions: []store.Condition{
+			{
+				Key: key,
+			},
+		},
+		Writes: []store.Write{w},
+	})
+	return err
+}
+
+// stale returns the refusal of a plan against base, which says who confirmed
+// what since.
+func stale(ctx context.Context, s *store.Store, base uint64) error {
+	const shown = 5
+	entries, err := History(ctx, s, shown)
+	if err != nil {
+		return code.Wrap(code.PlanStale, err, "config: version %d is not in force any more", base)
+	}
+	said := []string{}
+	for _, e := range entries {
+		if e.Number > base {
+			said = append(said, e.summary())
+		}
+	}
+	return code.New(code.PlanStale, "config: the plan was made against version %d; since then %s", base, strings.Join(said, "; "))
+}
+
+// summary says in one sentence what the version changed.
+func (e Entry) summary() string {
+	const shown = 3
+	s := []string{}
+	for _, c := range e.Changes[:min(shown, len(e.Changes))] {
+		s = append(s, c.Path+" "+c.Text)
+	}
+	if n := len(e.Changes) + e.More - len(s); n > 0 {
+		s = append(s, fmt.Sprintf("%d more", n))
+	}
+	return fmt.Sprintf("%s confirmed version %d (%s)", e.Operator, e.Number, strings.Join(s, ", "))
+}
--- a/core/config/doc.go
+++ b/core/config/doc.go
@@ -1,5 +1,16 @@
-// Package config keeps the confirmed declarations in the platform's table.
+// Package config keeps the confirmed declarations in the platform's table and
+// moves them between daemons.
 //
-// The row config/head holds the declaration in force. A confirmation replaces
-// it by one conditional write, so that a version number is given out once.
+// A declaration is split into parts, each with a digest, so that a change costs
+// bytes in proportion to what it changes: in the table, where one conditional
+// write replaces the changed parts and the head, and between daemons, which send
+// each other deltas. A version number is given out once and only grows.
+//
+// Rows of the table:
+//
+//	config/head            the newest version, without its declaration
+//	config/part/NAME       the parts of the newest version
+//	config/history/NUMBER  who confirmed the version when, and what it changed
+//	config/undo/NUMBER     the parts before the version, for a rollback
+//	config/operation/ID    how the confirmation with the operation ended
 package config
--- /dev/null
+++ b/core/config/fake_test.go
@@ -0,0 +1,130 @@
+package config_test
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+
+	"heatherford/core/code"
+	"heatherford/core/intent"
+	"heatherford/core/store"
+	"heatherford/standin/platform"
+)
+
+// fake is a platform's table with faults.
+type fake struct {
+	table *platform.Table
+	// commits are the faults of the next commits, in order.
+	commits []fault
+	// held are commits that were held back and may arrive late.
+	held []store.Transaction
+	// downReads is the number of reads to fail next.
+	downReads int
+	// readBytes is the sum of the values that were read.
+	readBytes int
+	// written is the sum of the values that were written.
+	written int
+}
+
+type fault int
+
+const (
+	// loseAnswer lets the commit take effect and loses the answer.
+	loseAnswer fault = iota + 1
+	// holdCommit loses the answer and holds the commit back.
+	holdCommit
+	// down fails the commit without effect.
+	down
+)
+
+func newFake() *fake {
+	return &fake{
+		table: platform.NewTable(),
+	}
+}
+
+func (f *fake) store() *store.Store {
+	return &store.Store{
+		Commit: f.commit,
+		Read:   f.read,
+	}
+}
+
+func (f *fake) read(_ context.Context, q store.Query) ([]store.Row, error) {
+	if f.downReads > 0 {
+		f.downReads--
+		return nil, code.New(code.PlatformDown, "fake: down")
+	}
+	rows := f.table.Read(q)
+	for _, r := range rows {
+		f.readBytes += len(r.Value)
+	}
+	return rows, nil
+}
+
+func (f *fake) commit(_ context.Context, t store.Transaction) (store.Committed, error) {
+	x := fault(0)
+	if len(f.commits) > 0 {
+		x, f.commits = f.commits[0], f.commits[1:]
+	}
+	if x == down {
+		return store.Committed{}, code.New(code.PlatformDown, "fake: down")
+	}
+	if x == holdCommit {
+		f.held = append(f.held, t)
+		return store.Committed{}, code.New(code.PlatformUnknown, "fake: lost")
+	}
+	a, ok := f.table.Commit(t)
+	switch {
+	case x == loseAnswer:
+		return store.Committed{}, code.New(code.PlatformUnknown, "fake: lost")
+	case !ok:
+		return store.Committed{}, code.New(code.PlatformConflict, "fake: conflict")
+	}
+	for _, w := range t.Writes {
+		f.written += len(w.Value)
+	}
+	return a, nil
+}
+
+// declaration returns one with the number of blocks and endpoints.
+func declaration(blocks, endpoints int) *intent.Declaration {
+	d := &intent.Declaration{
+		Format: intent.Format,
+		Name:   "test",
+		Ranks: []intent.Rank{
+			{
+				Name:    "urgent",
+				Planned: 0.5,
+				Floor:   0.25,
+			},
+		},
+		Regions: []intent.Region{
+			{
+				Name:  "north",
+				Zones: []string{"n1"},
+				Cap:   endpoints + 1,
+			},
+		},
+	}
+	u := intent.Upstream{
+		Name: "desk/main",
+	}
+	for i := range endpoints {
+		u.Endpoints = append(u.Endpoints, intent.Endpoint{
+			Name:        fmt.Sprintf("desk-%d", i),
+			Address:     netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, 1}), uint16(i+1)),
+			Zone:        "n1",
+			Slots:       1,
+			Connections: 10,
+		})
+	}
+	d.Upstreams = append(d.Upstreams, u)
+	for i := range blocks {
+		d.Blocks = append(d.Blocks, intent.Block{
+			Prefix: netip.PrefixFrom(netip.AddrFrom4([4]byte{byte(i >> 16), byte(i >> 8), byte(i), 0}), 24),
+			Site:   fmt.Sprintf("site-%d", i%500),
+		})
+	}
+	return d
+}
--- /dev/null
+++ b/core/config/rollback.go
@@ -0,0 +1,63 @@
+package config
+
+import (
+	"context"
+
+	"heatherford/core/code"
+	"heatherford/core/intent"
+	"heatherford/core/store"
+)
+
+// At returns the declaration of an earlier version than have, which is in
+// force.
+func At(ctx context.Context, s *store.Store, have *Bundle, number uint64) (*intent.Declaration, error) {
+	if number == 0 || number > have.Number {
+		return nil, code.New(code.OperatorInput, "config: there is no version %d", number)
+	}
+	q := store.Query{}
+	for n := have.Number; n > number; n-- {
+		q.Keys = append(q.Keys, undoKey(n))
+	}
+	rows, err := s.Read(ctx, q)
+	if err != nil {
+		return nil, err
+	}
+	m := newRowSet(rows)
+	pieces := map[string]*piece{}
+	for n, p := range have.pieces {
+		pieces[n] = p
+	}
+	for _, k := range q.Keys {
+		u := undo{}
+		ok, err := m.decode(k, &u)
+		if err != nil {
+			return nil, err
+		}
+		if !ok {
+			return nil, code.New(code.OperatorInput, "config: version %d is not kept any more", number)
+		}
+		if err := u.apply(pieces); err != nil {
+			return nil, err
+		}
+	}
+	d, err := join(pieces)
+	if err != nil {
+		return nil, err
+	}
+	d.Blocks = joinBlocks(pieces)
+	return d, nil
+}
+
+func (u undo) apply(pieces map[string]*piece) error {
+	for _, n := range u.Added {
+		delete(pieces, n)
+	}
+	for _, p := range u.Parts {
+		q, err := decode(p)
+		if err != nil {
+			return err
+		}
+		pieces[p.Name] = q
+	}
+	return nil
+}
--- a/core/control.go
+++ b/core/control.go
@@ -1,8 +1,13 @@
 package core
 
 import (
+	"time"
+
+	"heatherford/core/config"
+	"heatherford/core/drain"
 	"heatherford/core/intent"
 	"heatherford/core/lookup"
+	"heatherford/core/member"
 	"heatherford/core/snapshot"
 	"heatherford/core/store"
 )
@@ -12,8 +17,23 @@
 	kernel *Kernel
 	// version only grows; it is nil before the first declaration is known.
 	version *intent.Version
-	// hosts is the platform's list of hosts as last read.
+	// bundle is the version with its parts; it is never nil.
+	bundle *config.Bundle
+	// takenAt is when the version came in force here.
+	takenAt time.Time
+	// view is what is known of all hosts.
+	view *member.View
+	// hosts are this host and all others that are not dead, as traffic uses
+	// them. Hosts that take no new work have the state HostLeaving.
 	hosts []store.Host
+	// suspects are the names of hosts that may be dead.
+	suspects map[string]bool
+	// isCutOff is true while this host takes itself for cut off.
+	isCutOff bool
+	// signs say what is leaving, besides the declaration.
+	signs *drain.Signs
+	// drains is the progress of all drains.
+	drains *drain.Tracker
 	// stopping is true once a planned stop has begun.
 	stopping bool
 	// changed is true if the state differs from the published snapshot.
@@ -25,7 +45,13 @@
 func (k *Kernel) control() error {
 	c := &control{
 		kernel: k,
+		bundle: config.Empty(),
+		view:   newView(k),
+		signs:  drain.New(),
+		drains: drain.NewTracker(),
 	}
+	c.updateHosts()
+	c.publish()
 	for {
 		select {
 		case f := <-k.events:
@@ -45,6 +71,8 @@
 	c.changed = false
 	s := &snapshot.Snapshot{
 		Version:  c.version,
+		Config:   c.bundle,
+		TakenAt:  c.takenAt,
 		Hosts:    map[string]store.Host{},
 		Owners:   map[string]string{},
 		Owned:    map[string][]snapshot.Own{},
@@ -56,8 +84,8 @@
 	if c.version != nil {
 		c.publishGrants(s)
 		s.Table = lookup.New(lookup.Options{
-			Declaration: c.version.Declaration,
-			Hosts:       c.hosts,
+			Declaration: c.declaration(),
+			Hosts:       c.nameable(),
 			Owners:      s.Owners,
 			Zone:        c.kernel.Settings.Zone,
 		})
--- a/core/controlconfig.go
+++ b/core/controlconfig.go
@@ -2,25 +2,114 @@
 
 import (
 	"strconv"
+	"time"
 
 	"github.com/go-kit/log/level"
 
+	"heatherford/core/code"
+	"heatherford/core/config"
 	"heatherford/core/intent"
 	"heatherford/core/timeline"
 )
 
-// offerVersion takes v if it is newer than the version in force.
-func (c *control) offerVersion(v *intent.Version) {
-	if c.version != nil && v.Number <= c.version.Number {
+// offerBundle takes b if it is newer than the version in force.
+func (c *control) offerBundle(b *config.Bundle) {
+	if b.Number <= c.bundle.Number {
+		if b.Number == c.bundle.Number && b.Root != c.bundle.Root {
+			level.Error(c.kernel.Log).Log("msg", "config: two contents of one version", "version", b.Number)
+		}
 		return
 	}
-	c.version = v
+	c.bundle = b
+	c.version = b.Version
+	c.takenAt = c.kernel.Now()
 	c.changed = true
-	level.Info(c.kernel.Log).Log("msg", "config: version in force", "version", v.Number)
+	c.publish()
+	level.Info(c.kernel.Log).Log("msg", "config: version in force", "version", b.Number)
 	c.kernel.Record(timeline.Event{
 		Kind:    timeline.KindConfig,
 		Phase:   timeline.PhaseEnded,
-		Subject: strconv.FormatUint(v.Number, 10),
+		Subject: strconv.FormatUint(b.Number, 10),
 		Text:    "version in force",
 	})
+	for _, f := range c.kernel.onVersion {
+		f(b)
+	}
+}
+
+// declaration returns the declaration in force, in which the endpoints that are
+// known to be leaving by other signs are leaving as well.
+func (c *control) declaration() *intent.Declaration {
+	d := *c.version.Declaration
+	d.Upstreams = make([]intent.Upstream, len(c.version.Declaration.Upstreams))
+	for i, u := range c.version.Declaration.Upstreams {
+		d.Upstreams[i] = c.overlay(u)
+	}
+	return &d
+}
+
+// OfferBundle puts b in force if it is newer than the version in force. It
+// returns after the snapshot shows the result.
+func (k *Kernel) OfferBundle(b *config.Bundle) {
+	k.post(func(c *control) {
+		c.offerBundle(b)
+	})
+	k.settle()
+}
+
+// OfferDeltas applies deltas to the version in force, in order, and reports
+// whether all of them fit.
+func (k *Kernel) OfferDeltas(deltas []*config.Delta) bool {
+	fit := ask(k, func(c *control) bool {
+		return c.offerDeltas(deltas)
+	})
+	k.settle()
+	return fit
+}
+
+func (c *control) offerDeltas(deltas []*config.Delta) bool {
+	b := c.bundle
+	for _, d := range deltas {
+		if d.Number <= b.Number {
+			continue
+		}
+		next, err := b.Apply(d)
+		if err != nil {
+			return false
+		}
+		b = next
+	}
+	c.offerBundle(b)
+	return true
+}
+
+// OfferVersion is OfferBundle for a version that was just read from the table.
+func (k *Kernel) OfferVersion(v *intent.Version) {
+	started := time.Now()
+	b, err := config.New(v)
+	if err != nil {
+		level.Error(k.Log).Log("msg", "config: cannot take a version", "version", v.Number, "err", err)
+		return
+	}
+	k.OfferBundle(b)
+	k.Fresh.Table(started)
+}
+
+// OnVersion registers f to be called on the control goroutine, where it must not
+// block, with each version that comes in force. It is called from Attach.
+func (k *Kernel) OnVersion(f func(b *config.Bundle)) {
+	k.onVersion = append(k.onVersion, f)
+}
+
+// Serving returns an error with the code HostBehind while this daemon may not
+// serve: it knows no declaration, or it has not compared its version with
+// others since it started or was paused. It is safe for concurrent use.
+func (k *Kernel) Serving() error {
+	if k.Snapshot().Version == nil {
+		return code.New(code.HostBehind, "core: this host knows no declaration yet")
+	}
+	if !k.Fresh.Serving(time.Now()) {
+		return code.New(code.HostBehind, "core: this host does not know yet whether its version is the newest")
+	}
+	return nil
 }
--- a/core/controlgrant.go
+++ b/core/controlgrant.go
@@ -7,7 +7,7 @@
 
 // publishGrants fills in the owners of all endpoints and what this host owns.
 func (c *control) publishGrants(s *snapshot.Snapshot) {
-	d := c.version.Declaration
+	d := c.declaration()
 	for _, u := range d.Upstreams {
 		for _, e := range u.Endpoints {
 			h := grant.Prefer(d, e, c.hosts)
--- a/core/intent/declaration.go
+++ b/core/intent/declaration.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"heatherford/core/strict"
 )
@@ -29,6 +30,8 @@
 	Sites []Site `json:"sites,omitempty"`
 	// Blocks assign callers' addresses to sites; the longest prefix wins.
 	Blocks []Block `json:"blocks,omitempty"`
+	// LeavingHosts are entry hosts that take no new work.
+	LeavingHosts []string `json:"leaving_hosts,omitempty"`
 }
 
 // Rank is a class of urgency.
@@ -128,4 +131,8 @@
 	// Operation is the stable identifier of the confirmation, by which a lost
 	// answer is settled.
 	Operation string `json:"operation"`
+	// Operator is the name of who confirmed.
+	Operator string `json:"operator"`
+	// ConfirmedAt is when, by the clock of the host that was asked.
+	ConfirmedAt time.Time `json:"confirmed_at"`
 }
--- a/core/intent/diff.go
+++ b/core/intent/diff.go
@@ -29,6 +29,7 @@
 	s = append(s, diffSet("shift", shiftMap(a), shiftMap(b))...)
 	s = append(s, diffSet("site", siteMap(a), siteMap(b))...)
 	s = append(s, diffSet("block", blockMap(a), blockMap(b))...)
+	s = append(s, diffSet("leaving host", leavingMap(a), leavingMap(b))...)
 	sort.SliceStable(s, func(i, j int) bool {
 		return s[i].Path < s[j].Path
 	})
@@ -63,6 +64,14 @@
 	return index(d.Blocks, func(b Block) string { return b.Prefix.String() })
 }
 
+func leavingMap(d *Declaration) map[string]struct{} {
+	m := map[string]struct{}{}
+	for _, n := range d.LeavingHosts {
+		m[n] = struct{}{}
+	}
+	return m
+}
+
 func endpointMap(d *Declaration) map[string]Endpoint {
 	m := map[string]Endpoint{}
 	for _, u := range d.Upstreams {
--- a/core/kernel.go
+++ b/core/kernel.go
@@ -10,7 +10,9 @@
 	"github.com/uber-go/tally/v4"
 	"gopkg.in/tomb.v2"
 
+	"heatherford/core/config"
 	"heatherford/core/dispatch"
+	"heatherford/core/drain"
 	"heatherford/core/intent"
 	"heatherford/core/outcome"
 	"heatherford/core/rollup"
@@ -47,6 +49,11 @@
 	Timeline func(ctx context.Context, q timeline.Query) []timeline.Answer
 	// Keep hands roll-ups that could not be written to another host.
 	Keep func(ctx context.Context, s []rollup.Object) error
+	// Describe asks all other hosts for their reports. Nil stands for no
+	// other hosts.
+	Describe func(ctx context.Context) []Described
+	// Traffic returns what this host spent on control. Nil stands for nothing.
+	Traffic func() Traffic
 	// Once runs work that may not be repeated; nil stands for a direct call.
 	Once func(ctx context.Context, r *work.Request, run dispatch.Run) (*work.Answer, error)
 }
@@ -76,6 +83,8 @@
 	Results *outcome.Recorder
 	// Rolls sums what the evening page needs.
 	Rolls *rollup.Keeper
+	// Fresh decides whether this daemon may serve by the version it has.
+	Fresh *config.Freshness
 
 	plugins []Plugin
 	tomb    tomb.Tomb
@@ -83,6 +92,13 @@
 	current atomic.Pointer[snapshot.Snapshot]
 	// stopping is the state of a planned stop.
 	stopping stopping
+	flights  *flights
+	// drains is the progress of all drains as of the last tick.
+	drains atomic.Pointer[[]drain.Progress]
+	// onVersion, onSign and onPause are fixed once the kernel has started.
+	onVersion []func(b *config.Bundle)
+	onSign    []func()
+	onPause   []func()
 }
 
 // New returns a kernel with its plug-ins attached. It does not start them.
@@ -101,7 +117,11 @@
 	if k.plugins == nil {
 		k.plugins = Plugins()
 	}
-	k.current.Store(&snapshot.Snapshot{})
+	k.current.Store(&snapshot.Snapshot{
+		Config: config.Empty(),
+	})
+	k.Fresh = config.NewFreshness(time.Now())
+	k.flights = newFlights()
 	k.Clock = timeline.NewClock(k.Now)
 	k.stopping.begun = make(chan struct{})
 	k.OnStop(PhaseExpire, "core", k.expireLookups)
@@ -120,7 +140,7 @@
 	k.Dispatcher = dispatch.New(dispatch.Options{
 		Self:     o.Settings.Host,
 		Snapshot: k.Snapshot,
-		Send:     k.Seams.Send,
+		Send:     k.counted(k.Seams.Send),
 		Carry:    k.Seams.Carry,
 		Once:     k.Seams.Once,
 		Record:   k.Record,
@@ -146,6 +166,7 @@
 // Start starts the control goroutine and all plug-ins. It is called once.
 func (k *Kernel) Start() error {
 	k.tomb.Go(k.control)
+	k.tomb.Go(k.pulse)
 	for _, p := range k.plugins {
 		if p.Start == nil {
 			continue
@@ -168,25 +189,31 @@
 	return k.current.Load()
 }
 
-// OfferVersion hands a version to the control goroutine, which takes it if it
-// is newer than the one in force.
-func (k *Kernel) OfferVersion(v *intent.Version) {
-	k.post(func(c *control) {
-		c.offerVersion(v)
-	})
+// post runs f on the control goroutine and does not wait for it to end.
+func (k *Kernel) post(f func(c *control)) {
+	select {
+	case k.events <- f:
+	case <-k.tomb.Dying():
+	}
 }
 
-// OfferHosts hands the platform's list of hosts to the control goroutine.
-func (k *Kernel) OfferHosts(hosts []store.Host) {
+// ask runs f on the control goroutine and returns its result, or the zero value
+// if the daemon ends first.
+func ask[T any](k *Kernel, f func(c *control) T) T {
+	answer := make(chan T, 1)
 	k.post(func(c *control) {
-		c.offerHosts(hosts)
+		answer <- f(c)
 	})
-}
-
-// post runs f on the control goroutine and does not wait for it to end.
-func (k *Kernel) post(f func(c *control)) {
 	select {
-	case k.events <- f:
+	case a := <-answer:
+		return a
 	case <-k.tomb.Dying():
+		var zero T
+		return zero
 	}
 }
+
+// settle waits until the events posted before it have taken effect.
+func (k *Kernel) settle() {
+	k.post(func(*control) {})
+}
--- /dev/null
+++ b/core/member/member_test.go
@@ -0,0 +1,202 @@
+package member_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"heatherford/core/member"
+	"heatherford/core/store"
+)
+
+// detectTime bounds the time until all hosts know of a death in a fleet of 20.
+const detectTime = 8 * time.Second
+
+func TestMemberDeathIsSeenByAllAndLifeByNone(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		c := qt.New(trial{
+			TB:    t,
+			rapid: r,
+		})
+		n := rapid.IntRange(3, 20).Draw(r, "hosts")
+		f := newFleet(n)
+		f.run(3 * time.Second)
+		dead := map[string]bool{}
+		for range rapid.IntRange(1, n/3).Draw(r, "deaths") {
+			dead[f.list[rapid.IntRange(0, n-1).Draw(r, "dead")].Name] = true
+		}
+		for d := range dead {
+			f.kill(d)
+		}
+		f.run(detectTime)
+		for _, h := range f.list {
+			want := member.Alive
+			if dead[h.Name] {
+				want = member.Dead
+			}
+			c.Assert(f.states(h.Name)[want], qt.Equals, len(f.views)-btoi(!dead[h.Name]), qt.Commentf("%s", h.Name))
+		}
+		for _, v := range f.views {
+			c.Assert(v.Hosts(), qt.HasLen, n-len(dead))
+		}
+	})
+}
+
+func btoi(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+func TestMemberCutOffHostDoubtsItself(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		c := qt.New(trial{
+			TB:    t,
+			rapid: r,
+		})
+		n := rapid.IntRange(3, 20).Draw(r, "hosts")
+		f := newFleet(n)
+		f.run(3 * time.Second)
+		lone := f.list[rapid.IntRange(0, n-1).Draw(r, "lone")].Name
+		cut := true
+		f.cut = func(a, b string) bool { return cut && (a == lone || b == lone) }
+		f.platformCut = func(a string) bool { return cut && a == lone }
+		f.run(time.Duration(rapid.IntRange(10, 60).Draw(r, "seconds")) * time.Second)
+
+		// The others take it for dead. It takes nobody for dead, and knows.
+		c.Assert(f.states(lone)[member.Dead], qt.Equals, n-1)
+		c.Assert(f.views[lone].CutOff(f.now), qt.IsTrue)
+		for _, k := range f.views[lone].All() {
+			c.Assert(k.State, qt.Not(qt.Equals), member.Dead)
+		}
+		for name, v := range f.views {
+			c.Assert(v.CutOff(f.now), qt.Equals, name == lone)
+		}
+		cut = false
+		f.run(detectTime)
+		c.Assert(f.states(lone)[member.Alive], qt.Equals, n-1)
+		for _, h := range f.list {
+			c.Assert(f.states(h.Name)[member.Alive], qt.Equals, n-1)
+		}
+	})
+}
+
+func TestMemberPartitionHeals(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(20)
+	f.run(3 * time.Second)
+	cut := true
+	side := func(name string) bool { return name < "h07" }
+	f.cut = func(a, b string) bool { return cut && side(a) != side(b) }
+	f.run(30 * time.Second)
+	for name, v := range f.views {
+		for _, k := range v.All() {
+			want := member.Alive
+			if side(k.Host.Name) != side(name) {
+				want = member.Dead
+			}
+			c.Assert(k.State, qt.Equals, want)
+		}
+		c.Assert(v.CutOff(f.now), qt.IsFalse)
+	}
+	cut = false
+	f.run(detectTime)
+	for _, h := range f.list {
+		c.Assert(f.states(h.Name)[member.Alive], qt.Equals, len(f.list)-1)
+	}
+}
+
+func TestMemberReplacedHosts(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(8)
+	f.run(3 * time.Second)
+
+	// A restarted process whose clock went back still becomes alive.
+	f.kill("h03")
+	f.run(detectTime)
+	f.startAs(3, f.list[3], 1)
+	f.run(detectTime)
+	c.Assert(f.states("h03")[member.Alive], qt.Equals, 7)
+
+	// A new host has the address of a dead one while the list still holds the
+	// old name: the two are told apart at the first probe.
+	f.kill("h05")
+	f.start(9, host(9, 5))
+	f.run(detectTime)
+	c.Assert(f.states("h05")[member.Dead], qt.Equals, 8)
+	c.Assert(f.states("h09")[member.Alive], qt.Equals, 7)
+
+	// A host that moved under its name is found at its new address, though the
+	// list names the old one.
+	f.kill("h06")
+	f.start(6, host(6, 60))
+	f.run(detectTime)
+	c.Assert(f.states("h06")[member.Alive], qt.Equals, 7)
+	for name, v := range f.views {
+		for _, h := range v.Hosts() {
+			if h.Name == "h06" {
+				c.Assert(h.PeerAddress, qt.Equals, host(6, 60).PeerAddress, qt.Commentf("seen by %s", name))
+			}
+		}
+	}
+}
+
+func TestMemberLeavingHostStaysLeaving(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(6)
+	f.run(3 * time.Second)
+	f.views["h02"].Leave()
+	f.run(4 * time.Second)
+	for _, v := range f.views {
+		for _, h := range v.Hosts() {
+			want := store.HostLive
+			if h.Name == "h02" {
+				want = store.HostLeaving
+			}
+			c.Assert(h.State, qt.Equals, want)
+		}
+	}
+	// Suspicion and refutation do not bring it back.
+	f.views["h00"].Missed(f.now, "h02", false)
+	f.run(4 * time.Second)
+	for _, v := range f.views {
+		for _, h := range v.Hosts() {
+			c.Assert(h.State == store.HostLeaving, qt.Equals, h.Name == "h02")
+		}
+	}
+}
+
+func TestMemberFewReadersInEachZone(t *testing.T) {
+	c := qt.New(t)
+	const hosts = 20
+	f := newFleet(hosts)
+	f.run(3 * time.Second)
+	readers := map[string]int{}
+	for _, h := range f.list {
+		if f.views[h.Name].Reader() {
+			readers[h.Zone]++
+		}
+	}
+	c.Assert(readers, qt.DeepEquals, map[string]int{
+		"zone-0": 2,
+		"zone-1": 2,
+		"zone-2": 2,
+		"zone-3": 2,
+	})
+	// With a reader dead, another host takes its place.
+	for _, h := range f.list {
+		if f.views[h.Name].Reader() {
+			f.kill(h.Name)
+			break
+		}
+	}
+	f.run(detectTime)
+	n := 0
+	for _, v := range f.views {
+		n += btoi(v.Reader())
+	}
+	c.Assert(n, qt.Equals, 8)
+}
--- /dev/null
+++ b/core/report.go
@@ -0,0 +1,77 @@
+package core
+
+import (
+	"context"
+	"time"
+
+	"heatherford/core/drain"
+	"heatherford/core/member"
+	"heatherford/core/store"
+)
+
+// Report is what a daemon tells operators of itself.
+type Report struct {
+	Host    string `json:"host"`
+	Zone    string `json:"availability_zone"`
+	Region  string `json:"region"`
+	Version uint64 `json:"version"`
+	// TakenAt is when the version came in force, by the host's clock.
+	TakenAt time.Time `json:"taken_at,omitzero"`
+	// Serving is false while the host may not serve by its version.
+	Serving bool `json:"serving"`
+	// Stopping is true once a planned stop has begun.
+	Stopping bool `json:"stopping"`
+	// InFlight is the number of requests at endpoints.
+	InFlight int `json:"in_flight"`
+	// Peaks are the most requests in flight at each endpoint of late.
+	Peaks map[string]int `json:"peaks,omitempty"`
+	// Drains are all drains as the host sees them.
+	Drains []drain.Progress `json:"drains,omitempty"`
+	// Control is what the host spent on connections to others for control.
+	Control Traffic `json:"control"`
+}
+
+// Traffic is a number of bytes over a time.
+type Traffic struct {
+	SentBytes     uint64    `json:"sent_bytes"`
+	ReceivedBytes uint64    `json:"received_bytes"`
+	Since         time.Time `json:"since"`
+}
+
+// Described is another host with its report.
+type Described struct {
+	Host  store.Host
+	State member.State
+	// Report is nil if the host did not answer.
+	Report *Report
+}
+
+// Report returns what this daemon tells operators of itself. It is safe for
+// concurrent use.
+func (k *Kernel) Report() Report {
+	s := k.Snapshot()
+	r := Report{
+		Host:     k.Settings.Host,
+		Zone:     k.Settings.Zone,
+		Region:   k.Settings.Region,
+		Version:  s.Config.Number,
+		TakenAt:  s.TakenAt,
+		Serving:  k.Serving() == nil,
+		Stopping: k.Stopping(),
+		InFlight: k.flights.total(),
+		Peaks:    k.flights.peaks(k.Now()),
+		Drains:   k.Drains(),
+	}
+	if k.Seams.Traffic != nil {
+		r.Control = k.Seams.Traffic()
+	}
+	return r
+}
+
+// Describe asks all other hosts for their reports.
+func (k *Kernel) Describe(ctx context.Context) []Described {
+	if k.Seams.Describe == nil {
+		return nil
+	}
+	return k.Seams.Describe(ctx)
+}
--- a/core/snapshot/snapshot.go
+++ b/core/snapshot/snapshot.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"heatherford/core/config"
 	"heatherford/core/intent"
 	"heatherford/core/lookup"
 	"heatherford/core/store"
@@ -12,7 +13,12 @@
 type Snapshot struct {
 	// Version is the declaration in force, or nil before the first is known.
 	Version *intent.Version
-	// Hosts are the hosts that take traffic, by name.
+	// Config is Version with its parts. It is never nil in a kernel's snapshot.
+	Config *config.Bundle
+	// TakenAt is when Version came in force at this host.
+	TakenAt time.Time
+	// Hosts are the hosts that are not known to be dead, by name. Those that
+	// take no new work have the state HostLeaving.
 	Hosts map[string]store.Host
 	// Owners maps an endpoint's name to the name of the host that owns it.
 	Owners map[string]string
--- a/core/stop.go
+++ b/core/stop.go
@@ -100,6 +100,7 @@
 	level.Info(k.Log).Log("msg", "stop: begun", "deadline", deadline.UTC().Format(time.RFC3339))
 	k.Record(timeline.Event{
 		Kind:    timeline.KindStop,
+		Phase:   timeline.PhaseBegun,
 		Subject: k.Settings.Host,
 		Text:    "planned stop begun",
 	})
--- a/io/caller/lookup.go
+++ b/io/caller/lookup.go
@@ -37,11 +37,14 @@
 		refuse.Write(w, "", err)
 		return
 	}
-	v := s.kernel.Snapshot()
-	if v.Table == nil {
-		refuse.Write(w, "", code.New(code.HostBehind, "caller: this host knows no declaration yet"))
+	// The answer expires by a time from before the check, so that one that a
+	// pause delays has expired when it comes.
+	now := s.kernel.Now()
+	if err := s.kernel.Serving(); err != nil {
+		refuse.Write(w, "", err)
 		return
 	}
+	v := s.kernel.Snapshot()
 	d, ok := v.Table.Decide(q.Get("kind"), a)
 	switch {
 	case !ok:
@@ -49,13 +52,13 @@
 	case !d.Found:
 		refuse.Write(w, "", code.New(code.NoEndpoint, "caller: no host owns an endpoint of %q", d.Kind.Upstream))
 	default:
-		s.writeLookup(w, v.Version.Number, d)
+		s.writeLookup(w, now, v.Version.Number, d)
 	}
 }
 
-func (s *Server) writeLookup(w http.ResponseWriter, version uint64, d lookup.Decision) {
+func (s *Server) writeLookup(w http.ResponseWriter, now time.Time, version uint64, d lookup.Decision) {
 	ttl := s.kernel.Settings.Limits.LookupTTL.Std()
-	e := s.kernel.Now().Add(ttl)
+	e := now.Add(ttl)
 	h := w.Header()
 	h.Set("Content-Type", "application/json")
 	h.Set("Cache-Control", fmt.Sprintf("private, max-age=%d", int(ttl.Seconds())))
--- a/io/internal/carry/carry.go
+++ b/io/internal/carry/carry.go
@@ -48,10 +48,10 @@
 		Hop:    hop,
 	}
 	q.Header.Add("Via", "1.1 "+k.Settings.Host)
-	v := k.Snapshot().Version
-	if v == nil {
-		return q, code.New(code.HostBehind, "carry: this host knows no declaration yet")
+	if err := k.Serving(); err != nil {
+		return q, err
 	}
+	v := k.Snapshot().Version
 	name, path, _ := strings.Cut(strings.TrimPrefix(r.URL.EscapedPath(), WorkPrefix), "/")
 	kind, ok := v.Declaration.Kind(name)
 	if !ok {
--- a/io/operator/plugin.go
+++ b/io/operator/plugin.go
@@ -16,9 +16,10 @@
 			Name: Name,
 			Start: func(k *core.Kernel, t *tomb.Tomb) error {
 				return serve.Run(k, t, serve.Options{
-					Name:    Name,
-					Address: k.Settings.OperatorAddress,
-					Handler: New(k).Handler(),
+					Name:        Name,
+					Address:     k.Settings.OperatorAddress,
+					Handler:     New(k).Handler(),
+					ReadTimeout: readTimeout,
 				})
 			},
 		}
--- a/io/peer/peerpb/peer.twirp.go
+++ b/io/peer/peerpb/peer.twirp.go
@@ -36,8 +36,18 @@
 // Peer is what every daemon offers to the others.
 type Peer interface {
 	// Exchange tells the receiver what the sender knows and returns what the
-	// receiver knows better.
+	// receiver knows better. It is the probe of membership as well.
 	Exchange(context.Context, *ExchangeRequest) (*ExchangeResponse, error)
+
+	// Fetch returns the parts of the receiver's version that differ from those
+	// the sender has.
+	Fetch(context.Context, *FetchRequest) (*FetchResponse, error)
+
+	// Probe makes the receiver probe another host on the sender's behalf.
+	Probe(context.Context, *ProbeRequest) (*ProbeResponse, error)
+
+	// Describe returns what the receiver reports to operators.
+	Describe(context.Context, *DescribeRequest) (*DescribeResponse, error)
 }
 
 // ====================
@@ -46,7 +56,7 @@
 
 type peerProtobufClient struct {
 	client      HTTPClient
-	urls        [1]string
+	urls        [4]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -74,8 +84,11 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "heatherford.peer", "Peer")
-	urls := [1]string{
+	urls := [4]string{
 		serviceURL + "Exchange",
+		serviceURL + "Fetch",
+		serviceURL + "Probe",
+		serviceURL + "Describe",
 	}
 
 	return &peerProtobufClient{
@@ -132,13 +145,151 @@
 	return out, nil
 }
 
+func (c *peerProtobufClient) Fetch(ctx context.Context, in *FetchRequest) (*FetchResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "heatherford.peer")
+	ctx = ctxsetters.WithServiceName(ctx, "Peer")
+	ctx = ctxsetters.WithMethodName(ctx, "Fetch")
+	caller := c.callFetch
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *FetchRequest) (*FetchResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*FetchRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*FetchRequest) when calling interceptor")
+					}
+					return c.callFetch(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*FetchResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*FetchResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *peerProtobufClient) callFetch(ctx context.Context, in *FetchRequest) (*FetchResponse, error) {
+	out := new(FetchResponse)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *peerProtobufClient) Probe(ctx context.Context, in *ProbeRequest) (*ProbeResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "heatherford.peer")
+	ctx = ctxsetters.WithServiceName(ctx, "Peer")
+	ctx = ctxsetters.WithMethodName(ctx, "Probe")
+	caller := c.callProbe
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *ProbeRequest) (*ProbeResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ProbeRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ProbeRequest) when calling interceptor")
+					}
+					return c.callProbe(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ProbeResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ProbeResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *peerProtobufClient) callProbe(ctx context.Context, in *ProbeRequest) (*ProbeResponse, error) {
+	out := new(ProbeResponse)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *peerProtobufClient) Describe(ctx context.Context, in *DescribeRequest) (*DescribeResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "heatherford.peer")
+	ctx = ctxsetters.WithServiceName(ctx, "Peer")
+	ctx = ctxsetters.WithMethodName(ctx, "Describe")
+	caller := c.callDescribe
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *DescribeRequest) (*DescribeResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*DescribeRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*DescribeRequest) when calling interceptor")
+					}
+					return c.callDescribe(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*DescribeResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*DescribeResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *peerProtobufClient) callDescribe(ctx context.Context, in *DescribeRequest) (*DescribeResponse, error) {
+	out := new(DescribeResponse)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[3], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 // ================
 // Peer JSON Client
 // ================
 
 type peerJSONClient struct {
 	client      HTTPClient
-	urls        [1]string
+	urls        [4]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -166,8 +317,11 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "heatherford.peer", "Peer")
-	urls := [1]string{
+	urls := [4]string{
 		serviceURL + "Exchange",
+		serviceURL + "Fetch",
+		serviceURL + "Probe",
+		serviceURL + "Describe",
 	}
 
 	return &peerJSONClient{
@@ -224,6 +378,144 @@
 	return out, nil
 }
 
+func (c *peerJSONClient) Fetch(ctx context.Context, in *FetchRequest) (*FetchResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "heatherford.peer")
+	ctx = ctxsetters.WithServiceName(ctx, "Peer")
+	ctx = ctxsetters.WithMethodName(ctx, "Fetch")
+	caller := c.callFetch
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *FetchRequest) (*FetchResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*FetchRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*FetchRequest) when calling interceptor")
+					}
+					return c.callFetch(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*FetchResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*FetchResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *peerJSONClient) callFetch(ctx context.Context, in *FetchRequest) (*FetchResponse, error) {
+	out := new(FetchResponse)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *peerJSONClient) Probe(ctx context.Context, in *ProbeRequest) (*ProbeResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "heatherford.peer")
+	ctx = ctxsetters.WithServiceName(ctx, "Peer")
+	ctx = ctxsetters.WithMethodName(ctx, "Probe")
+	caller := c.callProbe
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *ProbeRequest) (*ProbeResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ProbeRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ProbeRequest) when calling interceptor")
+					}
+					return c.callProbe(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ProbeResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ProbeResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *peerJSONClient) callProbe(ctx context.Context, in *ProbeRequest) (*ProbeResponse, error) {
+	out := new(ProbeResponse)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *peerJSONClient) Describe(ctx context.Context, in *DescribeRequest) (*DescribeResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "heatherford.peer")
+	ctx = ctxsetters.WithServiceName(ctx, "Peer")
+	ctx = ctxsetters.WithMethodName(ctx, "Describe")
+	caller := c.callDescribe
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *DescribeRequest) (*DescribeResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*DescribeRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*DescribeRequest) when calling interceptor")
+					}
+					return c.callDescribe(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*DescribeResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*DescribeResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *peerJSONClient) callDescribe(ctx context.Context, in *DescribeRequest) (*DescribeResponse, error) {
+	out := new(DescribeResponse)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[3], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 // ===================
 // Peer Server Handler
 // ===================
@@ -324,6 +616,15 @@
 	case "Exchange":
 		s.serveExchange(ctx, resp, req)
 		return
+	case "Fetch":
+		s.serveFetch(ctx, resp, req)
+		return
+	case "Probe":
+		s.serveProbe(ctx, resp, req)
+		return
+	case "Describe":
+		s.serveDescribe(ctx, resp, req)
+		return
 	default:
 		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
 		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
@@ -511,6 +812,546 @@
 	callResponseSent(ctx, s.hooks)
 }
 
+func (s *peerServer) serveFetch(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveFetchJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveFetchProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *peerServer) serveFetchJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Fetch")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(FetchRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Peer.Fetch
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *FetchRequest) (*FetchResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*FetchRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*FetchRequest) when calling interceptor")
+					}
+					return s.Peer.Fetch(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*FetchResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*FetchResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *FetchResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *FetchResponse and nil error while calling Fetch. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *peerServer) serveFetchProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Fetch")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(FetchRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Peer.Fetch
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *FetchRequest) (*FetchResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*FetchRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*FetchRequest) when calling interceptor")
+					}
+					return s.Peer.Fetch(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*FetchResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*FetchResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *FetchResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *FetchResponse and nil error while calling Fetch. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *peerServer) serveProbe(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveProbeJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveProbeProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *peerServer) serveProbeJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Probe")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(ProbeRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Peer.Probe
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *ProbeRequest) (*ProbeResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ProbeRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ProbeRequest) when calling interceptor")
+					}
+					return s.Peer.Probe(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ProbeResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ProbeResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *ProbeResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ProbeResponse and nil error while calling Probe. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *peerServer) serveProbeProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Probe")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(ProbeRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Peer.Probe
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *ProbeRequest) (*ProbeResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ProbeRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ProbeRequest) when calling interceptor")
+					}
+					return s.Peer.Probe(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ProbeResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ProbeResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *ProbeResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ProbeResponse and nil error while calling Probe. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *peerServer) serveDescribe(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveDescribeJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveDescribeProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *peerServer) serveDescribeJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Describe")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(DescribeRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Peer.Describe
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *DescribeRequest) (*DescribeResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*DescribeRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*DescribeRequest) when calling interceptor")
+					}
+					return s.Peer.Describe(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*DescribeResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*DescribeResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *DescribeResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *DescribeResponse and nil error while calling Describe. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *peerServer) serveDescribeProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Describe")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(DescribeRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Peer.Describe
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *DescribeRequest) (*DescribeResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*DescribeRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*DescribeRequest) when calling interceptor")
+					}
+					return s.Peer.Describe(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*DescribeResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*DescribeResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *DescribeResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *DescribeResponse and nil error while calling Describe. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
 func (s *peerServer) ServiceDescriptor() ([]byte, int) {
 	return twirpFileDescriptor0, 0
 }
@@ -1092,18 +1933,60 @@
 }
 
 var twirpFileDescriptor0 = []byte{
-	// 203 bytes of a gzipped FileDescriptorProto
-	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xe2, 0xe2, 0x2a, 0x48, 0x4d, 0x2d,
-	0xd2, 0x2b, 0x28, 0xca, 0x2f, 0xc9, 0x17, 0x12, 0xc8, 0x48, 0x4d, 0x2c, 0xc9, 0x48, 0x2d, 0x4a,
-	0xcb, 0x2f, 0x4a, 0xd1, 0x03, 0x89, 0x2b, 0x85, 0x73, 0xf1, 0xbb, 0x56, 0x24, 0x67, 0x24, 0xe6,
-	0xa5, 0xa7, 0x06, 0xa5, 0x16, 0x96, 0xa6, 0x16, 0x97, 0x08, 0x09, 0x71, 0xb1, 0x64, 0xe4, 0x17,
-	0x97, 0x48, 0x30, 0x2a, 0x30, 0x6a, 0x70, 0x06, 0x81, 0xd9, 0x42, 0x12, 0x5c, 0xec, 0x65, 0xa9,
-	0x45, 0xc5, 0x99, 0xf9, 0x79, 0x12, 0x4c, 0x0a, 0x8c, 0x1a, 0x2c, 0x41, 0x30, 0xae, 0x90, 0x18,
-	0x17, 0x5b, 0x41, 0x69, 0x71, 0x46, 0x6a, 0x8a, 0x04, 0xb3, 0x02, 0xa3, 0x06, 0x4f, 0x10, 0x94,
-	0xa7, 0x14, 0xc6, 0x25, 0x80, 0x30, 0xb8, 0xb8, 0x20, 0x3f, 0xaf, 0x38, 0x95, 0x44, 0x93, 0x45,
-	0xb8, 0x58, 0xf3, 0x52, 0xcb, 0x53, 0x8b, 0xa0, 0x06, 0x43, 0x38, 0x46, 0x91, 0x5c, 0x2c, 0x01,
-	0xa9, 0xa9, 0x45, 0x42, 0x81, 0x5c, 0x1c, 0x30, 0xf3, 0x85, 0x14, 0xf5, 0xd0, 0xfd, 0xa5, 0x87,
-	0xe6, 0x29, 0x29, 0x25, 0x7c, 0x4a, 0x20, 0xce, 0x73, 0x92, 0x89, 0x92, 0x42, 0x52, 0xa4, 0x9f,
-	0x99, 0xaf, 0x0f, 0x52, 0x07, 0x26, 0x0a, 0x92, 0x92, 0xd8, 0xc0, 0x41, 0x68, 0x0c, 0x08, 0x00,
-	0x00, 0xff, 0xff, 0xb7, 0xeb, 0x4d, 0x64, 0x50, 0x01, 0x00, 0x00,
+	// 865 bytes of a gzipped FileDescriptorProto
+	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x8c, 0x55, 0xdd, 0x6e, 0xe3, 0x44,
+	0x14, 0xc6, 0x3f, 0x49, 0x9d, 0x93, 0xa4, 0x75, 0x47, 0xb0, 0x44, 0x61, 0x05, 0x59, 0x4b, 0x48,
+	0xa1, 0x0b, 0xa9, 0x54, 0x6e, 0x50, 0x2f, 0x90, 0x02, 0xc9, 0x6a, 0x2b, 0x10, 0xea, 0x4e, 0xba,
+	0x5c, 0x2c, 0x17, 0xd1, 0xc4, 0x9e, 0x4d, 0xac, 0xba, 0x9e, 0x30, 0x9e, 0xa6, 0x94, 0x47, 0xe0,
+	0x9a, 0xb7, 0x40, 0xe2, 0x19, 0x78, 0x22, 0x9e, 0x01, 0x9d, 0x99, 0x71, 0xe2, 0xa6, 0x49, 0xc5,
+	0x4d, 0x34, 0xe7, 0x9c, 0xcf, 0xe7, 0xe7, 0xfb, 0x66, 0x4e, 0x00, 0x96, 0x9c, 0xcb, 0xc1, 0x52,
+	0x0a, 0x25, 0x48, 0xb8, 0xe0, 0x4c, 0x2d, 0xb8, 0x7c, 0x2f, 0x64, 0x32, 0x40, 0x7f, 0x74, 0x03,
+	0x47, 0xe3, 0xdf, 0xe2, 0x05, 0xcb, 0xe7, 0x9c, 0xf2, 0x5f, 0x6f, 0x79, 0xa1, 0xc8, 0x21, 0xb8,
+	0x4a, 0x74, 0x9c, 0x9e, 0xd3, 0x6f, 0x50, 0x57, 0x09, 0xf2, 0x15, 0xd4, 0xae, 0x73, 0x71, 0x97,
+	0x77, 0xdc, 0x9e, 0xd3, 0x6f, 0x9e, 0x7d, 0x3c, 0xd8, 0x4e, 0x32, 0xf8, 0x01, 0xc3, 0xd4, 0xa0,
+	0xc8, 0x27, 0xd0, 0x60, 0x59, 0x36, 0x5d, 0x88, 0x42, 0x15, 0x1d, 0xaf, 0xe7, 0xf4, 0x03, 0x1a,
+	0xb0, 0x2c, 0x7b, 0x8d, 0x76, 0xf4, 0x0b, 0x84, 0x9b, 0x72, 0xc5, 0x52, 0xe4, 0x05, 0xdf, 0xe4,
+	0x77, 0xfe, 0x57, 0xfe, 0x0e, 0x1c, 0x14, 0x5c, 0xae, 0xd2, 0x7c, 0xae, 0x1b, 0x0a, 0x68, 0x69,
+	0x46, 0x7f, 0x3b, 0x50, 0xd3, 0x50, 0xf2, 0x25, 0xd4, 0x4c, 0x7d, 0xa7, 0xe7, 0xf5, 0x9b, 0x67,
+	0xcf, 0x1e, 0xa7, 0xc4, 0x76, 0xa8, 0x01, 0x61, 0xc6, 0x15, 0x97, 0x45, 0x2a, 0xcc, 0x88, 0x3e,
+	0x2d, 0x4d, 0x72, 0x0a, 0xf5, 0x84, 0x67, 0x8a, 0xe1, 0x20, 0xde, 0xee, 0xde, 0x46, 0x18, 0xa7,
+	0x16, 0x86, 0x85, 0x8b, 0x74, 0x9e, 0x17, 0x1d, 0x7f, 0x5f, 0xe1, 0x49, 0x3a, 0xcf, 0xa9, 0x01,
+	0x45, 0x7f, 0xba, 0xe0, 0x63, 0x23, 0x84, 0x80, 0x9f, 0xb3, 0x1b, 0x6e, 0x49, 0xd7, 0x67, 0xf2,
+	0x12, 0x8e, 0xd9, 0x8a, 0xa5, 0x19, 0x9b, 0xa5, 0x59, 0xaa, 0xee, 0xa7, 0xbf, 0x8b, 0x9c, 0xeb,
+	0xfe, 0x1a, 0x34, 0xac, 0x06, 0xde, 0x89, 0x9c, 0x93, 0x67, 0x50, 0x97, 0x7c, 0x8e, 0x13, 0x78,
+	0x1a, 0x61, 0x2d, 0xf2, 0x39, 0x1c, 0xc6, 0x2c, 0xcb, 0xb8, 0x9c, 0xb2, 0x24, 0x91, 0xbc, 0xc0,
+	0xc6, 0x9c, 0x7e, 0x8b, 0xb6, 0x8d, 0x77, 0x68, 0x9c, 0xe4, 0x05, 0xb4, 0xb0, 0xb9, 0x35, 0xa8,
+	0xa6, 0x41, 0x4d, 0xf4, 0x95, 0x90, 0x1e, 0x34, 0xd3, 0x3c, 0x66, 0x32, 0x67, 0x0a, 0xcb, 0xd4,
+	0x7b, 0x4e, 0xbf, 0x4e, 0xab, 0x2e, 0xd4, 0xb1, 0x50, 0x4c, 0xf1, 0xce, 0x41, 0xcf, 0xe9, 0x1f,
+	0xee, 0xe2, 0x6a, 0x82, 0x61, 0x6a, 0x50, 0xc8, 0x7a, 0xc6, 0x99, 0xd6, 0x31, 0x30, 0x3a, 0x5a,
+	0x33, 0xfa, 0xd7, 0x81, 0x9a, 0xa6, 0x15, 0x79, 0x99, 0xb1, 0xc2, 0xf0, 0xe2, 0x53, 0x7d, 0x7e,
+	0x42, 0xad, 0xe7, 0xd0, 0x10, 0x4b, 0x2e, 0x4d, 0x83, 0x86, 0x87, 0x8d, 0x83, 0x74, 0x21, 0x30,
+	0x86, 0x90, 0x9a, 0x84, 0x06, 0x5d, 0xdb, 0x38, 0x7f, 0x2c, 0xf2, 0xf7, 0xa9, 0xbc, 0xe1, 0xc9,
+	0x94, 0x29, 0x3d, 0xbf, 0x47, 0x9b, 0x6b, 0xdf, 0x50, 0x4b, 0x24, 0x85, 0x50, 0x76, 0x70, 0x7d,
+	0x46, 0xb5, 0x97, 0x4c, 0xaa, 0xa2, 0x73, 0xb0, 0x4f, 0xed, 0x4b, 0x26, 0x15, 0x35, 0x20, 0x6c,
+	0x5c, 0xf2, 0x1b, 0xb1, 0xe2, 0x49, 0x27, 0xe8, 0x79, 0xfd, 0x06, 0x2d, 0xcd, 0x68, 0x00, 0x3e,
+	0x02, 0x77, 0x5e, 0x03, 0x02, 0x7e, 0xc2, 0x14, 0xd3, 0xb3, 0xb6, 0xa8, 0x3e, 0x47, 0x7f, 0x38,
+	0xe0, 0xe3, 0x3d, 0xc2, 0xe0, 0x75, 0x9a, 0x27, 0xe5, 0x07, 0x78, 0x5e, 0x27, 0x71, 0x2b, 0x49,
+	0x2a, 0x5c, 0x7b, 0x0f, 0xb8, 0xc6, 0x8b, 0x53, 0x88, 0x5b, 0x19, 0x73, 0xcb, 0x89, 0xb5, 0x30,
+	0xcb, 0x1d, 0xcb, 0x32, 0xcb, 0x84, 0x3e, 0x93, 0x0f, 0xa1, 0x16, 0x8b, 0xdb, 0xdc, 0x70, 0xd0,
+	0xa6, 0xc6, 0x88, 0xfe, 0x72, 0xa0, 0xf5, 0x8a, 0xab, 0x78, 0x51, 0xee, 0x8f, 0x8a, 0x40, 0xce,
+	0x43, 0x81, 0xc6, 0x70, 0x90, 0xa4, 0x73, 0x8e, 0x0f, 0xd3, 0xd5, 0x8c, 0xbd, 0x7c, 0xcc, 0x58,
+	0x35, 0xd5, 0x60, 0x64, 0xd0, 0xe3, 0x5c, 0xc9, 0x7b, 0x5a, 0x7e, 0xdb, 0x3d, 0x87, 0x56, 0x35,
+	0x40, 0x42, 0xf0, 0xae, 0xf9, 0xbd, 0x25, 0x01, 0x8f, 0xd8, 0xe9, 0x8a, 0x65, 0xb7, 0x86, 0x84,
+	0x3a, 0x35, 0xc6, 0xb9, 0xfb, 0x8d, 0x13, 0x7d, 0x0b, 0x6d, 0x5b, 0x61, 0xb3, 0x7d, 0xf4, 0xdb,
+	0xdd, 0xbf, 0x7d, 0xcc, 0x0b, 0x37, 0xa8, 0xe8, 0x1c, 0x5a, 0x97, 0x52, 0xcc, 0xd6, 0xcb, 0xf2,
+	0x04, 0x7c, 0x5c, 0x22, 0xf6, 0xeb, 0x7d, 0x8b, 0x46, 0x63, 0xa2, 0x2f, 0xa0, 0x6d, 0xbf, 0xb5,
+	0xb5, 0xf5, 0x8d, 0x60, 0xf1, 0x82, 0x1b, 0x05, 0x03, 0x5a, 0x9a, 0xd1, 0x31, 0x1c, 0x8d, 0x78,
+	0x11, 0xcb, 0x74, 0x5d, 0x29, 0x3a, 0x81, 0x70, 0xe3, 0xb2, 0x09, 0xf4, 0xb3, 0x5f, 0x0a, 0x69,
+	0xea, 0xb7, 0xa8, 0xb5, 0x4e, 0x28, 0xd4, 0xf4, 0x5b, 0x23, 0x1f, 0xc1, 0xf1, 0xe4, 0x6a, 0x78,
+	0x35, 0x9e, 0xbe, 0xfd, 0x69, 0x72, 0x39, 0xfe, 0xfe, 0xe2, 0xd5, 0xc5, 0x78, 0x14, 0x7e, 0x40,
+	0x8e, 0xa0, 0x69, 0xdc, 0xc3, 0x1f, 0x2f, 0x7e, 0x1e, 0x87, 0x0e, 0x39, 0x86, 0xb6, 0x71, 0x4c,
+	0xde, 0x22, 0xee, 0x2a, 0x74, 0xc9, 0x21, 0x80, 0x71, 0x8d, 0xc6, 0xc3, 0x51, 0xe8, 0x9d, 0xfd,
+	0xe3, 0x82, 0x7f, 0xc9, 0xb9, 0x24, 0x6f, 0x20, 0x28, 0x77, 0x38, 0x79, 0xf1, 0x78, 0xe0, 0xad,
+	0xbf, 0x93, 0x6e, 0xf4, 0x14, 0xc4, 0xce, 0xf1, 0x1a, 0x6a, 0x5a, 0x15, 0xf2, 0xe9, 0xd3, 0x17,
+	0xa2, 0xfb, 0xd9, 0xde, 0xf8, 0x26, 0x93, 0xe6, 0x78, 0x57, 0xa6, 0xaa, 0x70, 0xbb, 0x32, 0x3d,
+	0x14, 0xe7, 0x0d, 0x04, 0x25, 0xdf, 0xbb, 0xc6, 0xdc, 0x92, 0x67, 0xd7, 0x98, 0xdb, 0x72, 0x7d,
+	0xf7, 0xfc, 0x5d, 0xb7, 0x02, 0x3a, 0x4d, 0xc5, 0x29, 0xe2, 0xf4, 0xcf, 0x72, 0x36, 0xab, 0xeb,
+	0xff, 0xe8, 0xaf, 0xff, 0x0b, 0x00, 0x00, 0xff, 0xff, 0x21, 0x29, 0xba, 0xa5, 0xb1, 0x07, 0x00,
+	0x00,
 }
--- a/io/peer/plugin.go
+++ b/io/peer/plugin.go
@@ -27,22 +27,31 @@
 }
 
 type plugin struct {
-	client *client
+	client    *client
+	exchanger *exchanger
 }
 
 func (p *plugin) attach(k *core.Kernel) error {
 	p.client = newClient(k)
 	k.Seams.Carry = p.client.carry
-	k.Seams.Push = p.client.push
 	k.Seams.Timeline = p.client.timeline
 	k.Seams.Keep = p.client.keep
+	p.exchanger = newExchanger(k)
+	k.Seams.Push = p.exchanger.push
+	k.Seams.Describe = p.exchanger.describeAll
+	k.Seams.Traffic = p.exchanger.meter.traffic
+	k.OnPause(p.exchanger.learnNow)
+	k.OnVersion(p.exchanger.spreadVersion)
+	k.OnSign(p.exchanger.spreadSigns)
+	k.OnStop(core.PhaseAnnounce, Name, p.exchanger.announce)
 	return nil
 }
 
 func (p *plugin) start(k *core.Kernel, t *tomb.Tomb) error {
 	m := http.NewServeMux()
 	m.Handle(peerpb.PeerPathPrefix, peerpb.NewPeerServer(&server{
-		kernel: k,
+		kernel:    k,
+		exchanger: p.exchanger,
 	}))
 	m.Handle(peerpb.TimelinePathPrefix, peerpb.NewTimelineServer(&timelineServer{
 		kernel: k,
@@ -58,7 +67,7 @@
 		return err
 	}
 	t.Go(func() error {
-		return p.client.exchangeLoop(t)
+		return p.exchanger.run(t)
 	})
 	return nil
 }
