--- a/cmd/heatherford/declare.go
+++ b/cmd/heatherford/declare.go
@@ -7,37 +7,67 @@
 	"flag"
 	"fmt"
 	"net/http"
+	"net/url"
 	"os"
 
+	"heatherford/core/code"
 	"heatherford/core/intent"
 	"heatherford/io/operator"
 )
 
+const (
+	declarationFile = "declaration.json"
+	planFile        = "plan.json"
+)
+
 func validate(e *environment, args []string) error {
-	f := flag.NewFlagSet("validate", flag.ContinueOnError)
-	f.SetOutput(e.stderr)
-	path := f.String("file", "declaration.json", "the declaration's `file`")
-	if err := f.Parse(args); err != nil {
+	f := newFlagSet(e, "validate")
+	path := f.String("file", declarationFile, "the declaration's `file`")
+	asJSON := f.Bool("json", false, "print JSON")
+	if err := parse(f, args); err != nil {
 		return err
 	}
 	b, err := os.ReadFile(*path)
 	if err != nil {
 		return err
 	}
-	if _, problems := intent.Parse(b); len(problems) > 0 {
-		return errors.Join(problems...)
+	_, problems := intent.Parse(b)
+	if *asJSON {
+		if err := printJSON(e.stdout, newValidation(problems)); err != nil {
+			return err
+		}
+	}
+	if len(problems) > 0 {
+		return code.Wrap(code.DeclarationInvalid, errors.Join(problems...), "heatherford: the declaration is not valid")
+	}
+	if !*asJSON {
+		fmt.Fprintln(e.stdout, "the declaration is valid")
 	}
-	fmt.Fprintln(e.stdout, "the declaration is valid")
 	return nil
 }
 
+// validation is what validate prints as JSON.
+type validation struct {
+	Valid    bool     `json:"valid"`
+	Problems []string `json:"problems"`
+}
+
+func newValidation(problems []error) validation {
+	v := validation{
+		Valid:    len(problems) == 0,
+		Problems: []string{},
+	}
+	for _, p := range problems {
+		v.Problems = append(v.Problems, p.Error())
+	}
+	return v
+}
+
 func plan(e *environment, args []string) error {
-	f := flag.NewFlagSet("plan", flag.ContinueOnError)
-	f.SetOutput(e.stderr)
-	host := f.String("host", "http://127.0.0.1:7002", "`URL` of a host's operators' interface")
-	path := f.String("file", "declaration.json", "the declaration's `file`")
-	out := f.String("out", "plan.json", "`file` to write the plan to")
-	if err := f.Parse(args); err != nil {
+	f, t := newFlags(e, "plan")
+	path := f.String("file", declarationFile, "the declaration's `file`")
+	o := newOutcome(f)
+	if err := parse(f, args); err != nil {
 		return err
 	}
 	b, err := os.ReadFile(*path)
@@ -45,60 +75,84 @@
 		return err
 	}
 	p := operator.Plan{}
-	if err := call(http.MethodPost, *host+"/v1/plan", b, &p); err != nil {
+	if err := t.call(http.MethodPost, "/v1/plan", b, &p); err != nil {
 		return err
 	}
-	printPlan(e.stdout, p)
-	b, err = json.Marshal(p)
-	if err != nil {
-		return err
+	return o.finish(e, t, p)
+}
+
+// outcome is what becomes of a plan.
+type outcome struct {
+	file      *string
+	yes       *bool
+	operation *string
+}
+
+func newOutcome(f *flag.FlagSet) *outcome {
+	return &outcome{
+		file:      f.String("out", planFile, "`file` to write the plan to"),
+		yes:       f.Bool("yes", false, "confirm the plan at once"),
+		operation: f.String("operation", rand.Text(), "stable `identifier` of the confirmation"),
 	}
-	const mode = 0o600
-	return os.WriteFile(*out, b, mode)
 }
 
-func confirm(e *environment, args []string) error {
-	f := flag.NewFlagSet("confirm", flag.ContinueOnError)
-	f.SetOutput(e.stderr)
-	host := f.String("host", "http://127.0.0.1:7002", "`URL` of a host's operators' interface")
-	path := f.String("plan", "plan.json", "the plan's `file`")
-	operation := f.String("operation", rand.Text(), "stable `identifier` of this confirmation")
-	if err := f.Parse(args); err != nil {
+// finish shows p, writes it to its file and confirms it if that was asked for.
+func (o *outcome) finish(e *environment, t *target, p operator.Plan) error {
+	b, err := json.Marshal(p)
+	if err != nil {
 		return err
 	}
-	b, err := os.ReadFile(*path)
-	if err != nil {
+	const mode = 0o600
+	if err := os.WriteFile(*o.file, b, mode); err != nil {
 		return err
 	}
-	q := operator.Confirm{
-		Operation: *operation,
+	if *t.asJSON {
+		err = printJSON(e.stdout, p)
+	} else {
+		printPlan(e.stdout, p)
 	}
-	if err := json.Unmarshal(b, &q.Plan); err != nil {
+	if err != nil || !*o.yes {
 		return err
 	}
-	b, err = json.Marshal(q)
+	return t.confirm(e, p, *o.operation)
+}
+
+func confirm(e *environment, args []string) error {
+	f, t := newFlags(e, "confirm")
+	path := f.String("plan", planFile, "the plan's `file`")
+	operation := f.String("operation", rand.Text(), "stable `identifier` of this confirmation; give it again to ask how it ended")
+	if err := parse(f, args); err != nil {
+		return err
+	}
+	b, err := os.ReadFile(*path)
 	if err != nil {
 		return err
 	}
-	a := operator.Confirmed{}
-	if err := call(http.MethodPost, *host+"/v1/confirm", b, &a); err != nil {
+	p := operator.Plan{}
+	if err := json.Unmarshal(b, &p); err != nil {
 		return err
 	}
-	fmt.Fprintf(e.stdout, "version %d is confirmed\n", a.Version)
-	return nil
+	return t.confirm(e, p, *operation)
 }
 
-func status(e *environment, args []string) error {
-	f := flag.NewFlagSet("status", flag.ContinueOnError)
-	f.SetOutput(e.stderr)
-	host := f.String("host", "http://127.0.0.1:7002", "`URL` of a host's operators' interface")
-	if err := f.Parse(args); err != nil {
-		return err
+// confirm puts p in force. If the host's answer is lost, it says how to ask
+// again.
+func (t *target) confirm(e *environment, p operator.Plan, operation string) error {
+	a := operator.Confirmed{}
+	err := t.send("/v1/confirm", operator.Confirm{
+		Plan:      p,
+		Operation: operation,
+	}, &a)
+	lost := (*url.Error)(nil)
+	if errors.As(err, &lost) {
+		return code.Wrap(code.ConfirmUnknown, err, "heatherford: the host gave no answer; confirm again at any host with -operation %s", operation)
 	}
-	a := operator.Status{}
-	if err := call(http.MethodGet, *host+"/v1/status", nil, &a); err != nil {
+	if err != nil {
 		return err
 	}
-	fmt.Fprintf(e.stdout, "%s: version %d in force, %d hosts\n", a.Host, a.Version, a.Hosts)
+	if *t.asJSON {
+		return printJSON(e.stdout, a)
+	}
+	fmt.Fprintf(e.stdout, "version %d is confirmed\n", a.Version)
 	return nil
 }
--- a/cmd/heatherford/timeline.go
+++ b/cmd/heatherford/timeline.go
@@ -2,8 +2,6 @@
 
 import (
 	"encoding/json"
-	"errors"
-	"flag"
 	"fmt"
 	"io"
 	"net/http"
@@ -15,19 +13,16 @@
 )
 
 func timelineCommand(e *environment, args []string) error {
-	f := flag.NewFlagSet("timeline", flag.ContinueOnError)
-	f.SetOutput(e.stderr)
-	host := f.String("host", "http://127.0.0.1:7002", "`URL` of a host's operators' interface")
+	f, t := newFlags(e, "timeline")
 	request := f.String("request", "", "the `identifier` of one request")
 	since := f.String("since", "", "the earliest `time`, such as 2026-12-04T18:00:00Z, or how long ago, such as 5m")
 	kind := f.String("kind", "", "`kinds` of events, such as grant,config,drain")
 	limit := f.Int("limit", 0, "the most `events` of one host")
-	asJSON := f.Bool("json", false, "print JSON")
-	if err := f.Parse(args); err != nil {
+	if err := parse(f, args); err != nil {
 		return err
 	}
 	if *request == "" && *since == "" {
-		return errors.New("heatherford: timeline needs -request or -since")
+		return wrongUsage("timeline needs -request or -since")
 	}
 	q := url.Values{}
 	set(q, "request", *request)
@@ -36,17 +31,17 @@
 		set(q, "limit", fmt.Sprint(*limit))
 	}
 	if *since != "" {
-		t, err := sinceTime(*since, time.Now())
+		at, err := sinceTime(*since, time.Now())
 		if err != nil {
 			return err
 		}
-		set(q, "since", t.UTC().Format(time.RFC3339Nano))
+		set(q, "since", at.UTC().Format(time.RFC3339Nano))
 	}
 	a := operator.Timeline{}
-	if err := call(http.MethodGet, *host+"/v1/timeline?"+q.Encode(), nil, &a); err != nil {
+	if err := t.call(http.MethodGet, "/v1/timeline?"+q.Encode(), nil, &a); err != nil {
 		return err
 	}
-	if *asJSON {
+	if *t.asJSON {
 		return json.NewEncoder(e.stdout).Encode(a)
 	}
 	printTimeline(e.stdout, a)
