io/health, io/internal/cert, standin/platform: probers, TLS and faults

Cause: an endpoint that said itself that it was leaving went on getting work until an operator declared it; peers and operators spoke in the clear; the platform's stand-in could not lose one answer, hold a commit back or show an old list.

Change: the owner of an endpoint asks /load and /health once a second and passes on a sign; two answers of /health in a row or one of /load are enough. Peers and operators speak TLS if the settings say so, with files that are read again when they change; a peer's certificate carries its host's name. Bodies and times to read them are bounded. The stand-in has the faults, and counts reads and bytes.

--- a/cmd/heatherford-demo/world.go
+++ b/cmd/heatherford-demo/world.go
@@ -20,6 +20,7 @@
 	"heatherford/core/strict"
 	_ "heatherford/io/caller"
 	_ "heatherford/io/collector"
+	_ "heatherford/io/health"
 	_ "heatherford/io/operator"
 	_ "heatherford/io/peer"
 	_ "heatherford/io/platform"
--- a/cmd/heatherfordd/main.go
+++ b/cmd/heatherfordd/main.go
@@ -16,6 +16,7 @@
 	"heatherford/core/settings"
 	_ "heatherford/io/caller"
 	_ "heatherford/io/collector"
+	_ "heatherford/io/health"
 	_ "heatherford/io/operator"
 	_ "heatherford/io/peer"
 	_ "heatherford/io/platform"
--- a/io/operator/plugin.go
+++ b/io/operator/plugin.go
@@ -4,6 +4,7 @@
 	"gopkg.in/tomb.v2"
 
 	"heatherford/core"
+	"heatherford/io/internal/cert"
 	"heatherford/io/internal/serve"
 )
 
@@ -13,15 +14,25 @@
 func init() {
 	core.Register(Name, func() core.Plugin {
 		return core.Plugin{
-			Name: Name,
-			Start: func(k *core.Kernel, t *tomb.Tomb) error {
-				return serve.Run(k, t, serve.Options{
-					Name:        Name,
-					Address:     k.Settings.OperatorAddress,
-					Handler:     New(k).Handler(),
-					ReadTimeout: readTimeout,
-				})
-			},
+			Name:  Name,
+			Start: start,
 		}
 	})
 }
+
+func start(k *core.Kernel, t *tomb.Tomb) error {
+	o := serve.Options{
+		Name:        Name,
+		Address:     k.Settings.OperatorAddress,
+		Handler:     New(k).Handler(),
+		ReadTimeout: readTimeout,
+	}
+	if c := k.Settings.Operators.TLS; c.Enabled() {
+		s, err := cert.New(c)
+		if err != nil {
+			return err
+		}
+		o.TLS = s.Server()
+	}
+	return serve.Run(k, t, o)
+}
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -25,12 +25,13 @@
 	transport *stamp.Transport
 }
 
-func newClient(k *core.Kernel) *client {
+func newClient(k *core.Kernel, d *dialer) *client {
 	return &client{
 		kernel: k,
 		transport: &stamp.Transport{
 			Clock: k.Clock,
 			Base: &http.Transport{
+				DialContext:         d.dial,
 				DisableCompression:  true,
 				MaxIdleConnsPerHost: 64,
 			},
--- a/io/peer/exchange.go
+++ b/io/peer/exchange.go
@@ -57,7 +57,7 @@
 	versions *versions
 }
 
-func newExchanger(k *core.Kernel) *exchanger {
+func newExchanger(k *core.Kernel, d *dialer) *exchanger {
 	m := &meter{
 		since: k.Now(),
 	}
@@ -69,7 +69,7 @@
 			Base: &http.Transport{
 				DisableCompression:  true,
 				MaxIdleConnsPerHost: idleConns,
-				DialContext:         m.dial,
+				DialContext:         d.metered(m).dial,
 			},
 		},
 		budget:   rate.NewLimiter(budgetBytes, budgetBurst),
--- a/io/peer/plugin.go
+++ b/io/peer/plugin.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"gopkg.in/tomb.v2"
 
@@ -12,6 +13,12 @@
 	"heatherford/io/peer/peerpb"
 )
 
+// maxBodyBytes bounds a call for control, and readTimeout its reading.
+const (
+	maxBodyBytes = 64 << 20
+	readTimeout  = 30 * time.Second
+)
+
 // Name is the plug-in's name.
 const Name = "io/peer"
 
@@ -29,14 +36,20 @@
 type plugin struct {
 	client    *client
 	exchanger *exchanger
+	dialer    *dialer
 }
 
 func (p *plugin) attach(k *core.Kernel) error {
-	p.client = newClient(k)
+	d, err := newDialer(k)
+	if err != nil {
+		return err
+	}
+	p.dialer = d
+	p.client = newClient(k, d)
 	k.Seams.Carry = p.client.carry
 	k.Seams.Timeline = p.client.timeline
 	k.Seams.Keep = p.client.keep
-	p.exchanger = newExchanger(k)
+	p.exchanger = newExchanger(k, d)
 	k.Seams.Push = p.exchanger.push
 	k.Seams.Describe = p.exchanger.describeAll
 	k.Seams.Traffic = p.exchanger.meter.traffic
@@ -49,21 +62,26 @@
 
 func (p *plugin) start(k *core.Kernel, t *tomb.Tomb) error {
 	m := http.NewServeMux()
-	m.Handle(peerpb.PeerPathPrefix, peerpb.NewPeerServer(&server{
+	m.Handle(peerpb.PeerPathPrefix, http.MaxBytesHandler(peerpb.NewPeerServer(&server{
 		kernel:    k,
 		exchanger: p.exchanger,
-	}))
+	}), maxBodyBytes))
 	m.Handle(peerpb.TimelinePathPrefix, peerpb.NewTimelineServer(&timelineServer{
 		kernel: k,
 	}))
 	m.HandleFunc(carry.WorkPrefix, func(w http.ResponseWriter, r *http.Request) {
 		carry.Serve(k, w, r, true)
 	})
-	if err := serve.Run(k, t, serve.Options{
-		Name:    Name,
-		Address: k.Settings.PeerAddress,
-		Handler: stamp.Handler(k.Clock, m),
-	}); err != nil {
+	o := serve.Options{
+		Name:        Name,
+		Address:     k.Settings.PeerAddress,
+		ReadTimeout: readTimeout,
+		Handler:     stamp.Handler(k.Clock, identified(m)),
+	}
+	if p.dialer.certs != nil {
+		o.TLS = p.dialer.certs.Server()
+	}
+	if err := serve.Run(k, t, o); err != nil {
 		return err
 	}
 	t.Go(func() error {
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -16,7 +16,7 @@
 }
 
 // Exchange implements peerpb.Peer.
-func (s *server) Exchange(_ context.Context, r *peerpb.ExchangeRequest) (*peerpb.ExchangeResponse, error) {
+func (s *server) Exchange(ctx context.Context, r *peerpb.ExchangeRequest) (*peerpb.ExchangeResponse, error) {
 	if r.GetTo() != "" && r.GetTo() != s.kernel.Settings.Host {
 		// The sender learns from the answer who has the address now.
 		return s.answer("", false, nil)
@@ -25,6 +25,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := checkName(ctx, g.Self.Host.Name); err != nil {
+		return nil, err
+	}
 	s.kernel.OfferGossip(g)
 	s.exchanger.take(r.GetKnown(), g.Self.Host)
 	return s.answer(g.Self.Host.Name, r.GetAllHosts(), r.GetKnown())
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -15,24 +15,19 @@
 	"heatherford/core/store"
 )
 
-// Faults are the faults that a platform shows.
-type Faults struct {
-	// Down makes every call fail without effect.
-	Down bool `json:"down"`
-	// LoseAnswers makes every commit take effect and its answer get lost.
-	LoseAnswers bool `json:"lose_answers"`
-	// DelayMS delays every call.
-	DelayMS int `json:"delay_ms"`
-}
-
 // Platform is a stand-in platform. It is safe for concurrent use.
 type Platform struct {
 	table *Table
 
-	mu      sync.Mutex
-	faults  Faults
-	hosts   []store.Host
+	mu     sync.Mutex
+	faults Faults
+	hosts  []store.Host
+	// coming are later lists of hosts, in order.
+	coming  []comingHosts
 	objects map[string][]byte
+	counts  Counts
+	// held are commits that arrive once HoldCommits ends.
+	held []store.Transaction
 }
 
 // New returns a platform that lists the hosts.
@@ -44,25 +39,12 @@
 	}
 }
 
-// SetFaults replaces the faults.
-func (p *Platform) SetFaults(f Faults) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.faults = f
-}
-
-// SetHosts replaces the list of hosts.
-func (p *Platform) SetHosts(hosts []store.Host) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.hosts = hosts
-}
-
 // Handler returns the platform's HTTP interface.
 func (p *Platform) Handler() http.Handler {
 	m := goji.NewMux()
 	m.HandleFunc(pat.Put("/faults"), p.serveFaults)
 	m.HandleFunc(pat.Put("/hosts"), p.serveSetHosts)
+	m.HandleFunc(pat.Get("/counts"), p.serveCounts)
 	v := goji.SubMux()
 	v.Use(p.withFaults)
 	v.HandleFunc(pat.Post("/commit"), p.serveCommit)
@@ -72,7 +54,7 @@
 	v.HandleFunc(pat.Put("/objects/*"), p.servePut)
 	v.HandleFunc(pat.Get("/objects/*"), p.serveGet)
 	m.Handle(pat.New("/v1/*"), v)
-	return m
+	return p.observed(m)
 }
 
 func (p *Platform) current() Faults {
@@ -81,58 +63,33 @@
 	return p.faults
 }
 
-func (p *Platform) withFaults(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		f := p.current()
-		if f.DelayMS > 0 {
-			select {
-			case <-time.After(time.Duration(f.DelayMS) * time.Millisecond):
-			case <-r.Context().Done():
-				return
-			}
-		}
-		if f.Down {
-			http.Error(w, "the platform is down", http.StatusServiceUnavailable)
-			return
-		}
-		next.ServeHTTP(w, r)
-	})
-}
-
-func (p *Platform) serveCommit(w http.ResponseWriter, r *http.Request) {
-	t := store.Transaction{}
-	if !decode(w, r, &t) {
-		return
-	}
-	a, ok := p.table.Commit(t)
-	if p.current().LoseAnswers {
-		panic(http.ErrAbortHandler)
-	}
-	if !ok {
-		http.Error(w, "a condition does not hold", http.StatusConflict)
-		return
-	}
-	encode(w, a)
-}
-
 func (p *Platform) serveRead(w http.ResponseWriter, r *http.Request) {
 	q := store.Query{}
 	if !decode(w, r, &q) {
 		return
 	}
+	rows := p.table.Read(q)
+	p.countRead(rows)
 	encode(w, map[string]any{
-		"rows": p.table.Read(q),
+		"rows": rows,
 	})
 }
 
 func (p *Platform) serveHosts(w http.ResponseWriter, _ *http.Request) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
+	p.settleHosts(time.Now())
+	p.counts.ListReads++
+	hosts := p.hosts
+	p.mu.Unlock()
 	encode(w, map[string]any{
-		"hosts": p.hosts,
+		"hosts": hosts,
 	})
 }
 
+func (p *Platform) serveCounts(w http.ResponseWriter, _ *http.Request) {
+	encode(w, p.Counts())
+}
+
 func (p *Platform) serveList(w http.ResponseWriter, r *http.Request) {
 	prefix := r.URL.Query().Get("prefix")
 	p.mu.Lock()
