--- a/core/controldrain.go
+++ b/core/controldrain.go
@@ -108,7 +108,7 @@
 			}
 			l := drain.Leaving{
 				Subject:  endpointSubject(e.Name),
-				Source:   "declaration",
+				Source:   drain.SourceDeclaration,
 				InFlight: c.kernel.flights.at(e.Name),
 			}
 			if !e.Leaving {
--- a/core/drain/progress.go
+++ b/core/drain/progress.go
@@ -5,10 +5,13 @@
 	"time"
 )
 
+// SourceDeclaration is the source of drains that the declaration holds.
+const SourceDeclaration = "declaration"
+
 // Progress says how far a drain has come at one host.
 type Progress struct {
 	Subject
-	// Source says why the subject is leaving, such as "declaration".
+	// Source says why the subject is leaving, such as SourceDeclaration.
 	Source string `json:"source"`
 	// Since is when this host learnt that the subject is leaving.
 	Since time.Time `json:"since"`
--- a/core/flight.go
+++ b/core/flight.go
@@ -10,8 +10,12 @@
 	"heatherford/core/work"
 )
 
-// peakWindow is how long a peak of the load is remembered, at least.
-const peakWindow = time.Minute
+const (
+	// loadWindow is the time over which the load is averaged.
+	loadWindow = 5 * time.Second
+	// loadWindows is the number of windows that are remembered: a minute.
+	loadWindows = 12
+)
 
 // flights counts the requests that this host has in flight at endpoints. It is
 // safe for concurrent use.
@@ -21,12 +25,15 @@
 }
 
 type flightCount struct {
+	// now is the number of requests in flight.
 	now int
-	// peak is the most since the window began, last the most in the window
-	// before.
-	peak  int
-	last  int
+	// area is the sum of now over the time since begun, in request seconds.
+	area float64
+	// seen is the time up to which area counts.
+	seen  time.Time
 	begun time.Time
+	// means are the averages of earlier windows, the newest last.
+	means []float64
 }
 
 func newFlights() *flights {
@@ -41,26 +48,47 @@
 	c := f.counts[endpoint]
 	if c == nil {
 		c = &flightCount{
+			seen:  now,
 			begun: now,
 		}
 		f.counts[endpoint] = c
 	}
-	c.roll(now)
+	c.advance(now)
 	c.now += n
-	c.peak = max(c.peak, c.now)
 }
 
-// roll begins a new window if the present one is over.
-func (c *flightCount) roll(now time.Time) {
-	if now.Sub(c.begun) < peakWindow {
-		return
+// advance counts the time until now, in as many windows as it takes. Windows
+// beyond those that are remembered are left out.
+func (c *flightCount) advance(now time.Time) {
+	if now.Sub(c.begun) > (loadWindows+1)*loadWindow {
+		c.means = nil
+		c.area = 0
+		c.begun = now.Add(-loadWindows * loadWindow)
+		c.seen = c.begun
+	}
+	for end := c.begun.Add(loadWindow); !now.Before(end); end = c.begun.Add(loadWindow) {
+		c.area += float64(c.now) * end.Sub(c.seen).Seconds()
+		c.means = append(c.means, c.area/loadWindow.Seconds())
+		if len(c.means) > loadWindows {
+			c.means = c.means[1:]
+		}
+		c.area = 0
+		c.begun = end
+		c.seen = end
 	}
-	c.last = c.peak
-	if now.Sub(c.begun) >= 2*peakWindow {
-		c.last = c.now
+	c.area += float64(c.now) * now.Sub(c.seen).Seconds()
+	c.seen = now
+}
+
+// load returns the highest average of late. The window that goes on counts as if
+// it had begun a second ago, at least.
+func (c *flightCount) load(now time.Time) float64 {
+	c.advance(now)
+	m := c.area / max(time.Second, now.Sub(c.begun)).Seconds()
+	for _, x := range c.means {
+		m = max(m, x)
 	}
-	c.peak = c.now
-	c.begun = now
+	return m
 }
 
 // at returns the requests in flight at the endpoint.
@@ -84,14 +112,13 @@
 	return n
 }
 
-// peaks returns the most requests in flight at each endpoint of late.
-func (f *flights) peaks(now time.Time) map[string]int {
+// loads returns the load of late at each endpoint that has had any.
+func (f *flights) loads(now time.Time) map[string]float64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	m := map[string]int{}
+	m := map[string]float64{}
 	for e, c := range f.counts {
-		c.roll(now)
-		if n := max(c.peak, c.last); n > 0 {
+		if n := c.load(now); n > 0 {
 			m[e] = n
 		}
 	}
--- a/core/intent/assess.go
+++ b/core/intent/assess.go
@@ -8,8 +8,10 @@
 
 // Load is the present load.
 type Load struct {
-	// Peaks are the most requests in flight at each endpoint of late.
-	Peaks map[string]int
+	// Endpoints are the requests in flight at each endpoint, on average.
+	Endpoints map[string]float64
+	// Leaving are endpoints that take no work, whatever the declaration says.
+	Leaving map[string]bool
 	// Missing are the hosts whose part of the load is not known.
 	Missing []string
 }
@@ -20,7 +22,7 @@
 	// Cap is the region's cap, Slots the slots of its endpoints that take work.
 	Cap   int `json:"cap"`
 	Slots int `json:"slots"`
-	// Load is the most requests in flight of late, After what it would become.
+	// Load is the requests in flight of late, After what it would become.
 	Load  int `json:"load"`
 	After int `json:"after"`
 }
@@ -90,13 +92,17 @@
 	for _, u := range d.Upstreams {
 		t.load[u.Name] = map[string]int{}
 		t.slots[u.Name] = map[string]int{}
+		sums := map[string]float64{}
 		for _, e := range u.Endpoints {
 			r := d.RegionOf(e.Zone)
-			t.load[u.Name][r] += load.Peaks[e.Name]
-			if !e.Leaving {
+			sums[r] += load.Endpoints[e.Name]
+			if !e.Leaving && !load.Leaving[e.Name] {
 				t.slots[u.Name][r] += e.Slots
 			}
 		}
+		for r, n := range sums {
+			t.load[u.Name][r] = int(math.Ceil(n))
+		}
 	}
 	return t
 }
--- a/core/kernel.go
+++ b/core/kernel.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -32,6 +33,8 @@
 	Now func() time.Time
 	// Plugins are the plug-ins to run; nil stands for all registered ones.
 	Plugins []Plugin
+	// Dial connects to other daemons; nil stands for net.Dialer.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Seams are the functions that plug-ins provide to the kernel. Each is set by
@@ -83,6 +86,8 @@
 	Results *outcome.Recorder
 	// Rolls sums what the evening page needs.
 	Rolls *rollup.Keeper
+	// Dial connects to other daemons.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Fresh decides whether this daemon may serve by the version it has.
 	Fresh *config.Freshness
 
@@ -108,12 +113,17 @@
 		Log:      o.Log,
 		Metrics:  o.Metrics,
 		Now:      o.Now,
+		Dial:     o.Dial,
 		plugins:  o.Plugins,
 		events:   make(chan func(c *control)),
 	}
 	if k.Now == nil {
 		k.Now = time.Now
 	}
+	if k.Dial == nil {
+		d := net.Dialer{}
+		k.Dial = d.DialContext
+	}
 	if k.plugins == nil {
 		k.plugins = Plugins()
 	}
--- a/core/report.go
+++ b/core/report.go
@@ -23,8 +23,9 @@
 	Stopping bool `json:"stopping"`
 	// InFlight is the number of requests at endpoints.
 	InFlight int `json:"in_flight"`
-	// Peaks are the most requests in flight at each endpoint of late.
-	Peaks map[string]int `json:"peaks,omitempty"`
+	// Loads are the highest averages over 5 s, in the last minute, of the
+	// requests in flight at each endpoint.
+	Loads map[string]float64 `json:"loads,omitempty"`
 	// Drains are all drains as the host sees them.
 	Drains []drain.Progress `json:"drains,omitempty"`
 	// Control is what the host spent on connections to others for control.
@@ -59,7 +60,7 @@
 		Serving:  k.Serving() == nil,
 		Stopping: k.Stopping(),
 		InFlight: k.flights.total(),
-		Peaks:    k.flights.peaks(k.Now()),
+		Loads:    k.flights.loads(k.Now()),
 		Drains:   k.Drains(),
 	}
 	if k.Seams.Traffic != nil {
--- a/io/operator/confirm.go
+++ b/io/operator/confirm.go
@@ -13,7 +13,7 @@
 )
 
 // confirmTimeout bounds a confirmation, the settling of a lost answer included.
-const confirmTimeout = 8 * time.Second
+const confirmTimeout = 4 * time.Second
 
 // maxOperationBytes bounds the identifier of a confirmation.
 const maxOperationBytes = 128
--- a/io/operator/plan.go
+++ b/io/operator/plan.go
@@ -14,6 +14,7 @@
 
 	"heatherford/core/code"
 	"heatherford/core/config"
+	"heatherford/core/drain"
 	"heatherford/core/intent"
 	"heatherford/core/member"
 	"heatherford/io/internal/refuse"
@@ -160,10 +161,17 @@
 // load returns the load of late as all hosts report it.
 func (s *Server) load(ctx context.Context) intent.Load {
 	l := intent.Load{
-		Peaks: map[string]int{},
+		Endpoints: map[string]float64{},
+		Leaving:   map[string]bool{},
 	}
-	for e, n := range s.kernel.Report().Peaks {
-		l.Peaks[e] += n
+	mine := s.kernel.Report()
+	for e, n := range mine.Loads {
+		l.Endpoints[e] += n
+	}
+	for _, d := range mine.Drains {
+		if d.Kind == drain.Endpoint && d.Source != drain.SourceDeclaration {
+			l.Leaving[d.Name] = true
+		}
 	}
 	for _, h := range s.kernel.Describe(ctx) {
 		if h.State == member.Dead {
@@ -173,8 +181,8 @@
 			l.Missing = append(l.Missing, h.Host.Name)
 			continue
 		}
-		for e, n := range h.Report.Peaks {
-			l.Peaks[e] += n
+		for e, n := range h.Report.Loads {
+			l.Endpoints[e] += n
 		}
 	}
 	return l
--- a/io/peer/dial.go
+++ b/io/peer/dial.go
@@ -52,8 +52,7 @@
 func (d *dialer) dial(ctx context.Context, network, address string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	n := net.Dialer{}
-	c, err := n.DialContext(ctx, network, address)
+	c, err := d.kernel.Dial(ctx, network, address)
 	if err != nil {
 		return nil, err
 	}
--- a/io/platform/client.go
+++ b/io/platform/client.go
@@ -18,6 +18,9 @@
 // maxAnswerBytes bounds what is read of one answer.
 const maxAnswerBytes = 64 << 20
 
+// readPath is the path of reads, which are posted for the length of queries.
+const readPath = "/v1/read"
+
 // callTimeout bounds one call whose context has no earlier deadline.
 const callTimeout = 5 * time.Second
 
@@ -54,7 +57,7 @@
 	a := struct {
 		Rows []store.Row `json:"rows"`
 	}{}
-	err := c.call(ctx, http.MethodPost, "/v1/read", q, &a)
+	err := c.call(ctx, http.MethodPost, readPath, q, &a)
 	return a.Rows, err
 }
 
@@ -109,24 +112,29 @@
 	}
 	a, err := c.http.Do(r)
 	if err != nil {
-		return nil, callError(method, err)
+		return nil, callError(changes(method, path), err)
 	}
 	defer a.Body.Close()
 	b, err := io.ReadAll(io.LimitReader(a.Body, maxAnswerBytes))
 	if err != nil {
-		return nil, callError(method, err)
+		return nil, callError(changes(method, path), err)
 	}
-	return b, statusError(method, a.StatusCode, b)
+	return b, statusError(changes(method, path), a.StatusCode, b)
+}
+
+// changes reports whether a call may change what the platform holds.
+func changes(method, path string) bool {
+	return method != http.MethodGet && path != readPath
 }
 
-func callError(method string, err error) error {
-	if method == http.MethodGet || errors.Is(err, syscall.ECONNREFUSED) {
+func callError(changes bool, err error) error {
+	if !changes || errors.Is(err, syscall.ECONNREFUSED) {
 		return code.Wrap(code.PlatformDown, err, "platform: the platform does not answer")
 	}
 	return code.Wrap(code.PlatformUnknown, err, "platform: the platform's answer was lost")
 }
 
-func statusError(method string, status int, body []byte) error {
+func statusError(changes bool, status int, body []byte) error {
 	switch {
 	case status == http.StatusOK:
 		return nil
@@ -134,9 +142,9 @@
 		return code.New(code.PlatformConflict, "platform: a condition does not hold")
 	case status == http.StatusNotFound:
 		return code.New(code.ObjectMissing, "platform: no such object")
-	case status == http.StatusServiceUnavailable || method == http.MethodGet:
-		return code.New(code.PlatformDown, "platform: the platform answers %d: %s", status, body)
+	case status == http.StatusServiceUnavailable || !changes:
+		return code.New(code.PlatformDown, "platform: the platform answers %d: %s", status, bytes.TrimSpace(body))
 	default:
-		return code.New(code.PlatformUnknown, "platform: the platform answers %d: %s", status, body)
+		return code.New(code.PlatformUnknown, "platform: the platform answers %d: %s", status, bytes.TrimSpace(body))
 	}
 }
