--- a/core/controltable.go
+++ b/core/controltable.go
@@ -14,21 +14,24 @@
 // several times a second, and the table does not depend on that.
 type tableInputs struct {
 	version *intent.Version
-	hosts   []store.Host
-	owners  map[string]string
+	// signed counts the changes of the signs that endpoints are leaving.
+	signed uint64
+	hosts  []store.Host
+	owners map[string]string
 	// loads is the number of loads that were ever learned.
 	loads uint64
 }
 
 func (t tableInputs) equal(o tableInputs) bool {
-	return t.version == o.version && t.loads == o.loads && slices.Equal(t.hosts, o.hosts) && maps.Equal(t.owners, o.owners)
+	return t.version == o.version && t.signed == o.signed && t.loads == o.loads && slices.Equal(t.hosts, o.hosts) && maps.Equal(t.owners, o.owners)
 }
 
 // lookupTable returns the table of look-ups, the same one while its inputs stay.
 func (c *control) lookupTable(owners map[string]string) *lookup.Table {
 	t := tableInputs{
 		version: c.version,
-		hosts:   c.hosts,
+		signed:  c.signed,
+		hosts:   c.nameable(),
 		owners:  owners,
 		loads:   c.kernel.loads.learnedSoFar(),
 	}
@@ -37,9 +40,9 @@
 	}
 	c.tableInputs = t
 	c.table = lookup.New(lookup.Options{
-		Declaration: c.version.Declaration,
+		Declaration: c.declaration(),
 		Blocks:      c.blocks,
-		Hosts:       c.hosts,
+		Hosts:       t.hosts,
 		Owners:      owners,
 		Loads:       c.kernel.loads.table(),
 		Everyone:    c.kernel.Settings.Policy == settings.PolicyIndependent,
--- a/core/kernel.go
+++ b/core/kernel.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -10,7 +11,9 @@
 	"github.com/uber-go/tally/v4"
 	"gopkg.in/tomb.v2"
 
+	"heatherford/core/config"
 	"heatherford/core/dispatch"
+	"heatherford/core/drain"
 	"heatherford/core/intent"
 	"heatherford/core/outcome"
 	"heatherford/core/rollup"
@@ -30,6 +33,8 @@
 	Now func() time.Time
 	// Plugins are the plug-ins to run; nil stands for all registered ones.
 	Plugins []Plugin
+	// Dial connects to other daemons; nil stands for net.Dialer.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Seams are the functions that plug-ins provide to the kernel. Each is set by
@@ -52,6 +57,11 @@
 	Keep func(ctx context.Context, s []rollup.Object) error
 	// Grants calls other hosts about the grants of endpoints.
 	Grants GrantCalls
+	// Describe asks all other hosts for their reports. Nil stands for no
+	// other hosts.
+	Describe func(ctx context.Context) []Described
+	// Traffic returns what this host spent on control. Nil stands for nothing.
+	Traffic func() Traffic
 	// Once runs work that may not be repeated; nil stands for a direct call.
 	Once func(ctx context.Context, r *work.Request, run dispatch.Run) (*work.Answer, error)
 }
@@ -81,6 +91,10 @@
 	Results *outcome.Recorder
 	// Rolls sums what the evening page needs.
 	Rolls *rollup.Keeper
+	// Dial connects to other daemons.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Fresh decides whether this daemon may serve by the version it has.
+	Fresh *config.Freshness
 
 	plugins []Plugin
 	tomb    tomb.Tomb
@@ -90,6 +104,13 @@
 	loads *loads
 	// stopping is the state of a planned stop.
 	stopping stopping
+	flights  *flights
+	// drains is the progress of all drains as of the last tick.
+	drains atomic.Pointer[[]drain.Progress]
+	// onVersion, onSign and onPause are fixed once the kernel has started.
+	onVersion []func(b *config.Bundle)
+	onSign    []func()
+	onPause   []func()
 }
 
 // New returns a kernel with its plug-ins attached. It does not start them.
@@ -99,6 +120,7 @@
 		Log:      o.Log,
 		Metrics:  o.Metrics,
 		Now:      o.Now,
+		Dial:     o.Dial,
 		plugins:  o.Plugins,
 		events:   make(chan func(c *control)),
 		loads:    newLoads(),
@@ -106,10 +128,18 @@
 	if k.Now == nil {
 		k.Now = time.Now
 	}
+	if k.Dial == nil {
+		d := net.Dialer{}
+		k.Dial = d.DialContext
+	}
 	if k.plugins == nil {
 		k.plugins = Plugins()
 	}
-	k.current.Store(&snapshot.Snapshot{})
+	k.current.Store(&snapshot.Snapshot{
+		Config: config.Empty(),
+	})
+	k.Fresh = config.NewFreshness(time.Now())
+	k.flights = newFlights()
 	k.Clock = timeline.NewClock(k.Now)
 	k.stopping.begun = make(chan struct{})
 	k.OnStop(PhaseExpire, "core", k.expireLookups)
@@ -130,7 +160,7 @@
 	k.Dispatcher = dispatch.New(dispatch.Options{
 		Self:     o.Settings.Host,
 		Snapshot: k.Snapshot,
-		Send:     k.Seams.Send,
+		Send:     k.counted(k.Seams.Send),
 		Carry:    k.Seams.Carry,
 		Once:     k.Seams.Once,
 		Record:   k.Record,
@@ -159,6 +189,7 @@
 // Start starts the control goroutine and all plug-ins. It is called once.
 func (k *Kernel) Start() error {
 	k.tomb.Go(k.control)
+	k.tomb.Go(k.pulse)
 	for _, p := range k.plugins {
 		if p.Start == nil {
 			continue
@@ -181,21 +212,6 @@
 	return k.current.Load()
 }
 
-// OfferVersion hands a version to the control goroutine, which takes it if it
-// is newer than the one in force.
-func (k *Kernel) OfferVersion(v *intent.Version) {
-	k.post(func(c *control) {
-		c.offerVersion(v)
-	})
-}
-
-// OfferHosts hands the platform's list of hosts to the control goroutine.
-func (k *Kernel) OfferHosts(hosts []store.Host) {
-	k.post(func(c *control) {
-		c.offerHosts(hosts)
-	})
-}
-
 // OfferLoads hands loads that hosts told of themselves to the control
 // goroutine, which takes those that are newer than what it knows.
 func (k *Kernel) OfferLoads(s []HostLoad) {
@@ -211,3 +227,24 @@
 	case <-k.tomb.Dying():
 	}
 }
+
+// ask runs f on the control goroutine and returns its result, or the zero value
+// if the daemon ends first.
+func ask[T any](k *Kernel, f func(c *control) T) T {
+	answer := make(chan T, 1)
+	k.post(func(c *control) {
+		answer <- f(c)
+	})
+	select {
+	case a := <-answer:
+		return a
+	case <-k.tomb.Dying():
+		var zero T
+		return zero
+	}
+}
+
+// settle waits until the events posted before it have taken effect.
+func (k *Kernel) settle() {
+	k.post(func(*control) {})
+}
