--- a/core/code/code.go
+++ b/core/code/code.go
@@ -55,6 +55,7 @@
 	RequestCancelled Code = 3017
 	NotRunTombstone  Code = 3018
 	LookupInvalid    Code = 3019
+	ClaimFailed      Code = 3020
 )
 
 // Requests whose outcome is unknown.
@@ -66,6 +67,11 @@
 	OutcomeUnrecorded  Code = 4005
 	OutcomeDiscarded   Code = 4006
 	RepeatableNoAnswer Code = 4007
+	// CopyRefused refuses a copy of work that may not be repeated where it is
+	// not known whether another copy was run.
+	CopyRefused Code = 4008
+	// HomeGone is what a host answers to a ticket of its predecessor.
+	HomeGone Code = 4009
 )
 
 // Requests that an upstream answered.
