--- /dev/null
+++ b/core/once/issue.go
@@ -0,0 +1,138 @@
+package once
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"heatherford/core/code"
+	"heatherford/core/intent"
+	"heatherford/core/store"
+	"heatherford/core/ticket"
+)
+
+const (
+	// homeFresh is how long another host's answer is used without asking again.
+	homeFresh = time.Second
+	// homeUsable is how long it is used at all.
+	homeUsable = 5 * time.Second
+	askTimeout = 300 * time.Millisecond
+)
+
+// Home is what tickets say of their home.
+type Home struct {
+	Incarnation string
+	// Mode is the mode for tickets that are issued now.
+	Mode ticket.Mode
+}
+
+// Issued is a ticket as a look-up gives it.
+type Issued struct {
+	Token     string
+	ExpiresAt time.Time
+	// Home is the host to send the request to.
+	Home store.Host
+}
+
+type knownHome struct {
+	home Home
+	at   time.Time
+}
+
+// homes holds what other hosts said of themselves. It is safe for concurrent
+// use.
+type homes struct {
+	mu    sync.Mutex
+	known map[string]knownHome
+}
+
+func (h *homes) get(name string) (knownHome, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	k, ok := h.known[name]
+	return k, ok
+}
+
+func (h *homes) set(name string, k knownHome) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.known[name] = k
+}
+
+// Self returns what tickets say of this process.
+func (o *Once) Self() Home {
+	return Home{
+		Incarnation: o.incarnation,
+		Mode:        o.health.mode(),
+	}
+}
+
+// Issue returns a ticket for work of the kind with the home. If that does not
+// say who it is, this host becomes the home in its place.
+func (o *Once) Issue(ctx context.Context, kind intent.Kind, home store.Host) (Issued, error) {
+	ring := o.keyring.Load()
+	if ring == nil {
+		return Issued{}, code.New(code.HostBehind, "once: this host knows no secrets yet")
+	}
+	h, ok := o.ask(ctx, home)
+	if !ok {
+		s, found := o.options.Snapshot().Hosts[o.options.Self]
+		if !found {
+			return Issued{}, code.New(code.NoEndpoint, "once: the home %q does not answer", home.Name)
+		}
+		home = s
+		h = o.Self()
+	}
+	now := o.options.Now()
+	t := ticket.Ticket{
+		ID:          ticket.NewID(),
+		Home:        home.Name,
+		Incarnation: h.Incarnation,
+		Kind:        kind.Name,
+		Mode:        h.Mode,
+		ExpiresAt:   now.Add(ticket.Lifetime).UTC().Truncate(time.Millisecond),
+	}
+	s, ok := ring.Seal(t, now)
+	if !ok {
+		return Issued{}, code.New(code.HostBehind, "once: this host knows no secrets yet")
+	}
+	return Issued{
+		Token:     s,
+		ExpiresAt: t.ExpiresAt,
+		Home:      home,
+	}, nil
+}
+
+// ask returns what the host says of itself, from memory if that is fresh.
+func (o *Once) ask(ctx context.Context, h store.Host) (Home, bool) {
+	if h.Name == o.options.Self {
+		return o.Self(), true
+	}
+	k, ok := o.homes.get(h.Name)
+	age := o.options.Now().Sub(k.at)
+	if ok && age < homeFresh {
+		return k.home, true
+	}
+	c := o.asks.DoChan(h.Name, func() (any, error) {
+		x, cancel := context.WithTimeout(context.Background(), askTimeout)
+		defer cancel()
+		a, err := o.options.Ask(x, h)
+		if err == nil {
+			o.homes.set(h.Name, knownHome{
+				home: a,
+				at:   o.options.Now(),
+			})
+		}
+		return a, err
+	})
+	if ok && age < homeUsable {
+		return k.home, true
+	}
+	select {
+	case r := <-c:
+		a, is := r.Val.(Home)
+		return a, is && r.Err == nil
+	case <-ctx.Done():
+		return Home{}, false
+	}
+}
--- a/core/ticket/row.go
+++ b/core/ticket/row.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -90,6 +91,14 @@
 	}
 }
 
+// Describe returns the outcome in short.
+func (o Outcome) Describe() string {
+	if o.Reason == "" {
+		return fmt.Sprintf("%d", o.Code)
+	}
+	return fmt.Sprintf("%d: %s", o.Code, o.Reason)
+}
+
 // Settle returns what a host that is not the home says of work with the row,
 // and of a request with the digest. Without a recorded outcome the home may
 // still be running the work.
--- a/core/ticket/run.go
+++ b/core/ticket/run.go
@@ -205,6 +205,16 @@
 	return r.end(Failed(code.ClaimFailed, "ticket: the claim could not be written in time"))
 }
 
+// Refuse ends a ticket's work before it is claimed or dispatched. A caller's own
+// key is deferred.
+func (r Run) Refuse(o Outcome) (Run, Action) {
+	if r.Own {
+		r.State = Waiting
+		return r, Defer
+	}
+	return r.end(o)
+}
+
 // Dispatched takes the outcome of the dispatch.
 func (r Run) Dispatched(o Outcome) (Run, Action) {
 	if r.State != Running {
--- a/core/work/work.go
+++ b/core/work/work.go
@@ -21,6 +21,7 @@
 	HeaderHost           = "Heatherford-Host"
 	HeaderEndpoint       = "Heatherford-Endpoint"
 	HeaderHop            = "Heatherford-Hop"
+	HeaderDispatched     = "Heatherford-Dispatched"
 	HeaderIdempotencyKey = "Idempotency-Key"
 )
 
@@ -48,6 +49,9 @@
 	// Hop is true of a request that another host passed on. It is never
 	// passed on again.
 	Hop bool
+	// Dispatched is true of work that may not be repeated once its home has
+	// dispatched it. It is run without asking again whether it may.
+	Dispatched bool
 }
 
 // Answer is an upstream's answer. Its receiver closes the body.
