--- a/core/kernel.go
+++ b/core/kernel.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -12,6 +13,7 @@
 	"heatherford/core/dispatch"
 	"heatherford/core/intent"
 	"heatherford/core/outcome"
+	"heatherford/core/rollup"
 	"heatherford/core/settings"
 	"heatherford/core/snapshot"
 	"heatherford/core/store"
@@ -40,12 +42,22 @@
 	Carry func(ctx context.Context, h store.Host, r *work.Request) (*work.Answer, error)
 	// Push tells the other hosts of a version. It does not wait for them.
 	Push func(v *intent.Version)
+	// Timeline asks all hosts, this one among them, and returns an answer for
+	// each, ordered by host.
+	Timeline func(ctx context.Context, q timeline.Query) []timeline.Answer
+	// Keep hands roll-ups that could not be written to another host.
+	Keep func(ctx context.Context, s []rollup.Object) error
 	// Once runs work that may not be repeated; nil stands for a direct call.
 	Once func(ctx context.Context, r *work.Request, run dispatch.Run) (*work.Answer, error)
 }
 
-// ringSize is the number of events that a daemon keeps.
-const ringSize = 1 << 14
+const (
+	// defaultRingSize is the number of events that a daemon keeps, which take
+	// up to 8 MB.
+	defaultRingSize = 1 << 15
+	// incarnationBase is the base in which an incarnation's number is written.
+	incarnationBase = 36
+)
 
 // Kernel is one daemon.
 type Kernel struct {
@@ -62,11 +74,15 @@
 	Ring *timeline.Ring
 	// Results counts how requests ended.
 	Results *outcome.Recorder
+	// Rolls sums what the evening page needs.
+	Rolls *rollup.Keeper
 
 	plugins []Plugin
 	tomb    tomb.Tomb
 	events  chan func(c *control)
 	current atomic.Pointer[snapshot.Snapshot]
+	// stopping is the state of a planned stop.
+	stopping stopping
 }
 
 // New returns a kernel with its plug-ins attached. It does not start them.
@@ -87,11 +103,20 @@
 	}
 	k.current.Store(&snapshot.Snapshot{})
 	k.Clock = timeline.NewClock(k.Now)
-	k.Ring = timeline.NewRing(ringSize)
-	k.Results = outcome.New()
+	k.stopping.begun = make(chan struct{})
+	k.OnStop(PhaseExpire, "core", k.expireLookups)
+	k.Ring = timeline.NewRing(ringSize(o.Settings.Limits.TimelineEvents))
+	k.Rolls = rollup.New(rollup.Options{
+		Host:        o.Settings.Host,
+		Region:      o.Settings.Region,
+		Incarnation: strconv.FormatInt(k.Now().UnixMilli(), incarnationBase),
+		Now:         k.Now,
+	})
+	k.Results = outcome.New(k.Rolls.Result)
 	if err := k.attach(k.plugins); err != nil {
 		return nil, err
 	}
+	k.Seams.Store = store.Watch(k.Seams.Store, k.platformChanged)
 	k.Dispatcher = dispatch.New(dispatch.Options{
 		Self:     o.Settings.Host,
 		Snapshot: k.Snapshot,
@@ -105,6 +130,19 @@
 	return k, nil
 }
 
+// ringSize returns the ring's size for the setting, of which 0 stands for the
+// default and -1 for none.
+func ringSize(setting int) int {
+	switch setting {
+	case 0:
+		return defaultRingSize
+	case -1:
+		return 0
+	default:
+		return setting
+	}
+}
+
 // Start starts the control goroutine and all plug-ins. It is called once.
 func (k *Kernel) Start() error {
 	k.tomb.Go(k.control)
@@ -120,13 +158,6 @@
 	return nil
 }
 
-// Stop ends the daemon and waits for all its goroutines. It may be called more
-// than once.
-func (k *Kernel) Stop() error {
-	k.tomb.Kill(nil)
-	return k.tomb.Wait()
-}
-
 // Dead is closed after the daemon has ended.
 func (k *Kernel) Dead() <-chan struct{} {
 	return k.tomb.Dead()
@@ -137,14 +168,6 @@
 	return k.current.Load()
 }
 
-// Record adds an event to the time line under a new stamp. It is safe for
-// concurrent use.
-func (k *Kernel) Record(e timeline.Event) {
-	e.At = k.Clock.Now()
-	e.Host = k.Settings.Host
-	k.Ring.Add(e)
-}
-
 // OfferVersion hands a version to the control goroutine, which takes it if it
 // is newer than the one in force.
 func (k *Kernel) OfferVersion(v *intent.Version) {
--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -24,10 +24,23 @@
 	// CollectorAddress is where the daemon serves its metrics.
 	CollectorAddress netip.AddrPort `json:"collector_address"`
 	Platform         Platform       `json:"platform"`
+	Operators        Operators      `json:"operators,omitempty"`
+	Peers            Peers          `json:"peers,omitempty"`
 	Log              Log            `json:"log,omitempty"`
 	Limits           Limits         `json:"limits,omitempty"`
+	// Policy says how endpoints are chosen; the default is PolicyOwners.
+	Policy string `json:"policy,omitempty"`
 }
 
+// Policies.
+const (
+	// PolicyOwners sends to each endpoint from the one host that owns it.
+	PolicyOwners = "owners"
+	// PolicyIndependent makes every host choose for itself, by the load that
+	// endpoints report. It is the baseline of measurements.
+	PolicyIndependent = "independent"
+)
+
 // Platform says how to reach the platform's service.
 type Platform struct {
 	// Adapter is the name of a registered adapter.
@@ -51,6 +64,9 @@
 	LookupTTL strict.Duration `json:"lookup_ttl,omitempty"`
 	// StopDeadline is the longest that a planned stop takes.
 	StopDeadline strict.Duration `json:"stop_deadline,omitempty"`
+	// TimelineEvents is how many events the daemon keeps for the time line: 0
+	// stands for the kernel's default, -1 for none.
+	TimelineEvents int `json:"timeline_events,omitempty"`
 }
 
 const (
@@ -74,17 +90,26 @@
 	if problems := strict.Decode(data, s); len(problems) > 0 {
 		return nil, problems
 	}
-	s.setDefaults()
-	if problems := s.validate(); len(problems) > 0 {
+	if problems := s.Complete(); len(problems) > 0 {
 		return nil, problems
 	}
 	return s, nil
 }
 
+// Complete fills in defaults and returns every breach of a rule. Settings that
+// are not parsed from a file are completed before use.
+func (s *Settings) Complete() []error {
+	s.setDefaults()
+	return s.validate()
+}
+
 func (s *Settings) setDefaults() {
 	if s.Log.Level == "" {
 		s.Log.Level = "info"
 	}
+	if s.Policy == "" {
+		s.Policy = PolicyOwners
+	}
 	if s.Log.Format == "" {
 		s.Log.Format = "logfmt"
 	}
@@ -98,42 +123,3 @@
 		s.Limits.StopDeadline = strict.Duration(defaultStopDeadline)
 	}
 }
-
-func (s *Settings) validate() []error {
-	p := []error{}
-	bad := func(path, format string, args ...any) {
-		p = append(p, code.At(code.SettingsValue, path, format, args...))
-	}
-	if s.Host == "" {
-		bad("host", "expected a name, found an empty string")
-	}
-	if s.Zone == "" {
-		bad("availability_zone", "expected a name, found an empty string")
-	}
-	if s.Region == "" {
-		bad("region", "expected a name, found an empty string")
-	}
-	if s.Platform.Adapter == "" {
-		bad("platform.adapter", "expected the name of an adapter, found an empty string")
-	}
-	switch s.Log.Level {
-	case "debug", "info", "warn", "error":
-	default:
-		bad("log.level", "expected debug, info, warn or error, found %q", s.Log.Level)
-	}
-	switch s.Log.Format {
-	case "logfmt", "json":
-	default:
-		bad("log.format", "expected logfmt or json, found %q", s.Log.Format)
-	}
-	if s.Limits.RequestBytes < 1 {
-		bad("limits.request_bytes", "expected at least 1, found %d", s.Limits.RequestBytes)
-	}
-	if s.Limits.LookupTTL.Std() < time.Millisecond {
-		bad("limits.lookup_ttl", "expected at least 1ms, found %v", s.Limits.LookupTTL.Std())
-	}
-	if s.Limits.StopDeadline.Std() < time.Second {
-		bad("limits.stop_deadline", "expected at least 1s, found %v", s.Limits.StopDeadline.Std())
-	}
-	return p
-}
--- a/io/internal/carry/carry.go
+++ b/io/internal/carry/carry.go
@@ -47,6 +47,7 @@
 		Ticket: r.Header.Get(work.HeaderTicket),
 		Hop:    hop,
 	}
+	q.Header.Add("Via", "1.1 "+k.Settings.Host)
 	v := k.Snapshot().Version
 	if v == nil {
 		return q, code.New(code.HostBehind, "carry: this host knows no declaration yet")
@@ -58,6 +59,9 @@
 	}
 	q.Kind = kind
 	q.Rank = v.Declaration.RankIndex(kind.Rank)
+	if q.Rank >= 0 {
+		q.Target = v.Declaration.Ranks[q.Rank].Target
+	}
 	q.Path = "/" + path
 	if r.URL.RawQuery != "" {
 		q.Path += "?" + r.URL.RawQuery
