core/once, io/peer: run work that may not be repeated at most once

Look-ups of such work give a ticket that names a host with an endpoint as its home. The home claims it in the table, all that wait in one transaction, and runs it once; other hosts pass copies to it, and if it gives no answer settle them by the row or a tombstone. A claim whose answer is lost is read back under the same operation. While the platform is down or slow tickets are memory-only.

The hosts share the secrets of tickets by a row of the table: no file has to be spread to hosts that come and go daily, and it is changed in one place; a host that starts while the platform is down asks another one.

Passing a ticket to its home does not count as the hop from the home to an owner. Work that left its host goes on without its caller, who may come back for the answer; before that it is cancelled and never runs. Callers and hosts that stop sending or taking bytes for 5 s are cut off.

--- a/core/code/table.go
+++ b/core/code/table.go
@@ -72,6 +72,7 @@
 		entry(RequestCancelled, "RequestCancelled", "The caller went away before the request was started.", "Nothing."),
 		entry(NotRunTombstone, "NotRunTombstone", "The request was not run and its ticket cannot be used any more.", "Look up again and use a new ticket."),
 		entry(LookupInvalid, "LookupInvalid", "The look-up is not valid.", "Mend what the message names."),
+		entry(ClaimFailed, "ClaimFailed", "The claim of work that may not be repeated could not be written in time, and never will be used.", "Look up again for a new ticket."),
 	}
 }
 
@@ -84,6 +85,8 @@
 		entry(OutcomeUnrecorded, "OutcomeUnrecorded", "The request ran but its answer was not kept.", "As 4001."),
 		entry(OutcomeDiscarded, "OutcomeDiscarded", "The caller went away before the answer's end.", "Nothing."),
 		entry(RepeatableNoAnswer, "RepeatableNoAnswer", "No answer came for work that may be repeated.", "Try again."),
+		entry(CopyRefused, "CopyRefused", "This copy of work that may not be repeated was refused where nothing is known of other copies.", "Send the copy again, with the same ticket or key."),
+		entry(HomeGone, "HomeGone", "Between hosts: the receiver is not the process that the ticket names as its home.", "Nothing; the host that passed the request on settles it."),
 	}
 }
 
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -59,7 +59,7 @@
 // The context ends when the caller goes away.
 func (d *Dispatcher) Do(ctx context.Context, r *work.Request) (*work.Answer, error) {
 	started := d.options.Now()
-	if !started.Before(r.Deadline) {
+	if !started.Before(r.Deadline) && (r.Kind.Repeatable || r.Dispatched) {
 		err := code.New(code.DeadlinePassed, "dispatch: the deadline passed before the request was started")
 		d.record(r, started, err)
 		return nil, err
@@ -86,7 +86,7 @@
 	if r.Kind.Repeatable {
 		return d.retry(ctx, r)
 	}
-	if d.options.Once == nil {
+	if d.options.Once == nil || r.Dispatched {
 		return d.route(ctx, r)
 	}
 	return d.options.Once(ctx, r, d.route)
--- a/core/kernel.go
+++ b/core/kernel.go
@@ -12,6 +12,7 @@
 
 	"heatherford/core/dispatch"
 	"heatherford/core/intent"
+	"heatherford/core/once"
 	"heatherford/core/outcome"
 	"heatherford/core/rollup"
 	"heatherford/core/settings"
@@ -49,6 +50,9 @@
 	Keep func(ctx context.Context, s []rollup.Object) error
 	// Once runs work that may not be repeated; nil stands for a direct call.
 	Once func(ctx context.Context, r *work.Request, run dispatch.Run) (*work.Answer, error)
+	// Issue returns a ticket for work that may not be repeated, whose home is
+	// the host if that can be.
+	Issue func(ctx context.Context, kind intent.Kind, home store.Host) (once.Issued, error)
 }
 
 const (
--- a/core/once/entry.go
+++ b/core/once/entry.go
@@ -197,7 +197,7 @@
 	o := e.once
 	now := o.now()
 	expires := e.ticket.RowExpiresAt()
-	if e.run.Own {
+	if e.ticket.ID == "" {
 		expires = now.Add(ticket.OwnKeep)
 	}
 	e.mu.Lock()
--- a/core/once/once.go
+++ b/core/once/once.go
@@ -114,7 +114,10 @@
 // Do runs r by calling run at most once for all copies of r that any host gets.
 // An error's code is final for the ticket or key if it says that r was not run.
 func (o *Once) Do(ctx context.Context, r *work.Request, run dispatch.Run) (*work.Answer, error) {
+	keyed := r.Ticket != "" || r.Key != ""
 	switch {
+	case keyed && !o.now().Before(r.Deadline):
+		return nil, CopyRefused(code.New(code.DeadlinePassed, "once: the deadline passed before the copy came"))
 	case r.Ticket != "":
 		return o.doTicket(ctx, r, r.Ticket, run)
 	case ticket.IsTicket(r.Key):
--- a/core/once/settle.go
+++ b/core/once/settle.go
@@ -25,7 +25,7 @@
 // pass passes a copy to its home, and settles it by the table if the home gives
 // no answer.
 func (o *Once) pass(ctx context.Context, t ticket.Ticket, c *copyOf) (*work.Answer, error) {
-	a, err, gone := o.tryHome(ctx, t.Home, c)
+	a, gone, err := o.tryHome(ctx, t.Home, c)
 	if !gone {
 		return a, err
 	}
@@ -37,10 +37,10 @@
 
 // tryHome passes a copy to the host. It reports gone if that gave no answer of
 // its own.
-func (o *Once) tryHome(ctx context.Context, home string, c *copyOf) (a *work.Answer, err error, gone bool) {
+func (o *Once) tryHome(ctx context.Context, home string, c *copyOf) (a *work.Answer, gone bool, err error) {
 	h, ok := o.options.Snapshot().Hosts[home]
 	if !ok {
-		return nil, nil, true
+		return nil, true, nil
 	}
 	left := c.request.Deadline.Sub(o.options.Now())
 	x, cancel := context.WithDeadline(ctx, c.request.Deadline.Add(-min(maxSettle, left/settleShare)))
@@ -48,13 +48,13 @@
 	if err != nil {
 		cancel()
 		n := code.Of(err)
-		return nil, err, n == code.PeerUnreachable || n == code.HomeGone
+		return nil, n == code.PeerUnreachable || n == code.HomeGone, err
 	}
 	a.Body = &cancelling{
 		ReadCloser: a.Body,
 		cancel:     cancel,
 	}
-	return a, nil, false
+	return a, false, nil
 }
 
 // settle says what became of a ticket whose home is gone or cut off: by its
@@ -132,7 +132,7 @@
 		return answer(ticket.Settle(row, c.digest))
 	}
 	if row.Home != o.options.Self {
-		if a, err, gone := o.tryHome(ctx, row.Home, c); !gone {
+		if a, gone, err := o.tryHome(ctx, row.Home, c); !gone {
 			return a, err
 		}
 	}
--- a/core/work/work.go
+++ b/core/work/work.go
@@ -1,6 +1,7 @@
 package work
 
 import (
+	"crypto/rand"
 	"io"
 	"net/http"
 	"net/netip"
@@ -56,6 +57,11 @@
 	Dispatched bool
 }
 
+// NewID returns a new distinct identifier.
+func NewID() string {
+	return rand.Text()
+}
+
 // Answer is an upstream's answer. Its receiver closes the body.
 type Answer struct {
 	Status int
--- a/io/caller/lookup.go
+++ b/io/caller/lookup.go
@@ -9,6 +9,7 @@
 
 	"heatherford/core/code"
 	"heatherford/core/lookup"
+	"heatherford/core/once"
 	"heatherford/io/internal/refuse"
 )
 
@@ -21,6 +22,10 @@
 	Hosts []LookupHost `json:"hosts"`
 	// ExpiresAt is when the caller has to look up again.
 	ExpiresAt time.Time `json:"expires_at"`
+	// Ticket is good for one request of work that may not be repeated and all
+	// its copies. It is empty for other work.
+	Ticket          string     `json:"ticket,omitempty"`
+	TicketExpiresAt *time.Time `json:"ticket_expires_at,omitempty"`
 }
 
 // LookupHost is a host to send to.
@@ -49,17 +54,27 @@
 	case !d.Found:
 		refuse.Write(w, "", code.New(code.NoEndpoint, "caller: no host owns an endpoint of %q", d.Kind.Upstream))
 	default:
-		s.writeLookup(w, v.Version.Number, d)
+		d, t, err := s.issue(r.Context(), d)
+		if err != nil {
+			refuse.Write(w, "", err)
+			return
+		}
+		s.writeLookup(w, v.Version.Number, d, t)
 	}
 }
 
-func (s *Server) writeLookup(w http.ResponseWriter, version uint64, d lookup.Decision) {
+func (s *Server) writeLookup(w http.ResponseWriter, version uint64, d lookup.Decision, t once.Issued) {
 	ttl := s.kernel.Settings.Limits.LookupTTL.Std()
 	e := s.kernel.Now().Add(ttl)
 	h := w.Header()
 	h.Set("Content-Type", "application/json")
 	h.Set("Cache-Control", fmt.Sprintf("private, max-age=%d", int(ttl.Seconds())))
 	h.Set("Expires", e.UTC().Format(http.TimeFormat))
+	if t.Token != "" {
+		// A ticket is good for one request.
+		h.Set("Cache-Control", "no-store")
+		h.Del("Expires")
+	}
 	json.NewEncoder(w).Encode(Lookup{
 		Kind:    d.Kind.Name,
 		Rank:    d.Kind.Rank,
@@ -72,9 +87,20 @@
 			},
 		},
 		ExpiresAt: e.UTC(),
+
+		Ticket:          t.Token,
+		TicketExpiresAt: expiry(t),
 	})
 }
 
+// expiry returns when t expires, or nil without a ticket.
+func expiry(t once.Issued) *time.Time {
+	if t.Token == "" {
+		return nil
+	}
+	return &t.ExpiresAt
+}
+
 // callerAddress returns the address that the caller states, else that of its
 // connection.
 func callerAddress(r *http.Request, stated string) (netip.Addr, error) {
--- a/io/internal/carry/carry.go
+++ b/io/internal/carry/carry.go
@@ -1,7 +1,6 @@
 package carry
 
 import (
-	"crypto/rand"
 	"io"
 	"net/http"
 	"net/netip"
@@ -13,6 +12,7 @@
 
 	"heatherford/core"
 	"heatherford/core/code"
+	"heatherford/core/once"
 	"heatherford/core/work"
 	"heatherford/io/internal/refuse"
 )
@@ -23,9 +23,12 @@
 // Serve carries one request for work. With hop, the request was passed on by
 // another host, whose headers are trusted.
 func Serve(k *core.Kernel, w http.ResponseWriter, r *http.Request, hop bool) {
+	if hop {
+		w.Header().Set(work.HeaderHop, r.Header.Get(work.HeaderHop))
+	}
 	q, err := read(k, w, r, hop)
 	if err != nil {
-		refuse.Write(w, q.ID, err)
+		refuse.Write(w, q.ID, readError(q, err))
 		return
 	}
 	a, err := k.Dispatcher.Do(r.Context(), q)
@@ -38,6 +41,15 @@
 	write(k, w, q, a)
 }
 
+// readError returns the error for a request that cannot be read. Of work that
+// may not be repeated, other copies may have been run.
+func readError(q *work.Request, err error) error {
+	if q.Kind.Repeatable || (q.Ticket == "" && q.Key == "") || code.Of(err).Outcome() != code.NotRun {
+		return err
+	}
+	return once.CopyRefused(err)
+}
+
 func read(k *core.Kernel, w http.ResponseWriter, r *http.Request, hop bool) (*work.Request, error) {
 	q := &work.Request{
 		ID:     requestID(r),
@@ -46,6 +58,8 @@
 		Key:    r.Header.Get(work.HeaderIdempotencyKey),
 		Ticket: r.Header.Get(work.HeaderTicket),
 		Hop:    hop,
+
+		Dispatched: hop && r.Header.Get(work.HeaderDispatched) != "",
 	}
 	q.Header.Add("Via", "1.1 "+k.Settings.Host)
 	v := k.Snapshot().Version
@@ -69,9 +83,9 @@
 	if err := readHeaders(k, q, r); err != nil {
 		return q, err
 	}
-	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, k.Settings.Limits.RequestBytes))
+	b, err := readBody(w, r, k.Settings.Limits.RequestBytes)
 	if err != nil {
-		return q, code.Wrap(code.BodyTooLarge, err, "carry: the body")
+		return q, err
 	}
 	q.Body = b
 	return q, nil
@@ -107,7 +121,7 @@
 	if s := r.Header.Get(work.HeaderRequestID); s != "" {
 		return s
 	}
-	return rand.Text()
+	return work.NewID()
 }
 
 // hopByHop are the headers that concern one connection only.
@@ -123,6 +137,10 @@
 	"Upgrade",
 }
 
+// ownPrefix starts the names of heatherford's own headers, of which nobody else
+// may set any.
+const ownPrefix = "Heatherford-"
+
 // forwarded returns the headers that go to the upstream.
 func forwarded(h http.Header) http.Header {
 	c := h.Clone()
@@ -130,7 +148,7 @@
 		c.Del(n)
 	}
 	for n := range c {
-		if strings.HasPrefix(n, "Heatherford-") {
+		if strings.HasPrefix(n, ownPrefix) {
 			c.Del(n)
 		}
 	}
@@ -140,7 +158,9 @@
 func write(k *core.Kernel, w http.ResponseWriter, q *work.Request, a *work.Answer) {
 	h := w.Header()
 	for n, v := range a.Header {
-		h[n] = v
+		if !strings.HasPrefix(n, ownPrefix) {
+			h[n] = v
+		}
 	}
 	for _, n := range hopByHop {
 		h.Del(n)
@@ -154,7 +174,11 @@
 		h.Set("Content-Length", strconv.FormatInt(a.Length, 10))
 	}
 	w.WriteHeader(a.Status)
-	if _, err := io.Copy(w, a.Body); err != nil {
+	p := &pacedWriter{
+		Writer:     w,
+		controller: http.NewResponseController(w),
+	}
+	if _, err := io.Copy(p, a.Body); err != nil {
 		level.Warn(k.Log).Log("msg", "caller: answer cut off", "request", q.ID, "err", err)
 		// Without this the server would end the body as if it were whole.
 		panic(http.ErrAbortHandler)
--- /dev/null
+++ b/io/internal/carry/progress.go
@@ -0,0 +1,56 @@
+package carry
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"heatherford/core/code"
+)
+
+// silence is the longest time without progress on a caller's or peer's
+// connection.
+const silence = 5 * time.Second
+
+// readBody reads a body of at most limit bytes that keeps coming.
+func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+	c := http.NewResponseController(w)
+	b, err := io.ReadAll(&pacedReader{
+		Reader:     http.MaxBytesReader(w, r.Body, limit),
+		controller: c,
+	})
+	// The server goes on reading to learn that the caller has left. A writer
+	// without deadlines belongs to a test.
+	_ = c.SetReadDeadline(time.Time{})
+	if m := (*http.MaxBytesError)(nil); errors.As(err, &m) {
+		return nil, code.Wrap(code.BodyTooLarge, err, "carry: the body")
+	}
+	if err != nil {
+		return nil, code.Wrap(code.RequestInvalid, err, "carry: the body broke off")
+	}
+	return b, nil
+}
+
+type pacedReader struct {
+	io.Reader
+	controller *http.ResponseController
+}
+
+// Read implements io.Reader.
+func (p *pacedReader) Read(b []byte) (int, error) {
+	_ = p.controller.SetReadDeadline(time.Now().Add(silence))
+	return p.Reader.Read(b)
+}
+
+// pacedWriter writes an answer to a receiver that has to keep taking it.
+type pacedWriter struct {
+	io.Writer
+	controller *http.ResponseController
+}
+
+// Write implements io.Writer.
+func (p *pacedWriter) Write(b []byte) (int, error) {
+	_ = p.controller.SetWriteDeadline(time.Now().Add(silence))
+	return p.Writer.Write(b)
+}
--- a/io/internal/stamp/stamp.go
+++ b/io/internal/stamp/stamp.go
@@ -13,7 +13,7 @@
 // later than all that next recorded before the answer's head.
 func Handler(c *timeline.Clock, next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		observe(c, r.Header)
+		Observe(c, r.Header)
 		next.ServeHTTP(&writer{
 			ResponseWriter: w,
 			clock:          c,
@@ -21,9 +21,9 @@
 	})
 }
 
-// observe takes the stamp of h, if there is one. A call with a stamp that
+// Observe takes the stamp of h, if there is one. A call with a stamp that
 // cannot be read is served all the same.
-func observe(c *timeline.Clock, h http.Header) {
+func Observe(c *timeline.Clock, h http.Header) {
 	t := h.Get(Header)
 	if t == "" {
 		return
@@ -78,7 +78,7 @@
 	if err != nil {
 		return nil, err
 	}
-	observe(t.Clock, a.Header)
+	Observe(t.Clock, a.Header)
 	a.Header.Del(Header)
 	return a, nil
 }
--- a/io/internal/wire/pace.go
+++ b/io/internal/wire/pace.go
@@ -20,6 +20,9 @@
 // pace follows how long a peer usually takes until its answer's head. It is
 // safe for concurrent use.
 type pace struct {
+	// least is the shortest wait that counts as silence.
+	least time.Duration
+
 	mu    sync.Mutex
 	usual time.Duration
 }
@@ -39,7 +42,7 @@
 func (p *pace) silence(now, deadline time.Time) time.Time {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	d := max(minHeadSilence, headSilenceFactor*p.usual)
+	d := max(p.least, headSilenceFactor*p.usual)
 	if deadline.IsZero() {
 		return now.Add(d)
 	}
--- a/io/internal/wire/pool.go
+++ b/io/internal/wire/pool.go
@@ -17,6 +17,8 @@
 // Options describe a pool.
 type Options struct {
 	Address netip.AddrPort
+	// Dial opens a connection to the address; nil stands for plain TCP.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Connections is the most open connections, at least 1. An exchange that
 	// finds them all in use waits for one.
 	Connections int
@@ -30,6 +32,9 @@
 	Whole int
 	// MaxAnswer is the longest body that is taken at all.
 	MaxAnswer int64
+	// MinSilence is the shortest wait for an answer's head before a connection
+	// counts as silent; zero stands for 150 ms.
+	MinSilence time.Duration
 }
 
 // Counts are what a pool has seen.
@@ -65,11 +70,20 @@
 
 // New returns a pool without connections.
 func New(o Options) *Pool {
+	if o.Dial == nil {
+		o.Dial = (&net.Dialer{}).DialContext
+	}
+	if o.MinSilence == 0 {
+		o.MinSilence = minHeadSilence
+	}
 	return &Pool{
 		options: o,
-		dials:   rate.NewLimiter(rate.Limit(o.DialsPerSecond), max(1, o.DialBurst)),
-		open:    make(chan struct{}, max(1, o.Connections)),
-		freed:   make(chan struct{}),
+		pace: pace{
+			least: o.MinSilence,
+		},
+		dials: rate.NewLimiter(rate.Limit(o.DialsPerSecond), max(1, o.DialBurst)),
+		open:  make(chan struct{}, max(1, o.Connections)),
+		freed: make(chan struct{}),
 	}
 }
 
@@ -185,8 +199,7 @@
 		return nil, errors.Join(context.DeadlineExceeded, err)
 	}
 	p.count(func(c *Counts) { c.Dials++ })
-	d := net.Dialer{}
-	return d.DialContext(ctx, "tcp", p.options.Address.String())
+	return p.options.Dial(ctx, "tcp", p.options.Address.String())
 }
 
 func (p *Pool) isClosed() bool {
--- /dev/null
+++ b/io/peer/once.go
@@ -0,0 +1,87 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"heatherford/core"
+	"heatherford/core/code"
+	"heatherford/core/once"
+	"heatherford/core/store"
+	"heatherford/core/ticket"
+	"heatherford/io/peer/peerpb"
+)
+
+// newOnce returns what runs work that may not be repeated, and connects it to
+// the other hosts.
+func newOnce(k *core.Kernel, c *client, r *carrier) *once.Once {
+	return once.New(once.Options{
+		Self:       k.Settings.Host,
+		Store:      &k.Seams.Store,
+		Snapshot:   k.Snapshot,
+		Pass:       r.pass,
+		Ask:        c.home,
+		AskKeyring: c.keyring,
+		Record:     k.Record,
+		Log:        k.Log,
+		Now:        k.Now,
+	})
+}
+
+func (c *client) once(h store.Host) peerpb.Once {
+	return peerpb.NewOnceProtobufClient("http://"+h.PeerAddress.String(), &http.Client{
+		Transport: c.transport,
+		Timeout:   exchangeTimeout,
+	})
+}
+
+// home asks h for what tickets say of it.
+func (c *client) home(ctx context.Context, h store.Host) (once.Home, error) {
+	a, err := c.once(h).Home(ctx, &peerpb.HomeRequest{})
+	if err != nil {
+		return once.Home{}, code.Wrap(code.PeerUnreachable, err, "peer: host %q does not say who it is", h.Name)
+	}
+	return once.Home{
+		Incarnation: a.Incarnation,
+		Mode:        ticket.Mode(a.Mode),
+	}, nil
+}
+
+// keyring asks h for the secrets of tickets.
+func (c *client) keyring(ctx context.Context, h store.Host) (ticket.Keyring, error) {
+	k := ticket.Keyring{}
+	a, err := c.once(h).Keyring(ctx, &peerpb.KeyringRequest{})
+	if err != nil {
+		return k, code.Wrap(code.PeerUnreachable, err, "peer: host %q gives no secrets", h.Name)
+	}
+	if err := json.Unmarshal(a.Keyring, &k); err != nil {
+		return k, code.Wrap(code.PeerUnreachable, err, "peer: cannot decode the secrets of host %q", h.Name)
+	}
+	return k, nil
+}
+
+// onceServer answers other daemons.
+type onceServer struct {
+	once *once.Once
+}
+
+// Home implements peerpb.Once.
+func (s *onceServer) Home(context.Context, *peerpb.HomeRequest) (*peerpb.HomeResponse, error) {
+	h := s.once.Self()
+	return &peerpb.HomeResponse{
+		Incarnation: h.Incarnation,
+		Mode:        string(h.Mode),
+	}, nil
+}
+
+// Keyring implements peerpb.Once.
+func (s *onceServer) Keyring(context.Context, *peerpb.KeyringRequest) (*peerpb.KeyringResponse, error) {
+	b, err := json.Marshal(s.once.Keyring())
+	if err != nil {
+		return nil, err
+	}
+	return &peerpb.KeyringResponse{
+		Keyring: b,
+	}, nil
+}
--- a/io/peer/peerpb/timeline.twirp.go
+++ b/io/peer/peerpb/timeline.twirp.go
@@ -787,7 +787,7 @@
 }
 
 func (s *timelineServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor1, 0
+	return twirpFileDescriptor2, 0
 }
 
 func (s *timelineServer) ProtocGenTwirpVersion() string {
@@ -801,7 +801,7 @@
 	return baseServicePath(s.pathPrefix, "heatherford.peer", "Timeline")
 }
 
-var twirpFileDescriptor1 = []byte{
+var twirpFileDescriptor2 = []byte{
 	// 409 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x74, 0x52, 0x4d, 0x8f, 0xd3, 0x30,
 	0x10, 0x55, 0x48, 0x93, 0x34, 0xb3, 0x1f, 0x42, 0xd6, 0x4a, 0x58, 0xd5, 0x02, 0x51, 0xc4, 0x21,
--- a/io/peer/plugin.go
+++ b/io/peer/plugin.go
@@ -6,6 +6,7 @@
 	"gopkg.in/tomb.v2"
 
 	"heatherford/core"
+	"heatherford/core/once"
 	"heatherford/io/internal/carry"
 	"heatherford/io/internal/serve"
 	"heatherford/io/internal/stamp"
@@ -27,12 +28,18 @@
 }
 
 type plugin struct {
-	client *client
+	client  *client
+	carrier *carrier
+	once    *once.Once
 }
 
 func (p *plugin) attach(k *core.Kernel) error {
 	p.client = newClient(k)
-	k.Seams.Carry = p.client.carry
+	p.carrier = newCarrier(k)
+	p.once = newOnce(k, p.client, p.carrier)
+	k.Seams.Carry = p.carrier.carry
+	k.Seams.Once = p.once.Do
+	k.Seams.Issue = p.once.Issue
 	k.Seams.Push = p.client.push
 	k.Seams.Timeline = p.client.timeline
 	k.Seams.Keep = p.client.keep
@@ -47,6 +54,9 @@
 	m.Handle(peerpb.TimelinePathPrefix, peerpb.NewTimelineServer(&timelineServer{
 		kernel: k,
 	}))
+	m.Handle(peerpb.OncePathPrefix, peerpb.NewOnceServer(&onceServer{
+		once: p.once,
+	}))
 	m.HandleFunc(carry.WorkPrefix, func(w http.ResponseWriter, r *http.Request) {
 		carry.Serve(k, w, r, true)
 	})
@@ -60,5 +70,9 @@
 	t.Go(func() error {
 		return p.client.exchangeLoop(t)
 	})
+	t.Go(func() error {
+		defer p.carrier.close()
+		return p.once.Run(t)
+	})
 	return nil
 }
--- a/io/upstream/sender.go
+++ b/io/upstream/sender.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/rand"
 	"errors"
 	"net/netip"
 	"strconv"
@@ -70,11 +69,14 @@
 // again after its first byte, repeatable work once more on a new connection if
 // a used one gave no whole answer.
 func (s *Sender) Send(ctx context.Context, e intent.Endpoint, r *work.Request) (*work.Answer, error) {
+	if !work.Start(ctx) {
+		return nil, code.New(code.RequestCancelled, "upstream: cancelled before the request was sent to endpoint %q", e.Name)
+	}
 	p := s.pool(e)
 	c := newCall(r)
 	a, err := p.Do(ctx, c)
 	if r.Kind.Repeatable && worthRetry(ctx, err) {
-		c.ID = rand.Text()
+		c.ID = work.NewID()
 		c.Fresh = true
 		a, err = p.Do(ctx, c)
 	}
@@ -106,7 +108,7 @@
 	}
 	h.Set(headerDeadline, strconv.FormatInt(r.Deadline.UnixMilli(), 10))
 	return &wire.Call{
-		ID:     rand.Text(),
+		ID:     work.NewID(),
 		Method: r.Method,
 		Path:   r.Path,
 		Header: h,
