sessions: take ports that no outgoing connection is given

A run beside other tests failed once: between the choice of a port and the start of the program an outgoing connection had been given the same port. Ports are now drawn below the kernel's range for outgoing connections (32768 to 60999 here).

--- a/sessions/commands_test.go
+++ b/sessions/commands_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -18,12 +19,33 @@
 // untilDeadline bounds the wait for a condition that a session expects.
 const untilDeadline = 20 * time.Second
 
+// Ports below those that the kernel gives to outgoing connections, one of which
+// might take a port between its choice and the start of the program.
+const (
+	firstPort = 12_000
+	portCount = 20_000
+	portTries = 100
+)
+
+// listenFree listens on a free port of loopback.
+func listenFree() (net.Listener, error) {
+	err := error(nil)
+	for range portTries {
+		l, e := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(portCount)))
+		if e == nil {
+			return l, nil
+		}
+		err = e
+	}
+	return nil, err
+}
+
 // cmdPorts sets each named variable to a free address on loopback.
 func cmdPorts(ts *testscript.TestScript, neg bool, args []string) {
 	refuseNegation(ts, neg, "ports")
 	held := []net.Listener{}
 	for _, a := range args {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := listenFree()
 		ts.Check(err)
 		held = append(held, l)
 		ts.Setenv(a, l.Addr().String())
--- a/sessions/cost_test.go
+++ b/sessions/cost_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -104,7 +103,7 @@
 func addresses(c *qt.C, n int) []string {
 	s := []string{}
 	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := listenFree()
 		c.Assert(err, qt.IsNil)
 		defer l.Close()
 		s = append(s, l.Addr().String())
