sessions: homes killed, paused, cut off and without a platform; silent connections, crossed answers

Found on the way, each with the session that showed it: two hosts that make the first secret at once counted the platform as down for the loser (crossed_answers); a host that started before the platform refused tickets for up to 500 ms (silent_connections), it now reads the secrets when it needs them. A process is stopped some time after SIGSTOP is sent (once_pause); the command now waits.

--- a/cmd/heatherford-standin/main.go
+++ b/cmd/heatherford-standin/main.go
@@ -44,6 +44,12 @@
 			return err
 		}
 	}
+	if err := startRelays(s.Relays); err != nil {
+		return err
+	}
+	if err := startHostiles(s.Hostiles); err != nil {
+		return err
+	}
 	if s.ControlAddress.IsValid() {
 		if err := listen(s.ControlAddress, f.fleet.Handler(), nil); err != nil {
 			return err
--- a/cmd/heatherford-standin/settings.go
+++ b/cmd/heatherford-standin/settings.go
@@ -20,6 +20,8 @@
 	ControlAddress netip.AddrPort `json:"control_address,omitempty"`
 	Hosts          []store.Host   `json:"hosts"`
 	Endpoints      []Endpoint     `json:"endpoints,omitempty"`
+	Relays         []Relay        `json:"relays,omitempty"`
+	Hostiles       []Hostile      `json:"hostiles,omitempty"`
 	Network        Network        `json:"network,omitempty"`
 	// Seed makes service times the same in every run.
 	Seed uint64 `json:"seed,omitempty"`
--- a/core/once/issue.go
+++ b/core/once/issue.go
@@ -71,6 +71,10 @@
 // say who it is, this host becomes the home in its place.
 func (o *Once) Issue(ctx context.Context, kind intent.Kind, home store.Host) (Issued, error) {
 	ring := o.keyring.Load()
+	if ring == nil && o.mayRefresh() {
+		o.probe(ctx)
+		ring = o.keyring.Load()
+	}
 	if ring == nil {
 		return Issued{}, code.New(code.HostBehind, "once: this host knows no secrets yet")
 	}
--- a/core/once/once.go
+++ b/core/once/once.go
@@ -57,6 +57,8 @@
 	// latest is the latest time seen, so that a clock that is set back does
 	// not bring forgotten tickets back.
 	latest time.Time
+	// refreshAfter is when an unknown secret makes this host read them again.
+	refreshAfter time.Time
 	// kept is the size of all kept answers.
 	kept int
 }
@@ -130,7 +132,7 @@
 }
 
 func (o *Once) doTicket(ctx context.Context, r *work.Request, token string, run dispatch.Run) (*work.Answer, error) {
-	t, err := o.open(token)
+	t, err := o.open(ctx, token)
 	if code.Of(err) == code.HostBehind {
 		return nil, CopyRefused(err)
 	}
@@ -157,12 +159,28 @@
 	}
 }
 
-func (o *Once) open(token string) (ticket.Ticket, error) {
-	k := o.keyring.Load()
-	if k == nil {
-		return ticket.Ticket{}, code.New(code.HostBehind, "once: this host knows no secrets yet")
+// open returns the ticket of a token. A host that lacks the secret reads the
+// secrets again before it gives up.
+func (o *Once) open(ctx context.Context, token string) (ticket.Ticket, error) {
+	t, err := o.Keyring().Open(token)
+	if code.Of(err) != code.HostBehind || !o.mayRefresh() {
+		return t, err
 	}
-	return k.Open(token)
+	o.probe(ctx)
+	return o.Keyring().Open(token)
+}
+
+// mayRefresh bounds how often made-up tickets can make this host read the
+// secrets.
+func (o *Once) mayRefresh() bool {
+	now := o.now()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if now.Before(o.refreshAfter) {
+		return false
+	}
+	o.refreshAfter = now.Add(refreshInterval)
+	return true
 }
 
 // doOwn runs r under a caller's own key, which the host that claims it first
--- a/core/once/tend.go
+++ b/core/once/tend.go
@@ -21,9 +21,11 @@
 	keyringInterval = 30 * time.Second
 	// probeInterval is how often a platform that is down or slow is tried, and
 	// secrets that are missing are asked for.
-	probeInterval  = 500 * time.Millisecond
-	probeTimeout   = 2 * time.Second
-	forgetInterval = 5 * time.Second
+	probeInterval = 500 * time.Millisecond
+	probeTimeout  = 2 * time.Second
+	// refreshInterval is how often an unknown secret may make a host read them.
+	refreshInterval = 200 * time.Millisecond
+	forgetInterval  = 5 * time.Second
 	// maxKeptAnswer is the longest answer that is kept.
 	maxKeptAnswer = 64 << 10
 	// maxKept bounds all kept answers together.
@@ -68,6 +70,10 @@
 	defer cancel()
 	start := o.options.Now()
 	err := o.readKeyring(ctx)
+	if code.Of(err) == code.PlatformConflict {
+		// Another host made the secret.
+		err = o.readKeyring(ctx)
+	}
 	if ctx.Err() == nil || start.Add(probeTimeout).Before(o.options.Now()) {
 		o.health.observe(o.options.Now().Sub(start), err == nil)
 	}
--- a/io/internal/wire/call.go
+++ b/io/internal/wire/call.go
@@ -41,7 +41,7 @@
 // encode returns c as net/http writes it. With proof, the head asks for a 100
 // Continue.
 func (p *Pool) encode(c *Call, proof bool) (*message, error) {
-	u, err := url.Parse("http://" + p.options.Address.String() + c.Path)
+	u, err := url.Parse("http://" + p.options.Host + c.Path)
 	if err != nil {
 		return nil, code.Wrap(code.RequestInvalid, err, "wire: the path")
 	}
@@ -52,7 +52,7 @@
 		ProtoMajor:    1,
 		ProtoMinor:    1,
 		Header:        c.Header.Clone(),
-		Host:          p.options.Address.String(),
+		Host:          p.options.Host,
 		ContentLength: int64(len(c.Body)),
 		Body:          io.NopCloser(bytes.NewReader(c.Body)),
 	}
@@ -62,7 +62,9 @@
 	if q.Header == nil {
 		q.Header = http.Header{}
 	}
-	q.Header.Set(p.options.IDHeader, c.ID)
+	if p.options.IDHeader != "" {
+		q.Header.Set(p.options.IDHeader, c.ID)
+	}
 	q.Header.Del("Expect")
 	if proof {
 		q.Header.Set("Expect", "100-continue")
--- a/io/internal/wire/exchange.go
+++ b/io/internal/wire/exchange.go
@@ -202,6 +202,9 @@
 	x.pool.discard(x.conn)
 	if timeout {
 		x.pool.distrust(x.started)
+		if s == StepHead {
+			x.pool.pace.backOff()
+		}
 	}
 	return &Failure{
 		Step:   s,
--- a/io/internal/wire/pace.go
+++ b/io/internal/wire/pace.go
@@ -9,6 +9,8 @@
 	// minHeadSilence is the shortest wait for an answer's head before the
 	// connection counts as silent.
 	minHeadSilence = 150 * time.Millisecond
+	// maxHeadSilence bounds what backing off leads to.
+	maxHeadSilence = 5 * time.Second
 	// headSilenceFactor is how many usual waits count as silence.
 	headSilenceFactor = 8
 	// paceWeight is the weight of the newest wait in the usual one.
@@ -37,6 +39,14 @@
 	p.usual += time.Duration(paceWeight * float64(d-p.usual))
 }
 
+// backOff doubles the wait that counts as silence, in case that the peer is
+// slow. The next answers bring it back.
+func (p *pace) backOff() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.usual = min(maxHeadSilence, 2*max(p.least, headSilenceFactor*p.usual)) / headSilenceFactor
+}
+
 // silence returns when a head that is waited for since now counts as overdue:
 // after several usual waits, but with half of the time left for another try.
 func (p *pace) silence(now, deadline time.Time) time.Time {
--- a/io/internal/wire/pool.go
+++ b/io/internal/wire/pool.go
@@ -17,6 +17,8 @@
 // Options describe a pool.
 type Options struct {
 	Address netip.AddrPort
+	// Host is the name that requests address; empty stands for Address.
+	Host string
 	// Dial opens a connection to the address; nil stands for plain TCP.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Connections is the most open connections, at least 1. An exchange that
@@ -26,7 +28,7 @@
 	DialsPerSecond float64
 	DialBurst      int
 	// IDHeader names the header that carries an exchange's identifier and that
-	// the peer echoes.
+	// the peer echoes. Empty stands for a peer that echoes none.
 	IDHeader string
 	// Whole is the longest body that is read whole before Do returns.
 	Whole int
@@ -73,6 +75,9 @@
 	if o.Dial == nil {
 		o.Dial = (&net.Dialer{}).DialContext
 	}
+	if o.Host == "" {
+		o.Host = o.Address.String()
+	}
 	if o.MinSilence == 0 {
 		o.MinSilence = minHeadSilence
 	}
--- a/io/internal/wire/reply.go
+++ b/io/internal/wire/reply.go
@@ -37,7 +37,7 @@
 // check returns an error unless the answer names the request and its own end
 // can be known.
 func (x *exchange) check(a *http.Response) error {
-	if a.Header.Get(x.pool.options.IDHeader) != x.call.ID {
+	if n := x.pool.options.IDHeader; n != "" && a.Header.Get(n) != x.call.ID {
 		return ErrForeign
 	}
 	chunked := len(a.TransferEncoding) > 0
--- a/io/platform/client.go
+++ b/io/platform/client.go
@@ -1,18 +1,15 @@
 package platform
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
-	"io"
 	"net/http"
 	"net/url"
-	"syscall"
 	"time"
 
 	"heatherford/core/code"
 	"heatherford/core/store"
+	"heatherford/io/internal/wire"
 )
 
 // maxAnswerBytes bounds what is read of one answer.
@@ -21,13 +18,18 @@
 // callTimeout bounds one call whose context has no earlier deadline.
 const callTimeout = 5 * time.Second
 
+// commitPath is the path of commits, which are never sent again by themselves.
+const commitPath = "/v1/commit"
+
 // New returns a store that speaks to the platform at the URL.
 func New(base string) store.Store {
+	u, err := url.Parse(base)
+	if err != nil {
+		u = &url.URL{}
+	}
 	c := &client{
-		base: base,
-		http: &http.Client{
-			Timeout: callTimeout,
-		},
+		prefix: u.Path,
+		pool:   newPool(u),
 	}
 	return store.Store{
 		Commit:      c.commit,
@@ -40,13 +42,14 @@
 }
 
 type client struct {
-	base string
-	http *http.Client
+	// prefix starts the paths of all calls.
+	prefix string
+	pool   *wire.Pool
 }
 
 func (c *client) commit(ctx context.Context, t store.Transaction) (store.Committed, error) {
 	a := store.Committed{}
-	err := c.call(ctx, http.MethodPost, "/v1/commit", t, &a)
+	err := c.call(ctx, http.MethodPost, commitPath, t, &a)
 	return a, err
 }
 
@@ -103,24 +106,17 @@
 }
 
 func (c *client) do(ctx context.Context, method, path string, body []byte) ([]byte, error) {
-	r, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
-	if err != nil {
-		return nil, code.Wrap(code.PlatformDown, err, "platform: cannot build the call")
-	}
-	a, err := c.http.Do(r)
-	if err != nil {
-		return nil, callError(method, err)
-	}
-	defer a.Body.Close()
-	b, err := io.ReadAll(io.LimitReader(a.Body, maxAnswerBytes))
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	n, b, err := c.exchange(ctx, method, path, body)
 	if err != nil {
 		return nil, callError(method, err)
 	}
-	return b, statusError(method, a.StatusCode, b)
+	return b, statusError(method, n, b)
 }
 
 func callError(method string, err error) error {
-	if method == http.MethodGet || errors.Is(err, syscall.ECONNREFUSED) {
+	if method == http.MethodGet || !arrived(err) {
 		return code.Wrap(code.PlatformDown, err, "platform: the platform does not answer")
 	}
 	return code.Wrap(code.PlatformUnknown, err, "platform: the platform's answer was lost")
--- a/io/platform/plugin.go
+++ b/io/platform/plugin.go
@@ -21,7 +21,7 @@
 
 func init() {
 	store.Register("http", func(url string) (store.Store, error) {
-		return New(url), nil
+		return New(url), checkURL(url)
 	})
 	core.Register(Name, func() core.Plugin {
 		return core.Plugin{
--- a/io/upstream/sender_test.go
+++ b/io/upstream/sender_test.go
@@ -35,7 +35,7 @@
 // newBench returns a bench whose endpoint does the behaviors in turn, the last
 // one for good.
 func newBench(c *qt.C, behaviors ...standin.Behavior) *bench {
-	h, err := standin.NewHostile(func(n int) standin.Behavior {
+	h, err := standin.NewHostile("127.0.0.1:0", func(n int) standin.Behavior {
 		return behaviors[min(n, len(behaviors)-1)]
 	})
 	c.Assert(err, qt.IsNil)
--- a/sessions/process_test.go
+++ b/sessions/process_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"time"
 
@@ -83,7 +84,26 @@
 	if len(args) != 2 || signals[args[1]] == nil || processesOf(ts)[args[0]] == nil {
 		ts.Fatalf("usage: signal NAME CONT|HUP|INT|KILL|STOP|TERM")
 	}
-	ts.Check(processesOf(ts)[args[0]].command.Process.Signal(signals[args[1]]))
+	p := processesOf(ts)[args[0]].command.Process
+	ts.Check(p.Signal(signals[args[1]]))
+	for args[1] == "STOP" && !stopped(ts, p.Pid) {
+		<-time.After(time.Millisecond)
+	}
+}
+
+// stopped reports whether all threads of a process are stopped.
+func stopped(ts *testscript.TestScript, pid int) bool {
+	s, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", pid))
+	ts.Check(err)
+	for _, f := range s {
+		b, err := os.ReadFile(f)
+		ts.Check(err)
+		_, state, _ := strings.Cut(string(b), ") ")
+		if !strings.HasPrefix(state, "T") {
+			return false
+		}
+	}
+	return true
 }
 
 // cmdEnded waits for a program to end with the exit code, -1 standing for an
--- a/sessions/sessions_test.go
+++ b/sessions/sessions_test.go
@@ -45,18 +45,24 @@
 			e.Setenv("PATH", bin+string(filepath.ListSeparator)+e.Getenv("PATH"))
 			p := processes{}
 			e.Values[processesKey] = p
+			e.Values[sentKey] = sent{}
 			e.Defer(p.killAll)
 			return nil
 		},
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
-			"ports":  cmdPorts,
-			"expand": cmdExpand,
-			"http":   cmdHTTP,
-			"until":  cmdUntil,
-			"masked": cmdMasked,
-			"start":  cmdStart,
-			"signal": cmdSignal,
-			"ended":  cmdEnded,
+			"ports":    cmdPorts,
+			"expand":   cmdExpand,
+			"http":     cmdHTTP,
+			"until":    cmdUntil,
+			"masked":   cmdMasked,
+			"start":    cmdStart,
+			"signal":   cmdSignal,
+			"ended":    cmdEnded,
+			"deadline": cmdDeadline,
+			"rows":     cmdRows,
+			"ticket":   cmdTicket,
+			"send":     cmdSend,
+			"sent":     cmdSent,
 		},
 		RequireExplicitExec: true,
 		UpdateScripts:       os.Getenv("UPDATE_SESSIONS") != "",
--- /dev/null
+++ b/standin/relay/relay.go
@@ -0,0 +1,149 @@
+package relay
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+
+	"goji.io"
+	"goji.io/pat"
+)
+
+// Relay passes connections on to a target. It is safe for concurrent use.
+type Relay struct {
+	listener net.Listener
+	target   string
+	group    sync.WaitGroup
+
+	mu sync.Mutex
+	// links are all connections, also those that were lost track of.
+	links  map[*link]struct{}
+	closed bool
+	// refusing is true while new connections are reset.
+	refusing bool
+}
+
+// New listens on the address and passes connections on to the target.
+func New(address, target string) (*Relay, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	r := &Relay{
+		listener: l,
+		target:   target,
+		links:    map[*link]struct{}{},
+	}
+	r.group.Go(r.accept)
+	return r, nil
+}
+
+// Addr returns the address that the relay listens on.
+func (r *Relay) Addr() net.Addr {
+	return r.listener.Addr()
+}
+
+// Silence loses track of all open connections: they stay open and carry
+// nothing more. New ones work. It returns how many there were.
+func (r *Relay) Silence() int {
+	return r.each(func(l *link) {
+		l.silence()
+	})
+}
+
+// Cut resets all open connections and returns how many there were.
+func (r *Relay) Cut() int {
+	return r.each(func(l *link) {
+		l.cut()
+	})
+}
+
+// Refuse makes new connections be reset, or not any more.
+func (r *Relay) Refuse(on bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.refusing = on
+}
+
+func (r *Relay) each(f func(l *link)) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for l := range r.links {
+		f(l)
+	}
+	return len(r.links)
+}
+
+// Close ends the relay and all its connections.
+func (r *Relay) Close() {
+	_ = r.listener.Close()
+	r.mu.Lock()
+	r.closed = true
+	r.mu.Unlock()
+	r.Cut()
+	r.group.Wait()
+}
+
+// Handler returns an interface by which the faults are brought about.
+func (r *Relay) Handler() http.Handler {
+	m := goji.NewMux()
+	m.HandleFunc(pat.Put("/silence"), func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprintln(w, r.Silence())
+	})
+	m.HandleFunc(pat.Put("/cut"), func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprintln(w, r.Cut())
+	})
+	m.HandleFunc(pat.Put("/refuse"), func(http.ResponseWriter, *http.Request) {
+		r.Refuse(true)
+	})
+	m.HandleFunc(pat.Put("/accept"), func(http.ResponseWriter, *http.Request) {
+		r.Refuse(false)
+	})
+	return m
+}
+
+func (r *Relay) accept() {
+	for {
+		c, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		r.group.Go(func() {
+			r.connect(c.(*net.TCPConn))
+		})
+	}
+}
+
+func (r *Relay) connect(c *net.TCPConn) {
+	l := &link{
+		near: c,
+	}
+	if !r.add(l) {
+		l.cut()
+		return
+	}
+	defer r.remove(l)
+	t, err := net.Dial("tcp", r.target)
+	if err != nil {
+		l.cut()
+		return
+	}
+	l.run(t.(*net.TCPConn))
+}
+
+func (r *Relay) add(l *link) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.closed || r.refusing {
+		return false
+	}
+	r.links[l] = struct{}{}
+	return true
+}
+
+func (r *Relay) remove(l *link) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.links, l)
+}
--- a/standin/upstream/hostile.go
+++ b/standin/upstream/hostile.go
@@ -87,10 +87,10 @@
 	conns []net.Conn
 }
 
-// NewHostile listens on loopback. The request heads are counted from 0; behave
+// NewHostile listens on the address. The request heads are counted from 0; behave
 // chooses what is done with each.
-func NewHostile(behave func(n int) Behavior) (*Hostile, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+func NewHostile(address string, behave func(n int) Behavior) (*Hostile, error) {
+	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
