--- a/core/code/code.go
+++ b/core/code/code.go
@@ -55,7 +55,8 @@
 	RequestCancelled Code = 3017
 	NotRunTombstone  Code = 3018
 	LookupInvalid    Code = 3019
-	ClaimFailed      Code = 3020
+	GrantLapsed      Code = 3020
+	ClaimFailed      Code = 3021
 )
 
 // Requests whose outcome is unknown.
--- a/io/peer/peerpb/peer.twirp.go
+++ b/io/peer/peerpb/peer.twirp.go
@@ -507,7 +507,7 @@
 }
 
 func (s *peerServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor1, 0
+	return twirpFileDescriptor2, 0
 }
 
 func (s *peerServer) ProtocGenTwirpVersion() string {
@@ -521,7 +521,7 @@
 	return baseServicePath(s.pathPrefix, "heatherford.peer", "Peer")
 }
 
-var twirpFileDescriptor1 = []byte{
+var twirpFileDescriptor2 = []byte{
 	// 203 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xe2, 0xe2, 0x2a, 0x48, 0x4d, 0x2d,
 	0xd2, 0x2b, 0x28, 0xca, 0x2f, 0xc9, 0x17, 0x12, 0xc8, 0x48, 0x4d, 0x2c, 0xc9, 0x48, 0x2d, 0x4a,
--- a/io/peer/plugin.go
+++ b/io/peer/plugin.go
@@ -43,6 +43,7 @@
 	k.Seams.Push = p.client.push
 	k.Seams.Timeline = p.client.timeline
 	k.Seams.Keep = p.client.keep
+	k.Seams.Grants = p.client.grantCalls()
 	return nil
 }
 
@@ -57,6 +58,9 @@
 	m.Handle(peerpb.OncePathPrefix, peerpb.NewOnceServer(&onceServer{
 		once: p.once,
 	}))
+	m.Handle(peerpb.GrantsPathPrefix, peerpb.NewGrantsServer(&grantsServer{
+		kernel: k,
+	}))
 	m.HandleFunc(carry.WorkPrefix, func(w http.ResponseWriter, r *http.Request) {
 		carry.Serve(k, w, r, true)
 	})
--- a/sessions/sessions_test.go
+++ b/sessions/sessions_test.go
@@ -63,6 +63,7 @@
 			"ticket":   cmdTicket,
 			"send":     cmdSend,
 			"sent":     cmdSent,
+			"noon":     cmdNoon,
 		},
 		RequireExplicitExec: true,
 		UpdateScripts:       os.Getenv("UPDATE_SESSIONS") != "",
