--- /dev/null
+++ b/sessions/onceworld_test.go
@@ -0,0 +1,424 @@
+package sessions
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"time"
+
+	"heatherford/core/code"
+	"heatherford/core/config"
+	"heatherford/core/intent"
+	"heatherford/core/store"
+	"heatherford/core/strict"
+	"heatherford/core/work"
+	"heatherford/standin/platform"
+	"heatherford/standin/relay"
+	"heatherford/standin/upstream"
+)
+
+const (
+	onceRegion   = "ulaanbaatar"
+	onceDeposit  = "deposit"
+	onceWaiver   = "waiver-lookup"
+	onceDeadline = 2 * time.Second
+)
+
+// onceWorld is daemons as processes of their own, with relays before each of
+// their listeners, before the endpoints and before the platform.
+type onceWorld struct {
+	dir      string
+	platform *platform.Platform
+	// toPlatform is the relay between all daemons and the platform.
+	toPlatform *relay.Relay
+	hosts      []*onceHost
+	tills      []*upstream.Ledger
+	toTills    []*relay.Relay
+	servers    []*http.Server
+}
+
+// onceHost is one daemon.
+type onceHost struct {
+	name     string
+	settings string
+	// toCallers and toPeers are the relays before its listeners.
+	toCallers *relay.Relay
+	toPeers   *relay.Relay
+
+	mu      sync.Mutex
+	command *exec.Cmd
+	ended   chan struct{}
+	// killed is true from a kill until the next start.
+	killed bool
+}
+
+// newOnceWorld starts a world. Its caller closes it, also after an error.
+func newOnceWorld(dir string, hosts, tills, slots int, service time.Duration) (*onceWorld, error) {
+	w := &onceWorld{
+		dir: dir,
+	}
+	d := w.declaration()
+	for i := range tills {
+		if err := w.addTill(d, i, slots, service); err != nil {
+			return w, err
+		}
+	}
+	list := []store.Host{}
+	for i := range hosts {
+		h, err := w.addHost(i)
+		if err != nil {
+			return w, err
+		}
+		list = append(list, h)
+	}
+	if err := w.startPlatform(list, d); err != nil {
+		return w, err
+	}
+	for _, h := range w.hosts {
+		if err := h.start(w.dir); err != nil {
+			return w, err
+		}
+	}
+	return w, nil
+}
+
+func zoneOf(i int) string {
+	return []string{"ub-1", "ub-2"}[i%2]
+}
+
+func (w *onceWorld) declaration() *intent.Declaration {
+	return &intent.Declaration{
+		Format: intent.Format,
+		Name:   "authority",
+		Ranks: []intent.Rank{
+			{
+				Name:    "urgent",
+				Planned: 0.6,
+				Floor:   0.2,
+			},
+		},
+		Kinds: []intent.Kind{
+			{
+				Name:     onceDeposit,
+				Rank:     "urgent",
+				Upstream: "till",
+				Deadline: strict.Duration(onceDeadline),
+				Weight:   1,
+			},
+			{
+				Name:       onceWaiver,
+				Rank:       "urgent",
+				Upstream:   "till",
+				Repeatable: true,
+				Deadline:   strict.Duration(time.Second),
+				Weight:     1,
+			},
+		},
+		Regions: []intent.Region{
+			{
+				Name:  onceRegion,
+				Zones: []string{"ub-1", "ub-2"},
+				Cap:   1000,
+			},
+		},
+		Upstreams: []intent.Upstream{
+			{
+				Name: "till",
+			},
+		},
+	}
+}
+
+func (w *onceWorld) addTill(d *intent.Declaration, i, slots int, service time.Duration) error {
+	l := &upstream.Ledger{
+		Name:    fmt.Sprintf("till-%d", i+1),
+		Slots:   slots,
+		Service: service,
+	}
+	r, err := w.serve(l)
+	if err != nil {
+		return err
+	}
+	w.tills = append(w.tills, l)
+	w.toTills = append(w.toTills, r)
+	u := &d.Upstreams[0]
+	u.Endpoints = append(u.Endpoints, intent.Endpoint{
+		Name:        l.Name,
+		Address:     netip.MustParseAddrPort(r.Addr().String()),
+		Zone:        zoneOf(i),
+		Slots:       slots,
+		Connections: 660,
+	})
+	return nil
+}
+
+// serve serves h behind a relay.
+func (w *onceWorld) serve(h http.Handler) (*relay.Relay, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	s := &http.Server{
+		Handler: h,
+	}
+	w.servers = append(w.servers, s)
+	go func() {
+		// It ends with Close.
+		_ = s.Serve(l)
+	}()
+	return relay.New("127.0.0.1:0", l.Addr().String())
+}
+
+func (w *onceWorld) addHost(i int) (store.Host, error) {
+	n := fmt.Sprintf("h%d", i+1)
+	own := []string{}
+	for range 4 {
+		l, err := listenFree()
+		if err != nil {
+			return store.Host{}, err
+		}
+		defer l.Close()
+		own = append(own, l.Addr().String())
+	}
+	callers, err := relay.New("127.0.0.1:0", own[0])
+	if err != nil {
+		return store.Host{}, err
+	}
+	peers, err := relay.New("127.0.0.1:0", own[1])
+	if err != nil {
+		return store.Host{}, err
+	}
+	h := &onceHost{
+		name:      n,
+		settings:  filepath.Join(w.dir, n+".json"),
+		toCallers: callers,
+		toPeers:   peers,
+	}
+	w.hosts = append(w.hosts, h)
+	return store.Host{
+		Name:          n,
+		Zone:          zoneOf(i),
+		Region:        onceRegion,
+		State:         store.HostLive,
+		CallerAddress: netip.MustParseAddrPort(callers.Addr().String()),
+		PeerAddress:   netip.MustParseAddrPort(peers.Addr().String()),
+	}, h.write(zoneOf(i), own)
+}
+
+// write writes the settings but for the platform's URL, which comes later.
+func (h *onceHost) write(zone string, own []string) error {
+	b, err := json.Marshal(map[string]any{
+		"host":              h.name,
+		"availability_zone": zone,
+		"region":            onceRegion,
+		"caller_address":    own[0],
+		"peer_address":      own[1],
+		"operator_address":  own[2],
+		"collector_address": own[3],
+		"log":               map[string]any{"level": "warn"},
+		"operators":         map[string]any{"open": true},
+		"peers":             map[string]any{"open": true},
+		"platform":          map[string]any{"adapter": "http", "url": "PLATFORM"},
+	})
+	if err != nil {
+		return err
+	}
+	const mode = 0o600
+	return os.WriteFile(h.settings, b, mode)
+}
+
+func (w *onceWorld) startPlatform(list []store.Host, d *intent.Declaration) error {
+	w.platform = platform.New(list)
+	r, err := w.serve(w.platform.Handler())
+	if err != nil {
+		return err
+	}
+	w.toPlatform = r
+	url := "http://" + r.Addr().String()
+	for _, h := range w.hosts {
+		b, err := os.ReadFile(h.settings)
+		if err != nil {
+			return err
+		}
+		const mode = 0o600
+		if err := os.WriteFile(h.settings, bytes.ReplaceAll(b, []byte("PLATFORM"), []byte(url)), mode); err != nil {
+			return err
+		}
+	}
+	return confirmAt(url, d)
+}
+
+// start starts the daemon, whose log goes to its name's file.
+func (h *onceHost) start(dir string) error {
+	const mode = 0o600
+	f, err := os.OpenFile(filepath.Join(dir, h.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, mode)
+	if err != nil {
+		return err
+	}
+	c := exec.Command(filepath.Join(bin, "heatherfordd"), "-settings", h.settings)
+	c.Stdout = f
+	c.Stderr = f
+	if err := c.Start(); err != nil {
+		return err
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.command = c
+	h.killed = false
+	h.ended = make(chan struct{})
+	go func(ended chan struct{}) {
+		defer close(ended)
+		defer f.Close()
+		_ = c.Wait()
+	}(h.ended)
+	return nil
+}
+
+// signal sends a signal to the daemon.
+func (h *onceHost) signal(s os.Signal) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	_ = h.command.Process.Signal(s)
+}
+
+// kill kills the daemon and waits for its end. It reports false if that was
+// done before.
+func (h *onceHost) kill() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.killed {
+		return false
+	}
+	h.killed = true
+	_ = h.command.Process.Kill()
+	<-h.ended
+	return true
+}
+
+// close ends everything.
+func (w *onceWorld) close() {
+	for _, h := range w.hosts {
+		if h.command != nil {
+			h.kill()
+		}
+		h.toCallers.Close()
+		h.toPeers.Close()
+	}
+	for _, s := range w.servers {
+		_ = s.Close()
+	}
+	for _, r := range append(w.toTills, w.toPlatform) {
+		if r != nil {
+			r.Close()
+		}
+	}
+}
+
+// waitReady waits until every host gives tickets.
+func (w *onceWorld) waitReady(ctx context.Context) error {
+	for _, h := range w.hosts {
+		for {
+			a, err := lookUp(ctx, http.DefaultClient, h.toCallers.Addr().String(), onceDeposit)
+			if err == nil && a.Ticket != "" {
+				break
+			}
+			select {
+			case <-time.After(pollInterval):
+			case <-ctx.Done():
+				return fmt.Errorf("%s is not ready: %w", h.name, ctx.Err())
+			}
+		}
+	}
+	return nil
+}
+
+// runs returns how often the work with the body was run.
+func (w *onceWorld) runs(body string) int {
+	n := 0
+	for _, t := range w.tills {
+		n += t.Runs(body)
+	}
+	return n
+}
+
+// lookedUp is what a caller takes from a look-up.
+type lookedUp struct {
+	Hosts []struct {
+		Address string `json:"address"`
+	} `json:"hosts"`
+	Ticket string `json:"ticket"`
+}
+
+func lookUp(ctx context.Context, c *http.Client, address, kind string) (lookedUp, error) {
+	a := lookedUp{}
+	q, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/v1/lookup?kind="+kind, http.NoBody)
+	if err != nil {
+		return a, err
+	}
+	r, err := c.Do(q)
+	if err != nil {
+		return a, err
+	}
+	defer r.Body.Close()
+	if r.StatusCode != http.StatusOK {
+		return a, fmt.Errorf("look-up: %s", r.Status)
+	}
+	err = json.NewDecoder(r.Body).Decode(&a)
+	return a, err
+}
+
+// toldAnswer is what a caller was told by one copy.
+type toldAnswer struct {
+	code code.Code
+	body string
+}
+
+var errNoAnswer = errors.New("no whole answer")
+
+// sendCopy sends one copy and returns what it was told. Its client never sends
+// a request again by itself.
+func sendCopy(ctx context.Context, c *http.Client, address, kind, ticket, body string) (toldAnswer, error) {
+	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/v1/work/"+kind+"/", bytes.NewReader([]byte(body)))
+	if err != nil {
+		return toldAnswer{}, err
+	}
+	q.GetBody = nil
+	if ticket != "" {
+		q.Header.Set(work.HeaderTicket, ticket)
+	}
+	r, err := c.Do(q)
+	if err != nil {
+		return toldAnswer{}, err
+	}
+	defer r.Body.Close()
+	b, err := io.ReadAll(r.Body)
+	n, numberErr := strconv.Atoi(r.Header.Get(work.HeaderCode))
+	if err != nil || numberErr != nil {
+		return toldAnswer{}, errNoAnswer
+	}
+	return toldAnswer{
+		code: code.Code(n),
+		body: string(b),
+	}, nil
+}
+
+// confirmAt makes d the first version in the platform's table.
+func confirmAt(url string, d *intent.Declaration) error {
+	s, err := store.Lookup("http")(url)
+	if err != nil {
+		return err
+	}
+	_, err = config.Confirm(context.Background(), &s, 0, d, "first")
+	return err
+}
