core/once: a planned stop leaves tickets and kept answers to a successor

A home that stops begins no more work, waits for what is in progress and leaves all outcomes to the first of two hosts that every host would choose by rendezvous. The successor knows of every other ticket of that home that it was not run. A row that names the successor was weighed and left out: it is wanted most while the platform is down; a host with another view of the hosts says 'unknown', which is true.

io/upstream, io/peer: silent connections go to the time line and the metrics.

--- a/core/once/drives.go
+++ b/core/once/drives.go
@@ -6,9 +6,7 @@
 type drives struct {
 	mu     sync.Mutex
 	active int
-	closed bool
-	// ended is closed once closed is true and active is 0; it is nil before
-	// close.
+	// ended is made by seal, and closed once active is 0.
 	ended chan struct{}
 }
 
@@ -16,7 +14,7 @@
 func (d *drives) enter() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.closed {
+	if d.ended != nil {
 		return false
 	}
 	d.active++
@@ -27,20 +25,20 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.active--
-	if d.closed && d.active == 0 {
+	if d.ended != nil && d.active == 0 {
 		close(d.ended)
 	}
 }
 
-// close lets no more runs begin and waits for those in progress.
-func (d *drives) close() {
+// seal lets no more runs begin. The channel is closed once none is in progress.
+func (d *drives) seal() <-chan struct{} {
 	d.mu.Lock()
-	d.closed = true
-	d.ended = make(chan struct{})
-	if d.active == 0 {
-		close(d.ended)
+	defer d.mu.Unlock()
+	if d.ended == nil {
+		d.ended = make(chan struct{})
+		if d.active == 0 {
+			close(d.ended)
+		}
 	}
-	c := d.ended
-	d.mu.Unlock()
-	<-c
+	return d.ended
 }
--- a/core/once/once.go
+++ b/core/once/once.go
@@ -34,9 +34,11 @@
 	Ask func(ctx context.Context, h store.Host) (Home, error)
 	// AskKeyring asks another host for the secrets it knows.
 	AskKeyring func(ctx context.Context, h store.Host) (ticket.Keyring, error)
-	Record     func(e timeline.Event)
-	Log        log.Logger
-	Now        func() time.Time
+	// HandOver leaves what this home knows to another host.
+	HandOver func(ctx context.Context, h store.Host, x Handover) error
+	Record   func(e timeline.Event)
+	Log      log.Logger
+	Now      func() time.Time
 }
 
 // Once runs work at most once. It is safe for concurrent use.
@@ -50,6 +52,7 @@
 	asks        singleflight.Group
 	keyring     atomic.Pointer[ticket.Keyring]
 	drives      drives
+	taken       takenOver
 
 	mu sync.Mutex
 	// entries holds the runs whose home this process is, by row key.
@@ -76,6 +79,7 @@
 		entries:     map[string]*entry{},
 	}
 	x.homes.known = map[string]knownHome{}
+	x.taken.homes = map[string]takenHome{}
 	return x
 }
 
@@ -89,7 +93,7 @@
 		o.tend(ctx)
 	}()
 	<-t.Dying()
-	o.drives.close()
+	<-o.drives.seal()
 	cancel()
 	<-tended
 	return nil
@@ -147,6 +151,9 @@
 		digest:  ticket.Digest(r),
 		run:     run,
 	}
+	if u, ok := o.taken.outcome(t.Incarnation, t.RowKey(), c.digest); ok {
+		return answer(u)
+	}
 	switch {
 	case t.Home == o.options.Self && t.Incarnation == o.incarnation:
 		return o.join(ctx, c, t.RowKey(), ticket.NewRun(t, c.digest), t)
--- a/core/once/once_test.go
+++ b/core/once/once_test.go
@@ -139,6 +139,10 @@
 		AskKeyring: func(_ context.Context, h store.Host) (ticket.Keyring, error) {
 			return x.hosts[h.Name].Keyring(), nil
 		},
+		HandOver: func(_ context.Context, h store.Host, l once.Handover) error {
+			x.hosts[h.Name].TakeOver(l)
+			return nil
+		},
 		Record: func(timeline.Event) {},
 		Log:    log.NewNopLogger(),
 		Now:    time.Now,
@@ -288,6 +292,35 @@
 	c.Assert(x.ran.Load(), qt.Equals, int64(1))
 }
 
+// TestTicketHandOver stops a home as planned while the platform is down: its
+// successor knows what was run and what was not.
+func TestTicketHandOver(t *testing.T) {
+	c := qt.New(t)
+	x := newCluster(c, "h1", "h2", "h3")
+	x.platform.down.Store(true)
+	r := request(x.issue("h1"), "a")
+	r.Deadline = time.Now().Add(200 * time.Millisecond)
+	_, err := x.do("h1", r)
+	c.Assert(code.Of(err), qt.Equals, code.ClaimFailed)
+	ran := x.issue("h1")
+	unused := x.issue("h1")
+	_, err = x.do("h1", request(ran, "b"))
+	c.Assert(err, qt.IsNil)
+	c.Assert(x.hosts["h1"].HandOver(context.Background()), qt.IsNil)
+	_, err = x.do("h1", request(x.issue("h1"), "c"))
+	c.Assert(code.Of(err), qt.Equals, code.HostStopping)
+	x.stops["h1"]()
+	x.start("h1")
+	for _, h := range []string{"h1", "h2", "h3"} {
+		s, err := x.do(h, request(ran, "b"))
+		c.Assert(err, qt.IsNil)
+		c.Assert(s, qt.Equals, "done b")
+		_, err = x.do(h, request(unused, "d"))
+		c.Assert(code.Of(err), qt.Equals, code.HostStopping)
+	}
+	c.Assert(x.ran.Load(), qt.Equals, int64(1))
+}
+
 // TestClaimLostAnswer loses the answers of all commits: claims are settled by
 // reading them back.
 func TestClaimLostAnswer(t *testing.T) {
--- a/core/once/settle.go
+++ b/core/once/settle.go
@@ -61,6 +61,11 @@
 // row, or by a tombstone that keeps the home from ever claiming it.
 func (o *Once) settle(ctx context.Context, t ticket.Ticket, c *copyOf) (*work.Answer, error) {
 	now := o.now()
+	if t.Mode == ticket.MemoryOnly {
+		if a, ok, err := o.askSuccessors(ctx, t, c); ok {
+			return a, err
+		}
+	}
 	switch {
 	case t.Mode == ticket.MemoryOnly:
 		return nil, code.New(code.OutcomeUnknown, "once: the home %q is gone, and the ticket was kept in its memory only", t.Home)
--- a/io/internal/wire/pool.go
+++ b/io/internal/wire/pool.go
@@ -34,6 +34,10 @@
 	Whole int
 	// MaxAnswer is the longest body that is taken at all.
 	MaxAnswer int64
+	// Silent is called for each connection that is closed for want of
+	// progress, with the number of siblings closed with it. Nil stands for
+	// nothing.
+	Silent func(siblings int)
 	// MinSilence is the shortest wait for an answer's head before a connection
 	// counts as silent; zero stands for 150 ms.
 	MinSilence time.Duration
@@ -278,6 +282,9 @@
 	for _, c := range old {
 		p.discard(c)
 	}
+	if p.options.Silent != nil {
+		p.options.Silent(len(old))
+	}
 }
 
 func (p *Pool) count(f func(c *Counts)) {
--- a/io/peer/carry.go
+++ b/io/peer/carry.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"net/netip"
 	"strconv"
 	"sync"
@@ -12,6 +13,7 @@
 	"heatherford/core"
 	"heatherford/core/code"
 	"heatherford/core/store"
+	"heatherford/core/timeline"
 	"heatherford/core/work"
 	"heatherford/io/internal/carry"
 	"heatherford/io/internal/refuse"
@@ -71,6 +73,14 @@
 			Whole:          hopWhole,
 			MaxAnswer:      hopMaxAnswer,
 			MinSilence:     hopSilence,
+			Silent: func(siblings int) {
+				c.kernel.Metrics.Counter("peer_connections_silent").Inc(1)
+				c.kernel.Record(timeline.Event{
+					Kind:    timeline.KindMember,
+					Subject: a.String(),
+					Text:    fmt.Sprintf("silent connection closed with %d idle siblings", siblings),
+				})
+			},
 		})
 		c.pools[a] = p
 	}
--- a/io/peer/once.go
+++ b/io/peer/once.go
@@ -23,6 +23,7 @@
 		Pass:       r.pass,
 		Ask:        c.home,
 		AskKeyring: c.keyring,
+		HandOver:   c.handOver,
 		Record:     k.Record,
 		Log:        k.Log,
 		Now:        k.Now,
@@ -61,6 +62,20 @@
 	return k, nil
 }
 
+// handOver leaves tickets to h.
+func (c *client) handOver(ctx context.Context, h store.Host, x once.Handover) error {
+	b, err := json.Marshal(x)
+	if err != nil {
+		return code.Wrap(code.PeerUnreachable, err, "peer: cannot encode what is handed over")
+	}
+	if _, err := c.once(h).TakeOver(ctx, &peerpb.TakeOverRequest{
+		Handover: b,
+	}); err != nil {
+		return code.Wrap(code.PeerUnreachable, err, "peer: host %q takes over no tickets", h.Name)
+	}
+	return nil
+}
+
 // onceServer answers other daemons.
 type onceServer struct {
 	once *once.Once
@@ -85,3 +100,13 @@
 		Keyring: b,
 	}, nil
 }
+
+// TakeOver implements peerpb.Once.
+func (s *onceServer) TakeOver(_ context.Context, r *peerpb.TakeOverRequest) (*peerpb.TakeOverResponse, error) {
+	h := once.Handover{}
+	if err := json.Unmarshal(r.Handover, &h); err != nil {
+		return nil, err
+	}
+	s.once.TakeOver(h)
+	return &peerpb.TakeOverResponse{}, nil
+}
--- a/io/peer/peerpb/once.twirp.go
+++ b/io/peer/peerpb/once.twirp.go
@@ -35,6 +35,9 @@
 
 	// Keyring returns the secrets that tickets are made by.
 	Keyring(context.Context, *KeyringRequest) (*KeyringResponse, error)
+
+	// TakeOver leaves the tickets of a home that stops to the receiver.
+	TakeOver(context.Context, *TakeOverRequest) (*TakeOverResponse, error)
 }
 
 // ====================
@@ -43,7 +46,7 @@
 
 type onceProtobufClient struct {
 	client      HTTPClient
-	urls        [2]string
+	urls        [3]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -71,9 +74,10 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "heatherford.peer", "Once")
-	urls := [2]string{
+	urls := [3]string{
 		serviceURL + "Home",
 		serviceURL + "Keyring",
+		serviceURL + "TakeOver",
 	}
 
 	return &onceProtobufClient{
@@ -176,13 +180,59 @@
 	return out, nil
 }
 
+func (c *onceProtobufClient) TakeOver(ctx context.Context, in *TakeOverRequest) (*TakeOverResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "heatherford.peer")
+	ctx = ctxsetters.WithServiceName(ctx, "Once")
+	ctx = ctxsetters.WithMethodName(ctx, "TakeOver")
+	caller := c.callTakeOver
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *TakeOverRequest) (*TakeOverResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*TakeOverRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*TakeOverRequest) when calling interceptor")
+					}
+					return c.callTakeOver(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*TakeOverResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*TakeOverResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *onceProtobufClient) callTakeOver(ctx context.Context, in *TakeOverRequest) (*TakeOverResponse, error) {
+	out := new(TakeOverResponse)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 // ================
 // Once JSON Client
 // ================
 
 type onceJSONClient struct {
 	client      HTTPClient
-	urls        [2]string
+	urls        [3]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -210,9 +260,10 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "heatherford.peer", "Once")
-	urls := [2]string{
+	urls := [3]string{
 		serviceURL + "Home",
 		serviceURL + "Keyring",
+		serviceURL + "TakeOver",
 	}
 
 	return &onceJSONClient{
@@ -315,6 +366,52 @@
 	return out, nil
 }
 
+func (c *onceJSONClient) TakeOver(ctx context.Context, in *TakeOverRequest) (*TakeOverResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "heatherford.peer")
+	ctx = ctxsetters.WithServiceName(ctx, "Once")
+	ctx = ctxsetters.WithMethodName(ctx, "TakeOver")
+	caller := c.callTakeOver
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *TakeOverRequest) (*TakeOverResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*TakeOverRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*TakeOverRequest) when calling interceptor")
+					}
+					return c.callTakeOver(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*TakeOverResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*TakeOverResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *onceJSONClient) callTakeOver(ctx context.Context, in *TakeOverRequest) (*TakeOverResponse, error) {
+	out := new(TakeOverResponse)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 // ===================
 // Once Server Handler
 // ===================
@@ -418,6 +515,9 @@
 	case "Keyring":
 		s.serveKeyring(ctx, resp, req)
 		return
+	case "TakeOver":
+		s.serveTakeOver(ctx, resp, req)
+		return
 	default:
 		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
 		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
@@ -785,6 +885,186 @@
 	callResponseSent(ctx, s.hooks)
 }
 
+func (s *onceServer) serveTakeOver(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveTakeOverJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveTakeOverProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *onceServer) serveTakeOverJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "TakeOver")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(TakeOverRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Once.TakeOver
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *TakeOverRequest) (*TakeOverResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*TakeOverRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*TakeOverRequest) when calling interceptor")
+					}
+					return s.Once.TakeOver(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*TakeOverResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*TakeOverResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *TakeOverResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *TakeOverResponse and nil error while calling TakeOver. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *onceServer) serveTakeOverProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "TakeOver")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(TakeOverRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Once.TakeOver
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *TakeOverRequest) (*TakeOverResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*TakeOverRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*TakeOverRequest) when calling interceptor")
+					}
+					return s.Once.TakeOver(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*TakeOverResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*TakeOverResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *TakeOverResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *TakeOverResponse and nil error while calling TakeOver. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
 func (s *onceServer) ServiceDescriptor() ([]byte, int) {
 	return twirpFileDescriptor1, 0
 }
@@ -801,19 +1081,22 @@
 }
 
 var twirpFileDescriptor1 = []byte{
-	// 220 bytes of a gzipped FileDescriptorProto
-	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xe2, 0xe2, 0xca, 0xcf, 0x4b, 0x4e,
-	0xd5, 0x2b, 0x28, 0xca, 0x2f, 0xc9, 0x17, 0x12, 0xc8, 0x48, 0x4d, 0x2c, 0xc9, 0x48, 0x2d, 0x4a,
-	0xcb, 0x2f, 0x4a, 0xd1, 0x2b, 0x48, 0x4d, 0x2d, 0x52, 0xe2, 0xe5, 0xe2, 0xf6, 0xc8, 0xcf, 0x4d,
-	0x0d, 0x4a, 0x2d, 0x2c, 0x4d, 0x2d, 0x2e, 0x51, 0x72, 0xe1, 0xe2, 0x81, 0x70, 0x8b, 0x0b, 0xf2,
-	0xf3, 0x8a, 0x53, 0x85, 0x14, 0xb8, 0xb8, 0x33, 0xf3, 0x92, 0x13, 0x8b, 0xf2, 0x12, 0x4b, 0x32,
-	0xf3, 0xf3, 0x24, 0x18, 0x15, 0x18, 0x35, 0x38, 0x83, 0x90, 0x85, 0x84, 0x84, 0xb8, 0x58, 0x72,
-	0xf3, 0x53, 0x52, 0x25, 0x98, 0xc0, 0x52, 0x60, 0xb6, 0x92, 0x00, 0x17, 0x9f, 0x77, 0x6a, 0x65,
-	0x51, 0x66, 0x5e, 0x3a, 0xcc, 0x5c, 0x6d, 0x2e, 0x7e, 0xb8, 0x08, 0xd4, 0x68, 0x09, 0x2e, 0xf6,
-	0x6c, 0x88, 0x10, 0xd8, 0x58, 0x9e, 0x20, 0x18, 0xd7, 0x68, 0x2e, 0x23, 0x17, 0x8b, 0x7f, 0x5e,
-	0x72, 0xaa, 0x90, 0x2b, 0x17, 0x0b, 0xc8, 0x35, 0x42, 0xb2, 0x7a, 0xe8, 0xee, 0xd6, 0x43, 0x72,
-	0xb4, 0x94, 0x1c, 0x2e, 0x69, 0xa8, 0x4d, 0x7e, 0x5c, 0xec, 0x50, 0xcb, 0x85, 0x14, 0x30, 0x95,
-	0xa2, 0xba, 0x54, 0x4a, 0x11, 0x8f, 0x0a, 0x88, 0x79, 0x4e, 0x32, 0x51, 0x52, 0x48, 0x6a, 0xf4,
-	0x33, 0xf3, 0xf5, 0x41, 0xca, 0xc0, 0x44, 0x41, 0x52, 0x12, 0x1b, 0x38, 0xa8, 0x8d, 0x01, 0x01,
-	0x00, 0x00, 0xff, 0xff, 0x4a, 0x1c, 0x03, 0x28, 0x78, 0x01, 0x00, 0x00,
+	// 269 bytes of a gzipped FileDescriptorProto
+	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x7c, 0x92, 0x51, 0x4b, 0xc3, 0x30,
+	0x10, 0xc7, 0xa9, 0x14, 0x37, 0x6f, 0xd3, 0x95, 0x7b, 0x2a, 0x41, 0xa5, 0xe6, 0x49, 0x10, 0x3b,
+	0xd0, 0x6f, 0x20, 0x0a, 0x82, 0xe0, 0xb0, 0xf8, 0xe4, 0x5b, 0xd6, 0x9e, 0xb6, 0x8c, 0xe5, 0x6a,
+	0x5a, 0x07, 0x7e, 0x6b, 0x3f, 0x82, 0x2c, 0x4d, 0x67, 0x9d, 0xae, 0x2f, 0x21, 0x77, 0xf7, 0xcb,
+	0x8f, 0xfb, 0x43, 0x00, 0x58, 0xa7, 0x14, 0x97, 0x86, 0x6b, 0xc6, 0x20, 0x27, 0x55, 0xe7, 0x64,
+	0x5e, 0xd9, 0x64, 0x71, 0x49, 0x64, 0xe4, 0x21, 0x8c, 0xee, 0x79, 0x49, 0x09, 0xbd, 0x7f, 0x50,
+	0x55, 0xcb, 0x5b, 0x18, 0x37, 0x65, 0x55, 0xb2, 0xae, 0x08, 0x23, 0x18, 0x15, 0x3a, 0x55, 0x46,
+	0xab, 0xba, 0x60, 0x1d, 0x7a, 0x91, 0x77, 0x7e, 0x90, 0x74, 0x5b, 0x88, 0xe0, 0x2f, 0x39, 0xa3,
+	0x70, 0xcf, 0x8e, 0xec, 0x5d, 0x06, 0x70, 0xf4, 0x40, 0x9f, 0xa6, 0xd0, 0x6f, 0xad, 0xf7, 0x02,
+	0x26, 0x9b, 0x8e, 0x53, 0x87, 0x30, 0x58, 0x34, 0x2d, 0xab, 0x1d, 0x27, 0x6d, 0x29, 0x2f, 0x61,
+	0xf2, 0xac, 0x16, 0x34, 0x5b, 0x91, 0x71, 0xef, 0x51, 0xc0, 0x30, 0x57, 0x3a, 0xe3, 0x15, 0x19,
+	0x47, 0x6f, 0x6a, 0x89, 0x10, 0xfc, 0xe0, 0x8d, 0xfc, 0xea, 0xcb, 0x03, 0x7f, 0xa6, 0x53, 0xc2,
+	0x3b, 0xf0, 0xd7, 0x81, 0xf0, 0x24, 0xde, 0x8e, 0x1e, 0x77, 0x72, 0x8b, 0xd3, 0x5d, 0x63, 0xb7,
+	0xec, 0x23, 0x0c, 0xdc, 0xfe, 0x18, 0xfd, 0x45, 0x7f, 0x87, 0x15, 0x67, 0x3d, 0x84, 0xf3, 0x3d,
+	0xc1, 0xb0, 0xdd, 0x19, 0xff, 0xc1, 0xb7, 0xe2, 0x0b, 0xd9, 0x87, 0x34, 0xca, 0x9b, 0xe3, 0x17,
+	0xd1, 0x81, 0xa6, 0x05, 0x4f, 0xd7, 0x9c, 0x3d, 0xca, 0xf9, 0x7c, 0xdf, 0x7e, 0x80, 0xeb, 0xef,
+	0x00, 0x00, 0x00, 0xff, 0xff, 0x9f, 0x8f, 0xf7, 0xcd, 0x0e, 0x02, 0x00, 0x00,
 }
--- a/io/peer/plugin.go
+++ b/io/peer/plugin.go
@@ -40,6 +40,7 @@
 	k.Seams.Carry = p.carrier.carry
 	k.Seams.Once = p.once.Do
 	k.Seams.Issue = p.once.Issue
+	k.OnStop(core.PhaseHandOver, Name+"/once", p.once.HandOver)
 	k.Seams.Push = p.client.push
 	k.Seams.Timeline = p.client.timeline
 	k.Seams.Keep = p.client.keep
--- a/io/upstream/plugin.go
+++ b/io/upstream/plugin.go
@@ -1,9 +1,12 @@
 package upstream
 
 import (
+	"fmt"
+
 	"gopkg.in/tomb.v2"
 
 	"heatherford/core"
+	"heatherford/core/timeline"
 )
 
 // Name is the plug-in's name.
@@ -16,6 +19,14 @@
 			Name: Name,
 			Attach: func(k *core.Kernel) error {
 				k.Seams.Send = s.Send
+				s.Silent = func(endpoint string, siblings int) {
+					k.Metrics.Counter("upstream_connections_silent").Inc(1)
+					k.Record(timeline.Event{
+						Kind:    timeline.KindUpstream,
+						Subject: endpoint,
+						Text:    fmt.Sprintf("silent connection closed with %d idle siblings", siblings),
+					})
+				}
 				return nil
 			},
 			Start: func(_ *core.Kernel, t *tomb.Tomb) error {
--- a/io/upstream/sender.go
+++ b/io/upstream/sender.go
@@ -38,6 +38,11 @@
 
 // Sender sends requests to endpoints. It is safe for concurrent use.
 type Sender struct {
+	// Silent is called for each connection to an endpoint that is closed for
+	// want of progress, with the number of siblings closed with it. Nil stands
+	// for nothing. It is not changed after the first Send.
+	Silent func(endpoint string, siblings int)
+
 	mu sync.Mutex
 	// pools holds one pool for each endpoint's address and bound.
 	pools map[poolKey]*wire.Pool
@@ -141,6 +146,11 @@
 			IDHeader:       headerRequestID,
 			Whole:          wholeBytes,
 			MaxAnswer:      maxAnswerBytes,
+			Silent: func(siblings int) {
+				if s.Silent != nil {
+					s.Silent(e.Name, siblings)
+				}
+			},
 		})
 		s.pools[k] = p
 	}
--- a/sessions/oncelong_test.go
+++ b/sessions/oncelong_test.go
@@ -274,7 +274,9 @@
 		f.after(ctx, f.between(0, 1500), func() {
 			_ = h.start(w.dir)
 		})
-	case n < 14:
+	case n < 9:
+		f.stop(ctx, h)
+	case n < 17:
 		f.count("paused")
 		h.signal(syscall.SIGSTOP)
 		f.after(ctx, f.between(50, 4000), func() {
@@ -298,6 +300,18 @@
 	}
 }
 
+// stop ends a daemon as planned and starts it again.
+func (f *faults) stop(ctx context.Context, h *onceHost) {
+	f.count("stopped")
+	h.signal(syscall.SIGTERM)
+	f.after(ctx, 0, func() {
+		h.wait()
+		if h.kill() {
+			_ = h.start(f.world.dir)
+		}
+	})
+}
+
 // platform lets the platform fail for a while.
 func (f *faults) platform(ctx context.Context) {
 	p := f.world.platform
--- a/sessions/onceworld_test.go
+++ b/sessions/onceworld_test.go
@@ -292,6 +292,14 @@
 	_ = h.command.Process.Signal(s)
 }
 
+// wait waits for the daemon's end.
+func (h *onceHost) wait() {
+	h.mu.Lock()
+	ended := h.ended
+	h.mu.Unlock()
+	<-ended
+}
+
 // kill kills the daemon and waits for its end. It reports false if that was
 // done before.
 func (h *onceHost) kill() bool {
--- a/standin/relay/link.go
+++ b/standin/relay/link.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"time"
 )
 
 const bufferSize = 32 << 10
@@ -10,6 +11,8 @@
 // link is one connection through the relay. It is safe for concurrent use.
 type link struct {
 	near *net.TCPConn
+	// delay is how long bytes take one way. It is fixed before run.
+	delay time.Duration
 
 	mu     sync.Mutex
 	far    *net.TCPConn
@@ -51,6 +54,9 @@
 			continue
 		}
 		if n > 0 {
+			if l.delay > 0 {
+				<-time.After(l.delay)
+			}
 			if _, e := to.Write(b[:n]); e != nil {
 				// The other end's carrier sees the failure.
 				_ = from.CloseRead()
--- a/standin/relay/relay.go
+++ b/standin/relay/relay.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"time"
 
 	"goji.io"
 	"goji.io/pat"
@@ -20,6 +21,8 @@
 	// links are all connections, also those that were lost track of.
 	links  map[*link]struct{}
 	closed bool
+	// delay is how long bytes take one way.
+	delay time.Duration
 	// refusing is true while new connections are reset.
 	refusing bool
 }
@@ -66,6 +69,13 @@
 	r.refusing = on
 }
 
+// SetDelay sets how long bytes take one way on new connections.
+func (r *Relay) SetDelay(d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.delay = d
+}
+
 func (r *Relay) each(f func(l *link)) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -129,6 +139,8 @@
 		l.cut()
 		return
 	}
+	// The handshake takes one round trip.
+	<-time.After(2 * l.delay)
 	l.run(t.(*net.TCPConn))
 }
 
@@ -139,6 +151,7 @@
 		return false
 	}
 	r.links[l] = struct{}{}
+	l.delay = r.delay
 	return true
 }
 
