--- a/core/kernel.go
+++ b/core/kernel.go
@@ -15,6 +15,7 @@
 	"heatherford/core/dispatch"
 	"heatherford/core/drain"
 	"heatherford/core/intent"
+	"heatherford/core/once"
 	"heatherford/core/outcome"
 	"heatherford/core/rollup"
 	"heatherford/core/settings"
@@ -64,6 +65,9 @@
 	Traffic func() Traffic
 	// Once runs work that may not be repeated; nil stands for a direct call.
 	Once func(ctx context.Context, r *work.Request, run dispatch.Run) (*work.Answer, error)
+	// Issue returns a ticket for work that may not be repeated, whose home is
+	// the host if that can be.
+	Issue func(ctx context.Context, kind intent.Kind, home store.Host) (once.Issued, error)
 }
 
 const (
--- a/io/internal/wire/pool.go
+++ b/io/internal/wire/pool.go
@@ -17,6 +17,10 @@
 // Options describe a pool.
 type Options struct {
 	Address netip.AddrPort
+	// Host is the name that requests address; empty stands for Address.
+	Host string
+	// Dial opens a connection to the address; nil stands for plain TCP.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Connections is the most open connections, at least 1. An exchange that
 	// finds them all in use waits for one.
 	Connections int
@@ -24,12 +28,19 @@
 	DialsPerSecond float64
 	DialBurst      int
 	// IDHeader names the header that carries an exchange's identifier and that
-	// the peer echoes.
+	// the peer echoes. Empty stands for a peer that echoes none.
 	IDHeader string
 	// Whole is the longest body that is read whole before Do returns.
 	Whole int
 	// MaxAnswer is the longest body that is taken at all.
 	MaxAnswer int64
+	// Silent is called for each connection that is closed for want of
+	// progress, with the number of siblings closed with it. Nil stands for
+	// nothing.
+	Silent func(siblings int)
+	// MinSilence is the shortest wait for an answer's head before a connection
+	// counts as silent; zero stands for 150 ms.
+	MinSilence time.Duration
 }
 
 // Counts are what a pool has seen.
@@ -65,11 +76,23 @@
 
 // New returns a pool without connections.
 func New(o Options) *Pool {
+	if o.Dial == nil {
+		o.Dial = (&net.Dialer{}).DialContext
+	}
+	if o.Host == "" {
+		o.Host = o.Address.String()
+	}
+	if o.MinSilence == 0 {
+		o.MinSilence = minHeadSilence
+	}
 	return &Pool{
 		options: o,
-		dials:   rate.NewLimiter(rate.Limit(o.DialsPerSecond), max(1, o.DialBurst)),
-		open:    make(chan struct{}, max(1, o.Connections)),
-		freed:   make(chan struct{}),
+		pace: pace{
+			least: o.MinSilence,
+		},
+		dials: rate.NewLimiter(rate.Limit(o.DialsPerSecond), max(1, o.DialBurst)),
+		open:  make(chan struct{}, max(1, o.Connections)),
+		freed: make(chan struct{}),
 	}
 }
 
@@ -185,8 +208,7 @@
 		return nil, errors.Join(context.DeadlineExceeded, err)
 	}
 	p.count(func(c *Counts) { c.Dials++ })
-	d := net.Dialer{}
-	return d.DialContext(ctx, "tcp", p.options.Address.String())
+	return p.options.Dial(ctx, "tcp", p.options.Address.String())
 }
 
 func (p *Pool) isClosed() bool {
@@ -260,6 +282,9 @@
 	for _, c := range old {
 		p.discard(c)
 	}
+	if p.options.Silent != nil {
+		p.options.Silent(len(old))
+	}
 }
 
 func (p *Pool) count(f func(c *Counts)) {
--- a/io/peer/peerpb/peer.twirp.go
+++ b/io/peer/peerpb/peer.twirp.go
@@ -1348,7 +1348,7 @@
 }
 
 func (s *peerServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor2, 0
+	return twirpFileDescriptor3, 0
 }
 
 func (s *peerServer) ProtocGenTwirpVersion() string {
@@ -1362,7 +1362,7 @@
 	return baseServicePath(s.pathPrefix, "heatherford.peer", "Peer")
 }
 
-var twirpFileDescriptor2 = []byte{
+var twirpFileDescriptor3 = []byte{
 	// 865 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x8c, 0x55, 0xdd, 0x6e, 0xe3, 0x44,
 	0x14, 0xc6, 0x3f, 0x49, 0x9d, 0x93, 0xa4, 0x75, 0x47, 0xb0, 0x44, 0x61, 0x05, 0x59, 0x4b, 0x48,
--- a/io/peer/plugin.go
+++ b/io/peer/plugin.go
@@ -7,6 +7,7 @@
 	"gopkg.in/tomb.v2"
 
 	"heatherford/core"
+	"heatherford/core/once"
 	"heatherford/io/internal/carry"
 	"heatherford/io/internal/serve"
 	"heatherford/io/internal/stamp"
@@ -35,8 +36,10 @@
 
 type plugin struct {
 	client    *client
+	carrier   *carrier
 	exchanger *exchanger
 	dialer    *dialer
+	once      *once.Once
 }
 
 func (p *plugin) attach(k *core.Kernel) error {
@@ -46,7 +49,12 @@
 	}
 	p.dialer = d
 	p.client = newClient(k, d)
-	k.Seams.Carry = p.client.carry
+	p.carrier = newCarrier(k, d)
+	p.once = newOnce(k, p.client, p.carrier)
+	k.Seams.Carry = p.carrier.carry
+	k.Seams.Once = p.once.Do
+	k.Seams.Issue = p.once.Issue
+	k.OnStop(core.PhaseHandOver, Name+"/once", p.once.HandOver)
 	k.Seams.Timeline = p.client.timeline
 	k.Seams.Keep = p.client.keep
 	k.Seams.Grants = p.client.grantCalls()
@@ -73,6 +81,9 @@
 	m.Handle(peerpb.TimelinePathPrefix, peerpb.NewTimelineServer(&timelineServer{
 		kernel: k,
 	}))
+	m.Handle(peerpb.OncePathPrefix, peerpb.NewOnceServer(&onceServer{
+		once: p.once,
+	}))
 	m.Handle(peerpb.GrantsPathPrefix, peerpb.NewGrantsServer(&grantsServer{
 		kernel: k,
 	}))
@@ -97,5 +108,9 @@
 	t.Go(func() error {
 		return p.client.loadsLoop(t)
 	})
+	t.Go(func() error {
+		defer p.carrier.close()
+		return p.once.Run(t)
+	})
 	return nil
 }
--- a/io/upstream/plugin.go
+++ b/io/upstream/plugin.go
@@ -1,10 +1,13 @@
 package upstream
 
 import (
+	"fmt"
+
 	"gopkg.in/tomb.v2"
 
 	"heatherford/core"
 	"heatherford/core/settings"
+	"heatherford/core/timeline"
 )
 
 // Name is the plug-in's name.
@@ -20,6 +23,14 @@
 				k.Seams.Send = s.Send
 				p = newPoller(k)
 				k.Seams.Reported = p.reported
+				s.Silent = func(endpoint string, siblings int) {
+					k.Metrics.Counter("upstream_connections_silent").Inc(1)
+					k.Record(timeline.Event{
+						Kind:    timeline.KindUpstream,
+						Subject: endpoint,
+						Text:    fmt.Sprintf("silent connection closed with %d idle siblings", siblings),
+					})
+				}
 				return nil
 			},
 			Start: func(k *core.Kernel, t *tomb.Tomb) error {
