cmd/heatherford-demo: stop hosts under load, and write the evening page

Cause: the demo ended before the parts that an owner looks at.

Change: five of six hosts stop by plan while callers send, and the last one writes the evening page, which has to count exactly the requests that the callers sent.

--- a/cmd/heatherford-demo/steps.go
+++ b/cmd/heatherford-demo/steps.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"time"
@@ -15,7 +16,7 @@
 	run  func(w *world, out io.Writer) error
 }
 
-func steps(string) []step {
+func steps(out string) []step {
 	return []step{
 		{
 			name: "an operator plans and confirms the first declaration",
@@ -33,6 +34,16 @@
 			name: "an endpoint dies and its work goes elsewhere",
 			run:  killEndpoint,
 		},
+		{
+			name: "all hosts but one stop by plan, under load",
+			run:  stopHosts,
+		},
+		{
+			name: "the evening page",
+			run: func(w *world, o io.Writer) error {
+				return w.writePage(o, out)
+			},
+		},
 	}
 }
 
@@ -109,6 +120,24 @@
 	return w.traffic(out).expect(minimumAfterDeath)
 }
 
+// stopHosts stops all daemons but the first, one after another.
+func stopHosts(w *world, out io.Writer) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan *tallied)
+	go func() {
+		done <- w.callers(ctx)
+	}()
+	errs := []error{}
+	for _, d := range w.daemons[1:] {
+		w.leave(d)
+		errs = append(errs, d.kernel.Stop())
+	}
+	cancel()
+	t := <-done
+	fmt.Fprintf(out, "   %d of %d answered correctly in time while %d hosts stopped\n", t.correct, t.asked, len(w.daemons)-1)
+	return errors.Join(append(errs, t.expect(1))...)
+}
+
 // minimumAfterDeath is the share of correct answers while an endpoint is dead.
 const minimumAfterDeath = 0.99
 
--- a/cmd/heatherford-demo/traffic.go
+++ b/cmd/heatherford-demo/traffic.go
@@ -77,7 +77,7 @@
 func (w *world) request(n int) (route, error) {
 	i := n % len(regionNames)
 	address := regionPrefix(i).Addr().Next()
-	first := w.daemons[i*hostsPerRegion].settings.CallerAddress
+	first := w.asked(i).settings.CallerAddress
 	l := caller.Lookup{}
 	b, _, err := w.get(fmt.Sprintf("http://%s/v1/lookup?kind=%s&caller=%s", first, kindName, address), "")
 	if err != nil {
@@ -87,6 +87,7 @@
 		return route{}, err
 	}
 	path := fmt.Sprintf("/waivers/%d", n)
+	w.sent.Add(1)
 	b, endpoint, err := w.get(fmt.Sprintf("http://%s/v1/work/%s%s", l.Hosts[0].Address, kindName, path), address.String())
 	if err != nil {
 		return route{}, err
--- a/cmd/heatherford-demo/world.go
+++ b/cmd/heatherford-demo/world.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -55,6 +56,8 @@
 	endpoints   []*endpoint
 	daemons     []*daemon
 	client      *http.Client
+	// sent counts the requests for work that callers sent.
+	sent atomic.Uint64
 }
 
 // endpoint is an embedded stand-in endpoint.
@@ -70,6 +73,24 @@
 type daemon struct {
 	settings *settings.Settings
 	kernel   *core.Kernel
+	// leaving is true once callers should ask another host.
+	leaving atomic.Bool
+}
+
+// leave makes callers ask other hosts than d.
+func (w *world) leave(d *daemon) {
+	d.leaving.Store(true)
+}
+
+// asked returns the daemon that callers of the i-th region ask: the first of
+// the region that is not leaving, else the first of all.
+func (w *world) asked(i int) *daemon {
+	for _, d := range w.daemons[i*hostsPerRegion : (i+1)*hostsPerRegion] {
+		if !d.leaving.Load() {
+			return d
+		}
+	}
+	return w.daemons[0]
 }
 
 // newWorld starts the stand-ins under t and the daemons by themselves.
