--- a/core/controlgrant.go
+++ b/core/controlgrant.go
@@ -51,7 +51,7 @@
 func (c *control) publishGrants(s *snapshot.Snapshot) {
 	s.Owners = c.grants.Serving()
 	rights := c.grants.Rights()
-	for _, u := range c.version.Declaration.Upstreams {
+	for _, u := range c.declaration().Upstreams {
 		for _, e := range u.Endpoints {
 			r, ok := rights[e.Name]
 			if !ok || (r.Full.IsZero() && r.Smaller.IsZero()) {
--- a/core/dispatch/fence.go
+++ b/core/dispatch/fence.go
@@ -1,6 +1,9 @@
 package dispatch
 
 import (
+	"time"
+
+	"heatherford/core/admission"
 	"heatherford/core/code"
 	"heatherford/core/quota"
 	"heatherford/core/snapshot"
@@ -18,41 +21,70 @@
 }
 
 // fence reads the grant again right before r is written, so that a host that was
-// paused sends nothing on an old grant. It counts r against the endpoint's limits
-// and lets it carry no deadline beyond the longest request. The caller ends the
-// flight.
-func (d *Dispatcher) fence(o snapshot.Own, r *work.Request) (*quota.Flight, error) {
+// paused sends nothing on an old grant. The permit's flight was counted against
+// the endpoint's limits when the request was admitted.
+func (d *Dispatcher) fence(p admission.Permit, r *work.Request) error {
 	now := d.options.Now()
-	if last := now.Add(o.Longest); r.Deadline.After(last) {
-		r.Deadline = last
+	o := p.Own
+	r.Deadline = bounded(now, r.Deadline, o.Longest)
+	if d := p.Flight.Deadline(); r.Deadline.After(d) {
+		r.Deadline = d
 	}
 	if !now.Before(r.Deadline) {
-		return nil, code.New(code.DeadlinePassed, "dispatch: the deadline passed in the queue")
+		return code.New(code.DeadlinePassed, "dispatch: the deadline passed in the queue")
 	}
-	f, refusal := d.Ledger(o.Endpoint.Name).Enter(now, r.Deadline, d.caps(o, r))
-	switch refusal {
+	switch d.Ledger(o.Endpoint.Name).Fresh(now, p.Flight) {
 	case quota.Allowed:
-		return f, nil
+		return nil
 	case quota.NoSlot:
-		return nil, code.New(code.EndpointFull, "dispatch: endpoint %q has no slot left", o.Endpoint.Name)
+		return code.New(code.EndpointFull, "dispatch: endpoint %q has no slot left", o.Endpoint.Name)
 	case quota.NoPart:
-		return nil, code.New(code.CapReached, "dispatch: the work from the caller's region is at its cap at endpoint %q", o.Endpoint.Name)
+		return code.New(code.CapReached, "dispatch: the work from the caller's region is at its cap at endpoint %q", o.Endpoint.Name)
 	default:
-		return nil, code.New(code.GrantLapsed, "dispatch: the lease of endpoint %q ends before the request would", o.Endpoint.Name)
+		return code.New(code.GrantLapsed, "dispatch: the lease of endpoint %q ends before the request would", o.Endpoint.Name)
+	}
+}
+
+// bounded returns the deadline, but none beyond the longest request.
+func bounded(now, deadline time.Time, longest time.Duration) time.Time {
+	if last := now.Add(longest); deadline.After(last) {
+		return last
+	}
+	return deadline
+}
+
+// room returns how the ledgers of the endpoints see r: whether they have room
+// for it, and the flight that counts it.
+func (d *Dispatcher) room(r *work.Request) admission.Room {
+	return admission.Room{
+		Fits: func(o *snapshot.Own) bool {
+			now := d.options.Now()
+			deadline := bounded(now, r.Deadline, o.Longest)
+			return d.Ledger(o.Endpoint.Name).Allows(now, deadline, d.caps(o, r)) == quota.Allowed
+		},
+		Enter: func(o *snapshot.Own) *quota.Flight {
+			now := d.options.Now()
+			deadline := bounded(now, r.Deadline, o.Longest)
+			f, refusal := d.Ledger(o.Endpoint.Name).Enter(now, deadline, d.caps(o, r))
+			if refusal != quota.Allowed {
+				return nil
+			}
+			return f
+		},
 	}
 }
 
 // caps returns the caps that r counts against at the endpoint: that of the link
 // by which it comes into the endpoint's region, and those of the shifts that its
 // caller's region and its upstream are under.
-func (d *Dispatcher) caps(o snapshot.Own, r *work.Request) []quota.Name {
+func (d *Dispatcher) caps(o *snapshot.Own, r *work.Request) []quota.Name {
 	s := d.options.Snapshot()
 	if s.Version == nil {
 		return nil
 	}
 	n := s.Version.Declaration
 	to := n.RegionOf(o.Endpoint.Zone)
-	from := n.RegionOf(s.Table.Zone(r.Caller))
+	from := n.RegionOf(s.Table.ZoneName(r.Caller))
 	caps := []quota.Name(nil)
 	for _, f := range n.Shifts {
 		if f.Upstream == r.Kind.Upstream && f.From == from && f.To == to {
--- a/core/grant/move.go
+++ b/core/grant/move.go
@@ -109,7 +109,7 @@
 // lost the leases that it would need for that.
 func (m *Machine) Left(now time.Time) bool {
 	for e, h := range m.held {
-		if now.Before(h.until) || !m.options.Ledger(e).Drained() {
+		if now.Before(h.until) || !m.options.Ledger(e).Drained(now) {
 			return false
 		}
 	}
--- a/core/grant/renew.go
+++ b/core/grant/renew.go
@@ -69,21 +69,21 @@
 	r.Reserved = m.nextReserved(h, now)
 	l := m.options.Ledger(e)
 	r.Longest = m.longestOf(e)
-	if !l.Drained() || len(r.Reserved) > 0 {
+	if !l.Drained(now) || len(r.Reserved) > 0 {
 		r.Longest = max(r.Longest, h.row.Longest)
 	}
 	endpoint, declared := m.version.Declaration.Endpoint(e)
 	if s := chooseStandby(m.version.Declaration, endpoint, m.answering(now), m.options.Self); s != "" {
 		r.Standby = s
 	}
-	m.nextLimits(e, h, &r)
+	m.nextLimits(e, h, &r, now)
 	m.nextLasting(e, h, &r, now)
 	a := attempted{
 		attempt: m.batch,
 		row:     r,
 	}
 	switch {
-	case !l.Drained():
+	case !l.Drained(now):
 	case !declared && r.Version == m.version.Number && len(r.Reserved) == 0:
 		a.removal = true
 		a.row.Limits = m.limits[e]
@@ -100,7 +100,7 @@
 
 // nextLimits moves the row to the newest version, first with what both the old
 // and the new version allow; then, once every row is there, to the new limits.
-func (m *Machine) nextLimits(e string, h *holding, r *Row) {
+func (m *Machine) nextLimits(e string, h *holding, r *Row, now time.Time) {
 	if m.raisable(e, h) {
 		r.Limits = m.limits[e]
 		return
@@ -109,7 +109,7 @@
 		return
 	}
 	l := r.Limits.Min(h.bound)
-	if m.options.Ledger(e).Fits(time.Time{}, l.Minus(sum(r.Reserved))) {
+	if m.options.Ledger(e).Fits(now, time.Time{}, l.Minus(sum(r.Reserved))) {
 		r.Limits = l
 		r.Version = m.version.Number
 	}
@@ -151,7 +151,7 @@
 	}
 	h.shortened = true
 	m.apply(e)
-	if !m.options.Ledger(e).Fits(h.until, m.right(e).Smaller) {
+	if !m.options.Ledger(e).Fits(now, h.until, m.right(e).Smaller) {
 		r.Lasting = h.row.Lasting
 	}
 }
--- a/core/grant/reserve.go
+++ b/core/grant/reserve.go
@@ -98,7 +98,7 @@
 	m.acknowledged[e] = k
 	// Requests of an earlier incarnation may still be in flight.
 	aged := m.version != nil && !now.Before(m.options.Started.Add(m.guarded(m.longest)))
-	a.Done = m.options.Ledger(e).Drained() && (q.Incarnation == m.options.Incarnation || aged)
+	a.Done = m.options.Ledger(e).Drained(now) && (q.Incarnation == m.options.Incarnation || aged)
 	return a
 }
 
@@ -147,7 +147,7 @@
 	}
 	l := h.rest().Min(h.left().Minus(h.smaller()))
 	return !l.IsZero() && listed(m.hosts, h.row.Standby) &&
-		m.options.Ledger(e).Fits(time.Time{}, m.right(e).Smaller)
+		m.options.Ledger(e).Fits(now, time.Time{}, m.right(e).Smaller)
 }
 
 // CedeEnded tells how a cession ended. It is taken unless the host has refused;
--- /dev/null
+++ b/core/lookup/route.go
@@ -0,0 +1,108 @@
+package lookup
+
+import (
+	"slices"
+
+	"heatherford/core/store"
+)
+
+// draw is a set of hosts with weights.
+type draw struct {
+	hosts []*store.Host
+	// sums holds the running totals of the hosts' weights.
+	sums []uint32
+	// backups holds all owners, the nearest first, whatever their load. The
+	// first regional ones are in the callers' region.
+	backups  []*store.Host
+	regional int
+}
+
+// unit is the weight of one slot.
+const unit = 1 << 12
+
+func (d *draw) add(h *store.Host, slots float64) {
+	w := uint32(slots * unit)
+	if w == 0 {
+		return
+	}
+	if n := len(d.sums); n > 0 {
+		w += d.sums[n-1]
+	}
+	d.hosts = append(d.hosts, h)
+	d.sums = append(d.sums, w)
+}
+
+// pick returns the host that the random number falls to, or nil if there is
+// none.
+func (d *draw) pick(random uint32) *store.Host {
+	if len(d.sums) == 0 {
+		return nil
+	}
+	n := scale(random, d.sums[len(d.sums)-1])
+	i, found := slices.BinarySearch(d.sums, n)
+	if found {
+		i++
+	}
+	return d.hosts[i]
+}
+
+// scale maps a random number to one below n.
+func scale(random, n uint32) uint32 {
+	const bits = 32
+	return uint32(uint64(random) * uint64(n) >> bits)
+}
+
+// others fills in hosts other than h, as far as there are any, of the route's
+// region first. The random number says which is the first, so that the callers
+// of a host that has failed do not all turn to the same one.
+func (d *draw) others(random uint32, h *store.Host, fill []*store.Host) {
+	i := int(scale(random, uint32(max(1, d.regional))))
+	for range d.backups {
+		if len(fill) == 0 {
+			return
+		}
+		if b := d.backups[i]; b != h {
+			fill[0] = b
+			fill = fill[1:]
+		}
+		i++
+		if i == len(d.backups) {
+			i = 0
+		}
+	}
+}
+
+// newRoute returns the route of a zone's callers.
+func newRoute(s *spread, z int) draw {
+	d := draw{}
+	for i, o := range s.owners {
+		d.add(o.host, s.given[z][i])
+	}
+	for n := range nearnessCount {
+		for _, o := range s.owners {
+			if o.near[z] == n {
+				d.backups = append(d.backups, o.host)
+			}
+		}
+		if n < elsewhere {
+			d.regional = len(d.backups)
+		}
+	}
+	return d
+}
+
+// newSpare weighs the owners that a request may be passed on to from the zone
+// when its own host has no free slot: by free slots and nearness.
+func newSpare(owners []owner, self string, zone int32) draw {
+	// Farther owners have to have more free slots.
+	discount := [nearnessCount]float64{1, 0.7, 0.25}
+	d := draw{}
+	for _, o := range owners {
+		free := 1 - o.load.total()
+		if o.host.Name == self || !o.known || free <= 0 {
+			continue
+		}
+		d.add(o.host, free*float64(o.load.Slots)*discount[o.near[zone]])
+	}
+	return d
+}
--- a/core/work/work.go
+++ b/core/work/work.go
@@ -1,6 +1,7 @@
 package work
 
 import (
+	"crypto/rand"
 	"io"
 	"net/http"
 	"net/netip"
@@ -21,6 +22,9 @@
 	HeaderHost           = "Heatherford-Host"
 	HeaderEndpoint       = "Heatherford-Endpoint"
 	HeaderHop            = "Heatherford-Hop"
+	HeaderTried          = "Heatherford-Tried"
+	HeaderImmediate      = "Heatherford-Immediate"
+	HeaderDispatched     = "Heatherford-Dispatched"
 	HeaderIdempotencyKey = "Idempotency-Key"
 )
 
@@ -47,9 +51,29 @@
 	Key string
 	// Ticket is the ticket of a look-up, or is empty.
 	Ticket string
+	// Tried names the endpoints that the request was sent to without success.
+	// It is not sent to them again.
+	Tried []string
+	// Again asks whether the upstream's budget allows one more sending of
+	// repeatable work; nil stands for yes.
+	Again func() bool
+	// MayRun is set together with an error if the endpoint may be at work on the
+	// request until its deadline.
+	MayRun bool
+	// Immediate is true if the request is to be refused rather than wait for a
+	// slot, since another host may have one.
+	Immediate bool
 	// Hop is true of a request that another host passed on. It is never
 	// passed on again.
 	Hop bool
+	// Dispatched is true of work that may not be repeated once its home has
+	// dispatched it. It is run without asking again whether it may.
+	Dispatched bool
+}
+
+// NewID returns a new distinct identifier.
+func NewID() string {
+	return rand.Text()
 }
 
 // Answer is an upstream's answer. Its receiver closes the body.
--- a/io/upstream/sender.go
+++ b/io/upstream/sender.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/rand"
 	"errors"
 	"net/netip"
 	"strconv"
@@ -39,6 +38,11 @@
 
 // Sender sends requests to endpoints. It is safe for concurrent use.
 type Sender struct {
+	// Silent is called for each connection to an endpoint that is closed for
+	// want of progress, with the number of siblings closed with it. Nil stands
+	// for nothing. It is not changed after the first Send.
+	Silent func(endpoint string, siblings int)
+
 	mu sync.Mutex
 	// pools holds one pool for each endpoint's address and bound.
 	pools map[poolKey]*wire.Pool
@@ -70,15 +74,19 @@
 // again after its first byte, repeatable work once more on a new connection if
 // a used one gave no whole answer.
 func (s *Sender) Send(ctx context.Context, e intent.Endpoint, r *work.Request) (*work.Answer, error) {
+	if !work.Start(ctx) {
+		return nil, code.New(code.RequestCancelled, "upstream: cancelled before the request was sent to endpoint %q", e.Name)
+	}
 	p := s.pool(e)
 	c := newCall(r)
 	a, err := p.Do(ctx, c)
-	if r.Kind.Repeatable && worthRetry(ctx, err) {
-		c.ID = rand.Text()
+	if r.Kind.Repeatable && worthRetry(ctx, err) && (r.Again == nil || r.Again()) {
+		c.ID = work.NewID()
 		c.Fresh = true
 		a, err = p.Do(ctx, c)
 	}
 	if err != nil {
+		r.MayRun = mayRun(err)
 		return nil, sendError(ctx, e, r, err)
 	}
 	if a.Header.Get(headerNotRun) != "" {
@@ -106,7 +114,7 @@
 	}
 	h.Set(headerDeadline, strconv.FormatInt(r.Deadline.UnixMilli(), 10))
 	return &wire.Call{
-		ID:     rand.Text(),
+		ID:     work.NewID(),
 		Method: r.Method,
 		Path:   r.Path,
 		Header: h,
@@ -115,6 +123,12 @@
 	}
 }
 
+// mayRun reports whether the endpoint may still be at work on a request.
+func mayRun(err error) bool {
+	f := (*wire.Failure)(nil)
+	return errors.As(err, &f) && f.MayRun
+}
+
 // worthRetry reports whether a new connection may help.
 func worthRetry(ctx context.Context, err error) bool {
 	f := (*wire.Failure)(nil)
@@ -139,6 +153,11 @@
 			IDHeader:       headerRequestID,
 			Whole:          wholeBytes,
 			MaxAnswer:      maxAnswerBytes,
+			Silent: func(siblings int) {
+				if s.Silent != nil {
+					s.Silent(e.Name, siblings)
+				}
+			},
 		})
 		s.pools[k] = p
 	}
--- a/sessions/sessions_test.go
+++ b/sessions/sessions_test.go
@@ -45,21 +45,34 @@
 			e.Setenv("PATH", bin+string(filepath.ListSeparator)+e.Getenv("PATH"))
 			p := processes{}
 			e.Values[processesKey] = p
+			e.Values[trafficsKey{}] = map[string]*traffic{}
+			e.Values[sentKey] = sent{}
 			e.Defer(p.killAll)
 			return nil
 		},
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
-			"ports":  cmdPorts,
-			"expand": cmdExpand,
-			"http":   cmdHTTP,
-			"until":  cmdUntil,
-			"masked": cmdMasked,
-			"start":  cmdStart,
-			"signal": cmdSignal,
-			"ended":  cmdEnded,
-			"noon":   cmdNoon,
-			"hosts":  cmdHosts,
-			"burst":  cmdBurst,
+			"ports":    cmdPorts,
+			"expand":   cmdExpand,
+			"http":     cmdHTTP,
+			"until":    cmdUntil,
+			"masked":   cmdMasked,
+			"start":    cmdStart,
+			"signal":   cmdSignal,
+			"ended":    cmdEnded,
+			"noon":     cmdNoon,
+			"fleet":    cmdFleet,
+			"never":    cmdNever,
+			"shown":    cmdShown,
+			"replace":  cmdReplace,
+			"steady":   cmdSteady,
+			"traffic":  cmdTraffic,
+			"deadline": cmdDeadline,
+			"rows":     cmdRows,
+			"ticket":   cmdTicket,
+			"send":     cmdSend,
+			"sent":     cmdSent,
+			"hosts":    cmdHosts,
+			"burst":    cmdBurst,
 
 			"backinuse": cmdBackInUse,
 		},
