core/dispatch: refuse at once what a cap keeps out, and free the slot of a retry

Cause: a request that a cap on a link or shift kept out waited in the queue for a slot, as if the endpoint were full, and was refused late and with another code.

Found beside it: after one try without an answer (MayRun), the endpoint that answered the retry kept its slot in use until the deadline, too.

--- a/core/dispatch/fence.go
+++ b/core/dispatch/fence.go
@@ -74,6 +74,18 @@
 	}
 }
 
+// capped reports whether caps keep r out of all endpoints of this host.
+func (d *Dispatcher) capped(s *snapshot.Snapshot, r *work.Request) bool {
+	now := d.options.Now()
+	own := s.Owned[r.Kind.Upstream]
+	for i := range own {
+		if !d.Ledger(own[i].Endpoint.Name).Capped(now, d.caps(&own[i], r)) {
+			return false
+		}
+	}
+	return len(own) > 0
+}
+
 // caps returns the caps that r counts against at the endpoint: that of the link
 // by which it comes into the endpoint's region, and those of the shifts that its
 // caller's region and its upstream are under.
--- a/core/dispatch/route.go
+++ b/core/dispatch/route.go
@@ -61,8 +61,12 @@
 	}
 }
 
-// wait sends r once an endpoint of this host has a slot.
+// wait sends r once an endpoint of this host has a slot. A request that a cap
+// keeps out is refused at once, so that it holds no place in the queue.
 func (d *Dispatcher) wait(ctx context.Context, s *snapshot.Snapshot, r *work.Request) (*work.Answer, error) {
+	if d.capped(s, r) {
+		return nil, code.New(code.CapReached, "dispatch: work of %q from the caller's region is at its cap", r.Kind.Upstream)
+	}
 	p, err := d.gate(r.Kind.Upstream).Acquire(ctx, d.ask(s, r))
 	if err != nil {
 		return nil, err
--- a/core/dispatch/send.go
+++ b/core/dispatch/send.go
@@ -17,6 +17,7 @@
 		return nil, err
 	}
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
+	r.MayRun = false
 	d.options.Record(timeline.Event{
 		Kind:    timeline.KindUpstream,
 		Request: r.ID,
--- a/core/quota/ledger.go
+++ b/core/quota/ledger.go
@@ -129,6 +129,25 @@
 	})
 }
 
+// Capped reports whether one of the caps keeps out any more requests.
+func (l *Ledger) Capped(now time.Time, caps []Name) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.prune(now)
+	bound := l.right.bound(now)
+	return slices.ContainsFunc(caps, func(n Name) bool {
+		return l.count(time.Time{}, n) >= bound.Of(n)
+	})
+}
+
+// bound returns what bounds the requests in flight at the time now.
+func (r *Right) bound(now time.Time) Limits {
+	if now.Before(r.Until) {
+		return r.Full
+	}
+	return r.Smaller
+}
+
 // prune forgets the requests that lingered until their deadline.
 func (l *Ledger) prune(now time.Time) {
 	l.flight = slices.DeleteFunc(l.flight, func(f *Flight) bool {
@@ -138,10 +157,7 @@
 
 func (l *Ledger) check(now time.Time, f *Flight) Refusal {
 	r := l.right
-	bound := r.Full
-	if !now.Before(r.Until) {
-		bound = r.Smaller
-	}
+	bound := r.bound(now)
 	all := time.Time{}
 	if l.count(all, "") >= bound.Slots {
 		return NoSlot
