core/shift: shares that grow while the receiving region's latency holds

Each host decides the share of a declared shift that its look-ups move: 5% at first, half as much again every 3 s, on loads at most 10 s old. Without them the share stays; when the receiving region's mean time in a slot rises over 1.6 times the usual, or its work asks for more than its slots, the last step is taken back for 30 s, and the time line says why. The first step is not taken back for latency, since cold endpoints get warm by it only.

Ruled out: one ramp for all hosts, kept in the table: a write for each step and a reader that lags, for a number that need not be the same everywhere, as the cap is kept by the ledgers whatever the share is.

core/lookup: Options.Shares; a look-up draws once more where a shift applies. core/controlload: when a load was learnt.

--- a/core/control.go
+++ b/core/control.go
@@ -9,6 +9,7 @@
 	"heatherford/core/intent"
 	"heatherford/core/lookup"
 	"heatherford/core/member"
+	"heatherford/core/shift"
 	"heatherford/core/snapshot"
 	"heatherford/core/store"
 )
@@ -45,6 +46,9 @@
 	grants *grant.Machine
 	// granted is the revision of the grants that was published last.
 	granted uint64
+	// ramps hold the shares of the declared shifts, by the shift's name.
+	ramps     map[string]*shift.Ramp
+	nextShift time.Time
 	// table is the newest table of look-ups, built from tableInputs.
 	table       *lookup.Table
 	tableInputs tableInputs
@@ -73,6 +77,7 @@
 			f(c)
 		case <-tick.C:
 			c.tickGrants()
+			c.stepShifts()
 		case <-k.tomb.Dying():
 			return nil
 		}
--- a/core/controlload.go
+++ b/core/controlload.go
@@ -3,6 +3,7 @@
 import (
 	"sort"
 	"sync"
+	"time"
 
 	"heatherford/core/lookup"
 )
@@ -23,12 +24,17 @@
 	// learned is the order in which sources were learned last.
 	learned map[lookup.Source]uint64
 	count   uint64
+	// at is when sources were learned last.
+	at  map[lookup.Source]time.Time
+	now func() time.Time
 }
 
-func newLoads() *loads {
+func newLoads(now func() time.Time) *loads {
 	return &loads{
 		newest:  map[lookup.Source]HostLoad{},
 		learned: map[lookup.Source]uint64{},
+		at:      map[lookup.Source]time.Time{},
+		now:     now,
 	}
 }
 
@@ -50,9 +56,18 @@
 	x.newest[l.Source] = l
 	x.count++
 	x.learned[l.Source] = x.count
+	x.at[l.Source] = x.now()
 	return true
 }
 
+// get returns the newest load of a source and when it was learned, which is the
+// zero time if there is none.
+func (x *loads) get(s lookup.Source) (lookup.Load, time.Time) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.newest[s].Load, x.at[s]
+}
+
 // learnedSoFar returns the number of loads that were ever learned.
 func (x *loads) learnedSoFar() uint64 {
 	x.mu.Lock()
@@ -79,6 +94,7 @@
 		if !keep(s.Host) {
 			delete(x.newest, s)
 			delete(x.learned, s)
+			delete(x.at, s)
 		}
 	}
 }
--- a/core/controltable.go
+++ b/core/controltable.go
@@ -19,11 +19,12 @@
 	hosts  []store.Host
 	owners map[string]string
 	// loads is the number of loads that were ever learned.
-	loads uint64
+	loads  uint64
+	shares []lookup.Share
 }
 
 func (t tableInputs) equal(o tableInputs) bool {
-	return t.version == o.version && t.signed == o.signed && t.loads == o.loads && slices.Equal(t.hosts, o.hosts) && maps.Equal(t.owners, o.owners)
+	return t.version == o.version && t.signed == o.signed && t.loads == o.loads && slices.Equal(t.hosts, o.hosts) && slices.Equal(t.shares, o.shares) && maps.Equal(t.owners, o.owners)
 }
 
 // lookupTable returns the table of look-ups, the same one while its inputs stay.
@@ -34,6 +35,7 @@
 		hosts:   c.nameable(),
 		owners:  owners,
 		loads:   c.kernel.loads.learnedSoFar(),
+		shares:  c.shares(),
 	}
 	if c.table != nil && t.equal(c.tableInputs) {
 		return c.table
@@ -45,6 +47,7 @@
 		Hosts:       t.hosts,
 		Owners:      owners,
 		Loads:       c.kernel.loads.table(),
+		Shares:      t.shares,
 		Everyone:    c.kernel.Settings.Policy == settings.PolicyIndependent,
 		Self:        c.kernel.Settings.Host,
 		Zone:        c.kernel.Settings.Zone,
--- a/core/kernel.go
+++ b/core/kernel.go
@@ -127,11 +127,11 @@
 		Dial:     o.Dial,
 		plugins:  o.Plugins,
 		events:   make(chan func(c *control)),
-		loads:    newLoads(),
 	}
 	if k.Now == nil {
 		k.Now = time.Now
 	}
+	k.loads = newLoads(k.Now)
 	if k.Dial == nil {
 		d := net.Dialer{}
 		k.Dial = d.DialContext
--- a/core/lookup/load.go
+++ b/core/lookup/load.go
@@ -28,8 +28,8 @@
 // lags; without news the last load stands.
 type Loads map[Source]Load
 
-// total returns the share of the slots that all ranks use.
-func (l Load) total() float64 {
+// Total returns the share of the slots that all ranks use.
+func (l Load) Total() float64 {
 	if l.Slots == 0 {
 		return 1
 	}
--- a/core/lookup/route.go
+++ b/core/lookup/route.go
@@ -15,6 +15,9 @@
 	// first regional ones are in the callers' region.
 	backups  []*store.Host
 	regional int
+	// moves are parts of the look-ups that other routes answer. They sum to at
+	// most all.
+	moves []moved
 }
 
 // unit is the weight of one slot.
@@ -98,7 +101,7 @@
 	discount := [nearnessCount]float64{1, 0.7, 0.25}
 	d := draw{}
 	for _, o := range owners {
-		free := 1 - o.load.total()
+		free := 1 - o.load.Total()
 		if o.host.Name == self || !o.known || free <= 0 {
 			continue
 		}
--- /dev/null
+++ b/core/lookup/share_test.go
@@ -0,0 +1,52 @@
+package lookup
+
+import (
+	"net/netip"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestShiftShares checks that a share of one region's look-ups names owners in
+// the other, and that other callers' do not.
+func TestShiftShares(t *testing.T) {
+	c := qt.New(t)
+	o := options(nil)
+	o.Shares = []Share{
+		{
+			Upstream: "desk",
+			From:     "r0",
+			To:       "r1",
+			Part:     0.25,
+		},
+	}
+	table := New(o)
+	for _, x := range []struct {
+		caller string
+		moved  float64
+	}{
+		{
+			caller: "10.0.0.1",
+			moved:  0.25,
+		},
+		{
+			caller: "10.1.0.1",
+			moved:  0.25,
+		},
+		{
+			caller: "10.3.0.1",
+			moved:  0,
+		},
+	} {
+		const lookups = 20_000
+		away := 0
+		for range lookups {
+			d, _ := table.Decide("look", netip.MustParseAddr(x.caller))
+			if (d.Host.Region == "r0") != (x.caller != "10.3.0.1") {
+				away++
+			}
+		}
+		got := float64(away) / lookups
+		c.Assert(got >= x.moved*0.9 && got <= x.moved*1.1, qt.IsTrue, qt.Commentf("%s: %v moved", x.caller, got))
+	}
+}
--- a/core/lookup/table.go
+++ b/core/lookup/table.go
@@ -37,6 +37,8 @@
 	Owners map[string]string
 	// Loads are the owners' loads as far as they are known.
 	Loads Loads
+	// Shares are parts of the work that other regions do.
+	Shares []Share
 	// Everyone names all hosts in place of the owners.
 	Everyone bool
 	// Self is the host that the table is for.
@@ -95,6 +97,7 @@
 	}
 	if b.routes[key] == nil {
 		b.routes[key] = b.routesOf(owners, rank)
+		b.moveRoutes(k.Upstream, owners, b.routes[key])
 	}
 	return &kindRoutes{
 		kind:   k,
@@ -214,7 +217,7 @@
 		Kind: &k.kind,
 		Rank: k.rank,
 	}
-	r := &k.routes[t.blocks.zoneOf(caller, t.home)]
+	r := k.routes[t.blocks.zoneOf(caller, t.home)].next()
 	const half = 32
 	x := rand.Uint64()
 	d.Host = r.pick(uint32(x))
--- a/sessions/grantcmd_test.go
+++ b/sessions/grantcmd_test.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
+
+	"heatherford/standin/upstream"
 )
 
 // cmdHosts writes the settings NAME.json of each host, with free addresses as
@@ -152,3 +154,51 @@
 	defer a.Body.Close()
 	return a.Header.Get("Heatherford-Code")
 }
+
+// regionPeak returns the most requests that a region's endpoints held at once,
+// as the stand-in counted since its last reset.
+func regionPeak(ts *testscript.TestScript, control, region string) int {
+	a, err := http.Get("http://" + control + "/counts")
+	ts.Check(err)
+	defer a.Body.Close()
+	c := upstream.FleetCounts{}
+	ts.Check(json.NewDecoder(a.Body).Decode(&c))
+	for _, r := range c.Regions {
+		if r.Name == region {
+			return r.Peak
+		}
+	}
+	ts.Fatalf("no region %s", region)
+	return 0
+}
+
+// cmdPeak fails unless the region's endpoints held between one request and the
+// limit at once: peak CONTROL REGION LIMIT.
+func cmdPeak(ts *testscript.TestScript, neg bool, args []string) {
+	refuseNegation(ts, neg, "peak")
+	limit, err := strconv.Atoi(args[2])
+	ts.Check(err)
+	if n := regionPeak(ts, args[0], args[1]); n < 1 || n > limit {
+		ts.Fatalf("peak: the endpoints of %s held %d requests, expected 1 to %d", args[1], n, limit)
+	}
+}
+
+// cmdRise repeats bursts until the region's endpoints have held as many requests
+// at once as the limit; it fails if they hold more:
+// rise CONTROL REGION LIMIT COUNT METHOD URL [Header:Value]....
+func cmdRise(ts *testscript.TestScript, neg bool, args []string) {
+	refuseNegation(ts, neg, "rise")
+	limit, err := strconv.Atoi(args[2])
+	ts.Check(err)
+	n, err := strconv.Atoi(args[3])
+	ts.Check(err)
+	end := time.Now().Add(untilDeadline)
+	for time.Now().Before(end) {
+		burst(n, args[4:])
+		cmdPeak(ts, false, args[:3])
+		if regionPeak(ts, args[0], args[1]) == limit {
+			return
+		}
+	}
+	ts.Fatalf("rise: the endpoints of %s never held %d requests", args[1], limit)
+}
--- a/sessions/sessions_test.go
+++ b/sessions/sessions_test.go
@@ -73,6 +73,8 @@
 			"sent":     cmdSent,
 			"hosts":    cmdHosts,
 			"burst":    cmdBurst,
+			"peak":     cmdPeak,
+			"rise":     cmdRise,
 
 			"backinuse": cmdBackInUse,
 		},
