--- a/sessions/grantcmd_test.go
+++ b/sessions/grantcmd_test.go
@@ -119,18 +119,7 @@
 }
 
 func burst(n int, args []string) map[string]int {
-	mu := sync.Mutex{}
-	counts := map[string]int{}
-	wg := sync.WaitGroup{}
-	for range n {
-		wg.Go(func() {
-			c := codeOf(args)
-			mu.Lock()
-			defer mu.Unlock()
-			counts[c]++
-		})
-	}
-	wg.Wait()
+	counts, _ := contend(n, args)
 	return counts
 }
 
@@ -202,3 +191,64 @@
 	}
 	ts.Fatalf("rise: the endpoints of %s never held %d requests", args[1], limit)
 }
+
+// slowRefusal is how long a refusal may take that is called quick.
+const slowRefusal = time.Second
+
+// cmdContest sends as many requests of an urgent kind and of another at once and
+// fails unless the first gets at least as many answers, some of the other are
+// refused as not run, and no refusal takes long:
+// contest COUNT URL URL [Header:Value]....
+func cmdContest(ts *testscript.TestScript, neg bool, args []string) {
+	refuseNegation(ts, neg, "contest")
+	n, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	counts := [2]map[string]int{}
+	slowest := [2]time.Duration{}
+	wg := sync.WaitGroup{}
+	for i := range counts {
+		wg.Go(func() {
+			counts[i], slowest[i] = contend(n, append([]string{http.MethodPost, args[1+i]}, args[3:]...))
+		})
+	}
+	wg.Wait()
+	const answered = "5000"
+	urgent, other := counts[0][answered], counts[1][answered]
+	ts.Logf("answered %d and %d of %d, slowest refusals after %v", urgent, other, n, slowest)
+	if urgent < other || urgent == 0 || other == n {
+		ts.Fatalf("contest: %v and %v", counts[0], counts[1])
+	}
+	if s := max(slowest[0], slowest[1]); s > slowRefusal {
+		ts.Fatalf("contest: a refusal took %v", s)
+	}
+	for _, m := range counts {
+		for c := range m {
+			if c != answered && !strings.HasPrefix(c, "3") {
+				ts.Fatalf("contest: a request ended with %q", c)
+			}
+		}
+	}
+}
+
+// contend sends n requests at once and returns how many got each code, and how
+// long the slowest refusal took.
+func contend(n int, args []string) (map[string]int, time.Duration) {
+	mu := sync.Mutex{}
+	counts := map[string]int{}
+	slowest := time.Duration(0)
+	wg := sync.WaitGroup{}
+	for range n {
+		wg.Go(func() {
+			started := time.Now()
+			c := codeOf(args)
+			mu.Lock()
+			defer mu.Unlock()
+			counts[c]++
+			if strings.HasPrefix(c, "3") {
+				slowest = max(slowest, time.Since(started))
+			}
+		})
+	}
+	wg.Wait()
+	return counts, slowest
+}
--- a/sessions/sessions_test.go
+++ b/sessions/sessions_test.go
@@ -75,6 +75,7 @@
 			"burst":    cmdBurst,
 			"peak":     cmdPeak,
 			"rise":     cmdRise,
+			"contest":  cmdContest,
 
 			"backinuse": cmdBackInUse,
 		},
