--- a/sessions/grantcmd_test.go
+++ b/sessions/grantcmd_test.go
@@ -252,3 +252,26 @@
 	wg.Wait()
 	return counts, slowest
 }
+
+// cmdGoesOn sends requests to a paused host and, while they wait there, as many
+// to another, and lets the paused one go on in the midst:
+// goeson NAME COUNT METHOD URL URL.
+func cmdGoesOn(ts *testscript.TestScript, neg bool, args []string) {
+	refuseNegation(ts, neg, "goeson")
+	n, err := strconv.Atoi(args[1])
+	ts.Check(err)
+	p := processesOf(ts)[args[0]].command.Process
+	const apart = 50 * time.Millisecond
+	wg := sync.WaitGroup{}
+	wg.Go(func() {
+		burst(n, []string{args[2], args[3]})
+	})
+	<-time.After(apart)
+	wg.Go(func() {
+		burst(n, []string{args[2], args[4]})
+	})
+	<-time.After(apart)
+	err = p.Signal(syscall.SIGCONT)
+	wg.Wait()
+	ts.Check(err)
+}
--- a/sessions/sessions_test.go
+++ b/sessions/sessions_test.go
@@ -76,6 +76,7 @@
 			"peak":     cmdPeak,
 			"rise":     cmdRise,
 			"contest":  cmdContest,
+			"goeson":   cmdGoesOn,
 
 			"backinuse": cmdBackInUse,
 		},
