core/grant: keep to the smaller part while a claim is in doubt; do without the list

A standby that had been ceded a part claimed the endpoint, the answer was lost, and it went on with the ceded part, of which its own row promised others only the half ("the region holds 11 requests over its cap of 10": 2 from the standby and 4 from the next owner in 5 slots). While a claim is in doubt, a host now keeps to what the claim's row would leave it without a lease, and the row says what may still be in flight.

Only a few readers in each zone read the platform's list often, and a host whose first read had failed did nothing about grants for 30 s, but accepted hand-overs: an endpoint was handed to it again and again and was out of use for 16.5 s. Grants now go by the hosts known to be alive and read the list themselves when it matters (each 2 s while a part is reserved or a lapsed row has no taker); a host accepts offers once it has read the rows.

--- a/core/controlgrant.go
+++ b/core/controlgrant.go
@@ -87,6 +87,8 @@
 func (c *control) carryOutGrant(e grant.Effect) {
 	k := c.kernel
 	switch {
+	case e.List:
+		k.call(k.listHosts)
 	case e.Note != nil:
 		c.noteGrant(*e.Note)
 	case e.Commit != nil:
@@ -161,6 +163,16 @@
 	}
 }
 
+func (k *Kernel) listHosts(ctx context.Context) func(c *control) {
+	hosts, err := k.Seams.Store.Hosts(ctx)
+	if err != nil {
+		return func(*control) {}
+	}
+	return func(c *control) {
+		c.offerHosts(hosts)
+	}
+}
+
 func (k *Kernel) readGrants(ctx context.Context, r grant.Read) func(c *control) {
 	rows, err := k.Seams.Store.Read(ctx, r.Query)
 	if err != nil {
--- a/core/controlmember.go
+++ b/core/controlmember.go
@@ -164,14 +164,18 @@
 // OfferHosts hands the platform's list of hosts to the control goroutine.
 func (k *Kernel) OfferHosts(hosts []store.Host) {
 	k.post(func(c *control) {
-		c.view.List(c.kernel.Now(), hosts)
-		c.grants.SetHosts(hosts, c.kernel.Now())
-		c.updateHosts()
-		c.listSigns(hosts)
+		c.offerHosts(hosts)
 	})
 	k.settle()
 }
 
+func (c *control) offerHosts(hosts []store.Host) {
+	c.view.List(c.kernel.Now(), hosts)
+	c.grants.SetHosts(hosts, c.kernel.Now())
+	c.updateHosts()
+	c.listSigns(hosts)
+}
+
 // listSigns passes on which hosts the platform lists as leaving, for the hosts
 // that read the list seldom.
 func (c *control) listSigns(hosts []store.Host) {
--- a/core/grant/claim.go
+++ b/core/grant/claim.go
@@ -87,12 +87,12 @@
 // claimLapsed takes an endpoint over whose lease has lapsed. The parts that the owner and the standby may still
 // use are reserved.
 func (m *Machine) claimLapsed(e intent.Endpoint, s *seenRow, hosts []store.Host, now time.Time) {
-	lapsed := s.at.Add(m.guarded(s.row.Term.Std()))
+	lapsed := m.lapsed(s)
 	if now.Before(lapsed) || m.version.Number < s.row.Version {
 		return
 	}
 	expected := s.row.Standby == m.options.Self || s.row.Owner == m.options.Self
-	orphaned := !listed(m.hosts, s.row.Owner) || !listed(m.hosts, s.row.Standby)
+	orphaned := !m.mayBeListed(s.row.Owner) || s.row.Standby == "" || !m.mayBeListed(s.row.Standby)
 	if !expected && (!orphaned || now.Before(lapsed.Add(m.turn(e, hosts)))) {
 		return
 	}
@@ -106,6 +106,11 @@
 	m.submit(r, s.version, now)
 }
 
+// lapsed returns when the lease that the row gives has lapsed on every clock.
+func (m *Machine) lapsed(s *seenRow) time.Time {
+	return s.at.Add(m.guarded(s.row.Term.Std()))
+}
+
 // reservations returns what others may still use of a row that is taken over.
 func (m *Machine) reservations(s *seenRow, now time.Time) []Reservation {
 	kept := slices.DeleteFunc(slices.Clone(s.row.Reserved), func(v Reservation) bool {
@@ -150,7 +155,12 @@
 	r.Renewal = m.number(now)
 	r.Term = strict.Duration(m.options.Timing.Term)
 	r.Lasting = r.Own().Smaller()
+	if c, ok := m.received[e]; ok {
+		r.Lasting = r.Lasting.Max(c.Limits).Min(r.Own())
+	}
 	m.claims[e] = r
+	m.doubts[e] = append(m.doubts[e], r)
+	m.apply(e)
 	m.emit(Effect{
 		Commit: &Commit{
 			Attempt: r.Renewal,
--- a/core/grant/effect.go
+++ b/core/grant/effect.go
@@ -15,6 +15,8 @@
 	Offer  *Offer
 	Tell   *Tell
 	Note   *Note
+	// List asks for the platform's list of hosts. It goes to Machine.SetHosts.
+	List bool
 }
 
 // Commit asks for a transaction. Its result goes to Machine.Committed or
--- a/core/grant/holding.go
+++ b/core/grant/holding.go
@@ -130,6 +130,10 @@
 	if m.version.Number >= c.Version {
 		l = l.Min(m.limits[endpoint])
 	}
+	// With the claim in the table, others rely on no more.
+	for _, r := range m.doubts[endpoint] {
+		l = l.Min(r.Own().Smaller())
+	}
 	return quota.Right{
 		Full:    l,
 		Lasting: l,
--- a/core/grant/machine.go
+++ b/core/grant/machine.go
@@ -37,7 +37,7 @@
 	// of the kinds that each endpoint works for.
 	longest   time.Duration
 	longestBy map[string]time.Duration
-	// hosts is the platform's list.
+	// hosts is the platform's list as last read, or empty if it never was.
 	hosts []store.Host
 	// alive are the hosts that are not known to be dead.
 	alive []store.Host
@@ -57,6 +57,10 @@
 	// claims holds the endpoints with a claim under way.
 	claims map[string]Row
 
+	// doubts holds the claims that may be in the table, or may get there as long
+	// as the row is as it was.
+	doubts map[string][]Row
+
 	// attempt numbers this incarnation's commits.
 	attempt uint64
 	// sent holds when recent commits were sent.
@@ -85,6 +89,7 @@
 	nextAll   time.Time
 	nextRenew time.Time
 	nextAsk   time.Time
+	nextList  time.Time
 	nextMove  time.Time
 }
 
@@ -118,6 +123,7 @@
 		received:     map[string]Cede{},
 		acknowledged: map[string]mark{},
 		claims:       map[string]Row{},
+		doubts:       map[string][]Row{},
 		sent:         map[uint64]time.Time{},
 		unowned:      map[string]time.Time{},
 	}
@@ -171,10 +177,11 @@
 
 // Tick does what is due.
 func (m *Machine) Tick(now time.Time) {
-	if m.version == nil || len(m.hosts) == 0 {
+	if m.version == nil || len(m.answering(now)) == 0 {
 		return
 	}
 	m.read(now)
+	m.list(now)
 	m.claim(now)
 	m.move(now)
 	m.cede(now)
@@ -291,6 +298,12 @@
 	})
 }
 
+// mayBeListed reports whether the host is not known to have left the platform's
+// list.
+func (m *Machine) mayBeListed(name string) bool {
+	return len(m.hosts) == 0 || listed(m.hosts, name)
+}
+
 func listed(hosts []store.Host, name string) bool {
 	return slices.ContainsFunc(hosts, func(h store.Host) bool {
 		return h.Name == name
--- a/core/grant/move.go
+++ b/core/grant/move.go
@@ -90,7 +90,7 @@
 
 // Accepts answers another host's offer.
 func (m *Machine) Accepts() Reply {
-	return m.reply(!m.leaving && m.version != nil)
+	return m.reply(!m.leaving && !m.surveyed.IsZero())
 }
 
 func (m *Machine) reply(ok bool) Reply {
--- a/core/grant/read.go
+++ b/core/grant/read.go
@@ -41,6 +41,35 @@
 	})
 }
 
+// list asks for the platform's list, which is read seldom otherwise, while it
+// may be that a host has left it and so frees a part or an endpoint.
+func (m *Machine) list(now time.Time) {
+	if now.Before(m.nextList) || !m.needsList(now) {
+		return
+	}
+	m.nextList = now.Add(m.options.Timing.List)
+	m.emit(Effect{
+		List: true,
+	})
+}
+
+func (m *Machine) needsList(now time.Time) bool {
+	if len(m.hosts) == 0 {
+		return true
+	}
+	for _, h := range m.held {
+		if len(h.row.Reserved) > 0 {
+			return true
+		}
+	}
+	for e, s := range m.rows {
+		if m.held[e] == nil && s.row.Owner != "" && now.After(m.lapsed(s).Add(m.options.Timing.List)) {
+			return true
+		}
+	}
+	return false
+}
+
 // watched returns the keys of the rows that this host may have to take over
 // soon, and of its own while they are unsettled.
 func (m *Machine) watched() []string {
@@ -150,6 +179,7 @@
 	if row.Owner != "" {
 		delete(m.unowned, e)
 	}
+	delete(m.doubts, e)
 	mine := row.Owner == m.options.Self && row.Incarnation == m.options.Incarnation
 	h := m.held[e]
 	switch {
--- a/core/grant/renew.go
+++ b/core/grant/renew.go
@@ -219,15 +219,28 @@
 	})
 }
 
+// claimFailed ends a claim. Unless it had no effect, it stays in doubt.
+func (m *Machine) claimFailed(attempt uint64, r result) {
+	for _, e := range sortedKeys(m.claims) {
+		if m.claims[e].Renewal != attempt {
+			continue
+		}
+		delete(m.claims, e)
+		if r == unknown {
+			continue
+		}
+		m.doubts[e] = slices.DeleteFunc(m.doubts[e], func(row Row) bool {
+			return row.Renewal == attempt
+		})
+		m.apply(e)
+	}
+}
+
 // CommitFailed tells that an attempt ended with an error.
 func (m *Machine) CommitFailed(attempt uint64, err error, now time.Time) {
 	r := resultOf(err)
 	if attempt != m.batch {
-		for e, row := range m.claims {
-			if row.Renewal == attempt {
-				delete(m.claims, e)
-			}
-		}
+		m.claimFailed(attempt, r)
 		if r != failed {
 			m.nextAll = now
 		}
--- a/core/grant/reserve.go
+++ b/core/grant/reserve.go
@@ -41,7 +41,7 @@
 		return !now.Before(m.options.Started.Add(longest))
 	}
 	since, ok := m.gone[v.Host]
-	if !ok && !listed(m.hosts, v.Host) {
+	if !ok && !m.mayBeListed(v.Host) {
 		m.gone[v.Host] = now
 		return false
 	}
@@ -146,7 +146,7 @@
 		}
 	}
 	l := h.rest().Min(h.left().Minus(h.smaller()))
-	return !l.IsZero() && listed(m.hosts, h.row.Standby) &&
+	return !l.IsZero() && m.mayBeListed(h.row.Standby) &&
 		m.options.Ledger(e).Fits(now, time.Time{}, m.right(e).Smaller)
 }
 
--- a/core/grant/timing.go
+++ b/core/grant/timing.go
@@ -12,6 +12,8 @@
 	// Survey that between reads of all rows.
 	Watch  time.Duration
 	Survey time.Duration
+	// List is the time between reads of the platform's list while it matters.
+	List time.Duration
 	// Ask is the time between calls to hosts that still have a part reserved.
 	Ask time.Duration
 	// Skew bounds how much two clocks drift apart over Term, and how much an
@@ -35,6 +37,7 @@
 	Renew:     250 * time.Millisecond,
 	Watch:     100 * time.Millisecond,
 	Survey:    500 * time.Millisecond,
+	List:      2 * time.Second,
 	Ask:       500 * time.Millisecond,
 	Skew:      100 * time.Millisecond,
 	Extension: 5 * time.Second,
--- a/core/grant/world_test.go
+++ b/core/grant/world_test.go
@@ -251,6 +251,10 @@
 		w.commit(p, e.Commit, fault())
 	case e.Read != nil:
 		w.read(p, *e.Read, fault())
+	case e.List:
+		if !w.down && !p.cut {
+			p.machine.SetHosts(w.hosts, p.clock())
+		}
 	case e.Ask != nil:
 		q := *e.Ask
 		w.call(p, q.Host, fault(), func(to *process) func() {
