io/operator, io/peer: a version is at hosts of other zones before the operator hears of it

Cause: a host that died right after it had answered a confirmation, with the platform going down after the write, would have been the only one to know the version.

Change: a confirmation is answered after four hosts, of different zones as far as there are any, were pushed the version, or did not answer in 400 ms.

--- a/core/kernel.go
+++ b/core/kernel.go
@@ -45,8 +45,9 @@
 	Send func(ctx context.Context, e intent.Endpoint, r *work.Request) (*work.Answer, error)
 	// Carry passes a request on to another host.
 	Carry func(ctx context.Context, h store.Host, r *work.Request) (*work.Answer, error)
-	// Push tells the other hosts of a version. It does not wait for them.
-	Push func(v *intent.Version)
+	// Push tells the other hosts of a version that was confirmed here. It
+	// returns once a few of different zones have it, or ctx ends.
+	Push func(ctx context.Context, v *intent.Version)
 	// Timeline asks all hosts, this one among them, and returns an answer for
 	// each, ordered by host.
 	Timeline func(ctx context.Context, q timeline.Query) []timeline.Answer
--- a/io/operator/confirm.go
+++ b/io/operator/confirm.go
@@ -40,7 +40,9 @@
 	})
 	s.kernel.OfferBundle(a.Newest)
 	if a.Newest.Version != nil {
-		s.kernel.Seams.Push(a.Newest.Version)
+		// Hosts of other zones have the version before the operator hears that
+		// it is confirmed: it stays known if the platform and this host go.
+		s.kernel.Seams.Push(ctx, a.Newest.Version)
 	}
 	encode(w, Confirmed{
 		Version: a.Number,
--- a/io/peer/follow.go
+++ b/io/peer/follow.go
@@ -16,6 +16,9 @@
 )
 
 const (
+	// witnesses is the number of hosts that have a version before the operator
+	// hears that it is confirmed.
+	witnesses = 4
 	// followInterval is how often the host that confirmed a version looks
 	// whether it is in force everywhere, and followTime how long.
 	followInterval = 100 * time.Millisecond
@@ -44,13 +47,15 @@
 }
 
 // push spreads a version that was confirmed at this host, and follows it until
-// it is in force everywhere.
-func (x *exchanger) push(v *intent.Version) {
+// it is in force everywhere. It returns once a few hosts of different zones have
+// it, or have not answered in time.
+func (x *exchanger) push(ctx context.Context, v *intent.Version) {
 	x.tell(pushHosts)
 	select {
 	case x.followed <- v:
 	default:
 	}
+	x.pushTo(ctx, x.spreadOverZones(witnesses))
 }
 
 // followLoop follows one version after the other.
