--- a/core/kernel.go
+++ b/core/kernel.go
@@ -49,8 +49,9 @@
 	// Reported returns the share of an endpoint's slots that it last reported as
 	// in use.
 	Reported func(endpoint string) float64
-	// Push tells the other hosts of a version. It does not wait for them.
-	Push func(v *intent.Version)
+	// Push tells the other hosts of a version that was confirmed here. It
+	// returns once a few of different zones have it, or ctx ends.
+	Push func(ctx context.Context, v *intent.Version)
 	// Timeline asks all hosts, this one among them, and returns an answer for
 	// each, ordered by host.
 	Timeline func(ctx context.Context, q timeline.Query) []timeline.Answer
