--- a/core/control.go
+++ b/core/control.go
@@ -17,6 +17,8 @@
 	version *intent.Version
 	// hosts is the platform's list of hosts as last read.
 	hosts []store.Host
+	// blocks are those of version.
+	blocks *lookup.Blocks
 	// stopping is true once a planned stop has begun.
 	stopping bool
 	// grants is this host's part in the grants of endpoints.
@@ -74,4 +76,5 @@
 		s.Table = c.lookupTable(s.Owners)
 	}
 	c.kernel.current.Store(s)
+	c.kernel.Dispatcher.Refresh()
 }
--- a/core/controltable.go
+++ b/core/controltable.go
@@ -6,6 +6,7 @@
 
 	"heatherford/core/intent"
 	"heatherford/core/lookup"
+	"heatherford/core/settings"
 	"heatherford/core/store"
 )
 
@@ -15,10 +16,12 @@
 	version *intent.Version
 	hosts   []store.Host
 	owners  map[string]string
+	// loads is the number of loads that were ever learned.
+	loads uint64
 }
 
 func (t tableInputs) equal(o tableInputs) bool {
-	return t.version == o.version && slices.Equal(t.hosts, o.hosts) && maps.Equal(t.owners, o.owners)
+	return t.version == o.version && t.loads == o.loads && slices.Equal(t.hosts, o.hosts) && maps.Equal(t.owners, o.owners)
 }
 
 // lookupTable returns the table of look-ups, the same one while its inputs stay.
@@ -27,6 +30,7 @@
 		version: c.version,
 		hosts:   c.hosts,
 		owners:  owners,
+		loads:   c.kernel.loads.learnedSoFar(),
 	}
 	if c.table != nil && t.equal(c.tableInputs) {
 		return c.table
@@ -34,8 +38,12 @@
 	c.tableInputs = t
 	c.table = lookup.New(lookup.Options{
 		Declaration: c.version.Declaration,
+		Blocks:      c.blocks,
 		Hosts:       c.hosts,
 		Owners:      owners,
+		Loads:       c.kernel.loads.table(),
+		Everyone:    c.kernel.Settings.Policy == settings.PolicyIndependent,
+		Self:        c.kernel.Settings.Host,
 		Zone:        c.kernel.Settings.Zone,
 	})
 	return c.table
--- a/core/kernel.go
+++ b/core/kernel.go
@@ -41,6 +41,9 @@
 	Send func(ctx context.Context, e intent.Endpoint, r *work.Request) (*work.Answer, error)
 	// Carry passes a request on to another host.
 	Carry func(ctx context.Context, h store.Host, r *work.Request) (*work.Answer, error)
+	// Reported returns the share of an endpoint's slots that it last reported as
+	// in use.
+	Reported func(endpoint string) float64
 	// Push tells the other hosts of a version. It does not wait for them.
 	Push func(v *intent.Version)
 	// Timeline asks all hosts, this one among them, and returns an answer for
@@ -87,6 +90,8 @@
 	tomb    tomb.Tomb
 	events  chan func(c *control)
 	current atomic.Pointer[snapshot.Snapshot]
+	// loads are what hosts told of themselves, this one too.
+	loads *loads
 	// stopping is the state of a planned stop.
 	stopping stopping
 }
@@ -100,6 +105,7 @@
 		Now:      o.Now,
 		plugins:  o.Plugins,
 		events:   make(chan func(c *control)),
+		loads:    newLoads(),
 	}
 	if k.Now == nil {
 		k.Now = time.Now
@@ -134,6 +140,9 @@
 		Record:   k.Record,
 		Results:  k.Results,
 		Now:      k.Now,
+
+		Reported:    k.Seams.Reported,
+		Independent: k.Settings.Policy == settings.PolicyIndependent,
 	})
 	return k, nil
 }
@@ -191,6 +200,14 @@
 	})
 }
 
+// OfferLoads hands loads that hosts told of themselves to the control
+// goroutine, which takes those that are newer than what it knows.
+func (k *Kernel) OfferLoads(s []HostLoad) {
+	k.post(func(c *control) {
+		c.offerLoads(s)
+	})
+}
+
 // post runs f on the control goroutine and does not wait for it to end.
 func (k *Kernel) post(f func(c *control)) {
 	select {
--- a/core/lookup/origin.go
+++ b/core/lookup/origin.go
@@ -2,13 +2,12 @@
 
 import "net/netip"
 
-// Zone returns the availability zone that the caller is near.
-func (t *Table) Zone(caller netip.Addr) string {
-	i := t.zoneOf(caller)
-	for n, j := range t.zones {
-		if i == j {
-			return n
-		}
+// ZoneName returns the name of the availability zone that the caller is near, or
+// an empty string if the declaration has none.
+func (t *Table) ZoneName(caller netip.Addr) string {
+	z := t.Zone(caller)
+	if z >= len(t.blocks.names) {
+		return ""
 	}
-	return ""
+	return t.blocks.names[z]
 }
--- a/core/quota/ledger.go
+++ b/core/quota/ledger.go
@@ -53,6 +53,9 @@
 	// deadline is when the endpoint ends the request at the latest.
 	deadline time.Time
 	caps     []Name
+	// lingers is true once the host has given the request up although the
+	// endpoint may be at work on it until the deadline.
+	lingers bool
 }
 
 // Set replaces the right. Requests in flight stay.
@@ -83,6 +86,7 @@
 func (l *Ledger) Enter(now, deadline time.Time, caps []Name) (*Flight, Refusal) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.prune(now)
 	f := &Flight{
 		deadline: deadline,
 		caps:     caps,
@@ -94,6 +98,40 @@
 	return f, Allowed
 }
 
+// Fresh reports whether Enter would admit f, which it has admitted before, at
+// this later time too. A lease may have lapsed since.
+func (l *Ledger) Fresh(now time.Time, f *Flight) Refusal {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.prune(now)
+	i := slices.Index(l.flight, f)
+	if i < 0 {
+		return NoSlot
+	}
+	l.flight = slices.Delete(l.flight, i, i+1)
+	e := l.check(now, f)
+	l.flight = append(l.flight, f)
+	return e
+}
+
+// Allows returns what Enter would, and counts nothing.
+func (l *Ledger) Allows(now, deadline time.Time, caps []Name) Refusal {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.prune(now)
+	return l.check(now, &Flight{
+		deadline: deadline,
+		caps:     caps,
+	})
+}
+
+// prune forgets the requests that lingered until their deadline.
+func (l *Ledger) prune(now time.Time) {
+	l.flight = slices.DeleteFunc(l.flight, func(f *Flight) bool {
+		return f.lingers && !now.Before(f.deadline)
+	})
+}
+
 func (l *Ledger) check(now time.Time, f *Flight) Refusal {
 	r := l.right
 	bound := r.Full
@@ -138,9 +176,20 @@
 	}
 }
 
+// Linger is Leave for a request that the endpoint may still be at work on: it
+// counts until its deadline.
+func (l *Ledger) Linger(f *Flight) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	f.lingers = true
+}
+
 // Drained reports whether no request is in flight.
-func (l *Ledger) Drained() bool {
-	return l.InFlight() == 0
+func (l *Ledger) Drained(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.prune(now)
+	return len(l.flight) == 0
 }
 
 // Fits reports whether the requests whose deadlines are later than after stay
--- a/internal/rapidtb/rapidtb.go
+++ b/internal/rapidtb/rapidtb.go
@@ -1,4 +1,5 @@
-// Package rapidtb lets quicktest's assertions fail a rapid property.
+// Package rapidtb runs property tests by rapid: with a fixed seed, and with
+// quicktest's assertions, whose failures make rapid shrink the input.
 package rapidtb
 
 import (
--- a/io/caller/lookup.go
+++ b/io/caller/lookup.go
@@ -10,6 +10,7 @@
 	"heatherford/core/code"
 	"heatherford/core/lookup"
 	"heatherford/core/once"
+	"heatherford/core/store"
 	"heatherford/io/internal/refuse"
 )
 
@@ -51,7 +52,7 @@
 	switch {
 	case !ok:
 		refuse.Write(w, "", code.New(code.KindUnknown, "caller: no kind %q", q.Get("kind")))
-	case !d.Found:
+	case d.Host == nil:
 		refuse.Write(w, "", code.New(code.NoEndpoint, "caller: no host owns an endpoint of %q", d.Kind.Upstream))
 	default:
 		d, t, err := s.issue(r.Context(), d)
@@ -76,16 +77,10 @@
 		h.Del("Expires")
 	}
 	json.NewEncoder(w).Encode(Lookup{
-		Kind:    d.Kind.Name,
-		Rank:    d.Kind.Rank,
-		Version: version,
-		Hosts: []LookupHost{
-			{
-				Host:    d.Host.Name,
-				Address: d.Host.CallerAddress,
-				Zone:    d.Host.Zone,
-			},
-		},
+		Kind:      d.Kind.Name,
+		Rank:      d.Kind.Rank,
+		Version:   version,
+		Hosts:     lookupHosts(d),
 		ExpiresAt: e.UTC(),
 
 		Ticket:          t.Token,
@@ -101,6 +96,27 @@
 	return &t.ExpiresAt
 }
 
+// lookupHosts returns the hosts that d names, the best first.
+func lookupHosts(d lookup.Decision) []LookupHost {
+	s := []LookupHost{
+		lookupHost(d.Host),
+	}
+	for _, h := range d.Others {
+		if h != nil {
+			s = append(s, lookupHost(h))
+		}
+	}
+	return s
+}
+
+func lookupHost(h *store.Host) LookupHost {
+	return LookupHost{
+		Host:    h.Name,
+		Address: h.CallerAddress,
+		Zone:    h.Zone,
+	}
+}
+
 // callerAddress returns the address that the caller states, else that of its
 // connection.
 func callerAddress(r *http.Request, stated string) (netip.Addr, error) {
--- a/io/caller/ticket.go
+++ b/io/caller/ticket.go
@@ -13,10 +13,10 @@
 	if d.Kind.Repeatable || s.kernel.Seams.Issue == nil {
 		return d, once.Issued{}, nil
 	}
-	t, err := s.kernel.Seams.Issue(ctx, d.Kind, d.Host)
+	t, err := s.kernel.Seams.Issue(ctx, *d.Kind, *d.Host)
 	if err != nil {
 		return d, t, err
 	}
-	d.Host = t.Home
+	d.Host = &t.Home
 	return d, t, nil
 }
--- a/io/peer/carry.go
+++ b/io/peer/carry.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/netip"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -115,7 +116,7 @@
 	p := c.pool(h.PeerAddress)
 	a, err := p.Do(ctx, q)
 	f := (*wire.Failure)(nil)
-	if errors.As(err, &f) && r.Kind.Repeatable && f.Reused && ctx.Err() == nil {
+	if errors.As(err, &f) && r.Kind.Repeatable && f.Reused && ctx.Err() == nil && (r.Again == nil || r.Again()) {
 		q.ID = work.NewID()
 		q.Fresh = true
 		a, err = p.Do(ctx, q)
@@ -128,6 +129,9 @@
 	a.Header.Del(work.HeaderHop)
 	if n, _ := strconv.Atoi(a.Header.Get(work.HeaderCode)); code.Code(n) != code.Answered {
 		defer a.Body.Close()
+		if e := a.Header.Get(work.HeaderEndpoint); e != "" {
+			r.Tried = append(r.Tried, e)
+		}
 		return nil, refusal(r, a)
 	}
 	return &work.Answer{
@@ -153,6 +157,12 @@
 	if r.Ticket != "" {
 		h.Set(work.HeaderTicket, r.Ticket)
 	}
+	if len(r.Tried) > 0 {
+		h.Set(work.HeaderTried, strings.Join(r.Tried, ","))
+	}
+	if r.Immediate {
+		h.Set(work.HeaderImmediate, "1")
+	}
 	if r.Dispatched {
 		h.Set(work.HeaderDispatched, "1")
 	}
--- a/io/peer/peerpb/once.twirp.go
+++ b/io/peer/peerpb/once.twirp.go
@@ -1066,7 +1066,7 @@
 }
 
 func (s *onceServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor1, 0
+	return twirpFileDescriptor2, 0
 }
 
 func (s *onceServer) ProtocGenTwirpVersion() string {
@@ -1080,7 +1080,7 @@
 	return baseServicePath(s.pathPrefix, "heatherford.peer", "Once")
 }
 
-var twirpFileDescriptor1 = []byte{
+var twirpFileDescriptor2 = []byte{
 	// 269 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x7c, 0x92, 0x51, 0x4b, 0xc3, 0x30,
 	0x10, 0xc7, 0xa9, 0x14, 0x37, 0x6f, 0xd3, 0x95, 0x7b, 0x2a, 0x41, 0xa5, 0xe6, 0x49, 0x10, 0x3b,
--- a/io/peer/plugin.go
+++ b/io/peer/plugin.go
@@ -53,6 +53,9 @@
 	m.Handle(peerpb.PeerPathPrefix, peerpb.NewPeerServer(&server{
 		kernel: k,
 	}))
+	m.Handle(peerpb.LoadsPathPrefix, peerpb.NewLoadsServer(&loadsServer{
+		kernel: k,
+	}))
 	m.Handle(peerpb.TimelinePathPrefix, peerpb.NewTimelineServer(&timelineServer{
 		kernel: k,
 	}))
@@ -79,5 +82,8 @@
 		defer p.carrier.close()
 		return p.once.Run(t)
 	})
+	t.Go(func() error {
+		return p.client.loadsLoop(t)
+	})
 	return nil
 }
--- a/io/upstream/plugin.go
+++ b/io/upstream/plugin.go
@@ -6,6 +6,7 @@
 	"gopkg.in/tomb.v2"
 
 	"heatherford/core"
+	"heatherford/core/settings"
 	"heatherford/core/timeline"
 )
 
@@ -15,6 +16,7 @@
 func init() {
 	core.Register(Name, func() core.Plugin {
 		s := New()
+		p := (*poller)(nil)
 		return core.Plugin{
 			Name: Name,
 			Attach: func(k *core.Kernel) error {
@@ -27,9 +29,16 @@
 						Text:    fmt.Sprintf("silent connection closed with %d idle siblings", siblings),
 					})
 				}
+				p = newPoller(k)
+				k.Seams.Reported = p.reported
 				return nil
 			},
-			Start: func(_ *core.Kernel, t *tomb.Tomb) error {
+			Start: func(k *core.Kernel, t *tomb.Tomb) error {
+				if k.Settings.Policy == settings.PolicyIndependent {
+					t.Go(func() error {
+						return p.run(t)
+					})
+				}
 				t.Go(func() error {
 					<-t.Dying()
 					s.Close()
--- a/io/upstream/sender.go
+++ b/io/upstream/sender.go
@@ -80,12 +80,13 @@
 	p := s.pool(e)
 	c := newCall(r)
 	a, err := p.Do(ctx, c)
-	if r.Kind.Repeatable && worthRetry(ctx, err) {
+	if r.Kind.Repeatable && worthRetry(ctx, err) && (r.Again == nil || r.Again()) {
 		c.ID = work.NewID()
 		c.Fresh = true
 		a, err = p.Do(ctx, c)
 	}
 	if err != nil {
+		r.MayRun = mayRun(err)
 		return nil, sendError(ctx, e, r, err)
 	}
 	if a.Header.Get(headerNotRun) != "" {
@@ -122,6 +123,12 @@
 	}
 }
 
+// mayRun reports whether the endpoint may still be at work on a request.
+func mayRun(err error) bool {
+	f := (*wire.Failure)(nil)
+	return errors.As(err, &f) && f.MayRun
+}
+
 // worthRetry reports whether a new connection may help.
 func worthRetry(ctx context.Context, err error) bool {
 	f := (*wire.Failure)(nil)
@@ -146,6 +153,7 @@
 			IDHeader:       headerRequestID,
 			Whole:          wholeBytes,
 			MaxAnswer:      maxAnswerBytes,
+			Settle:         true,
 			Silent: func(siblings int) {
 				if s.Silent != nil {
 					s.Silent(e.Name, siblings)
--- a/sessions/sessions_test.go
+++ b/sessions/sessions_test.go
@@ -61,6 +61,7 @@
 			"deadline": cmdDeadline,
 			"rows":     cmdRows,
 			"ticket":   cmdTicket,
+			"fresh":    cmdFresh,
 			"send":     cmdSend,
 			"sent":     cmdSent,
 			"noon":     cmdNoon,
