--- a/io/internal/carry/carry.go
+++ b/io/internal/carry/carry.go
@@ -47,7 +47,7 @@
 // readError returns the error for a request that cannot be read. Of work that
 // may not be repeated, other copies may have been run.
 func readError(q *work.Request, err error) error {
-	if q.Kind.Repeatable || (q.Ticket == "" && q.Key == "") || code.Of(err).Outcome() != code.NotRun {
+	if q.Kind.Repeatable || q.Dispatched || (q.Ticket == "" && q.Key == "") || code.Of(err).Outcome() != code.NotRun {
 		return err
 	}
 	return once.CopyRefused(err)
--- a/io/internal/wire/pool.go
+++ b/io/internal/wire/pool.go
@@ -34,6 +34,9 @@
 	Whole int
 	// MaxAnswer is the longest body that is taken at all.
 	MaxAnswer int64
+	// Settle makes a cancelled exchange wait until the peer has closed the
+	// connection, so that Failure.MayRun is known.
+	Settle bool
 	// Silent is called for each connection that is closed for want of
 	// progress, with the number of siblings closed with it. Nil stands for
 	// nothing.
--- a/io/peer/carry.go
+++ b/io/peer/carry.go
@@ -119,7 +119,7 @@
 	p := c.pool(h.PeerAddress)
 	a, err := p.Do(ctx, q)
 	f := (*wire.Failure)(nil)
-	if errors.As(err, &f) && r.Kind.Repeatable && f.Reused && ctx.Err() == nil {
+	if errors.As(err, &f) && r.Kind.Repeatable && f.Reused && ctx.Err() == nil && (r.Again == nil || r.Again()) {
 		q.ID = work.NewID()
 		q.Fresh = true
 		a, err = p.Do(ctx, q)
--- a/io/upstream/sender.go
+++ b/io/upstream/sender.go
@@ -153,6 +153,7 @@
 			IDHeader:       headerRequestID,
 			Whole:          wholeBytes,
 			MaxAnswer:      maxAnswerBytes,
+			Settle:         true,
 			Silent: func(siblings int) {
 				if s.Silent != nil {
 					s.Silent(e.Name, siblings)
