io/internal/carry: take the rank that a caller states

Cause: the header Heatherford-Rank was documented and not read, and an identifier of any length and content went into logs.

Change: a caller may state a rank that is not more urgent than the kind's; results are still counted under the kind's rank. Identifiers that cannot stand in a log line are replaced.

--- a/core/dispatch/result.go
+++ b/core/dispatch/result.go
@@ -81,7 +81,7 @@
 	d.options.Results.Record(outcome.Result{
 		Kind:       r.Kind.Name,
 		Rank:       r.Kind.Rank,
-		RankIndex:  r.Rank,
+		RankIndex:  r.KindRank,
 		Repeatable: r.Kind.Repeatable,
 		Weight:     r.Kind.Weight,
 		Target:     r.Target,
--- a/core/work/work.go
+++ b/core/work/work.go
@@ -34,9 +34,15 @@
 	// ID is never empty.
 	ID   string
 	Kind intent.Kind
-	// Rank is an index into the declaration's ranks.
-	Rank int
-	// Target is the share of correct answers that the rank aims at, 0 for none.
+	// Rank is an index into the declaration's ranks, of which RankName is the
+	// name. It is not more urgent than the kind's.
+	Rank     int
+	RankName string
+	// KindRank is the index of the kind's rank, under which the request is
+	// counted.
+	KindRank int
+	// Target is the share of correct answers that the kind's rank aims at, 0 for
+	// none.
 	Target float64
 	Caller netip.Addr
 	Method string
--- a/io/internal/carry/carry.go
+++ b/io/internal/carry/carry.go
@@ -12,6 +12,7 @@
 
 	"heatherford/core"
 	"heatherford/core/code"
+	"heatherford/core/intent"
 	"heatherford/core/once"
 	"heatherford/core/work"
 	"heatherford/io/internal/refuse"
@@ -75,10 +76,6 @@
 		return q, code.New(code.KindUnknown, "carry: no kind %q", name)
 	}
 	q.Kind = kind
-	q.Rank = v.Declaration.RankIndex(kind.Rank)
-	if q.Rank >= 0 {
-		q.Target = v.Declaration.Ranks[q.Rank].Target
-	}
 	q.Path = "/" + path
 	if r.URL.RawQuery != "" {
 		q.Path += "?" + r.URL.RawQuery
@@ -86,6 +83,9 @@
 	if err := readHeaders(k, q, r); err != nil {
 		return q, err
 	}
+	if err := readRank(v.Declaration, q, r.Header.Get(work.HeaderRank)); err != nil {
+		return q, err
+	}
 	if hop {
 		readHop(q, r)
 	}
@@ -123,6 +123,26 @@
 	return nil
 }
 
+// readRank takes the rank that the caller states, which may be less urgent than
+// the kind's, or else the kind's.
+func readRank(d *intent.Declaration, q *work.Request, stated string) error {
+	q.KindRank = d.RankIndex(q.Kind.Rank)
+	q.Target = d.Ranks[q.KindRank].Target
+	q.Rank = q.KindRank
+	if stated != "" {
+		n := d.RankIndex(stated)
+		if n < 0 {
+			return code.New(code.RequestInvalid, "carry: %s: no rank %q", work.HeaderRank, stated)
+		}
+		if n < q.Rank {
+			return code.New(code.RequestInvalid, "carry: %s: kind %q has rank %q, which is less urgent", work.HeaderRank, q.Kind.Name, q.Kind.Rank)
+		}
+		q.Rank = n
+	}
+	q.RankName = d.Ranks[q.Rank].Name
+	return nil
+}
+
 // readHop reads what only another host may say of a request.
 func readHop(q *work.Request, r *http.Request) {
 	if s := r.Header.Get(work.HeaderTried); s != "" {
@@ -131,11 +151,21 @@
 	q.Immediate = r.Header.Get(work.HeaderImmediate) != ""
 }
 
+// maxIDBytes bounds the identifiers that callers choose.
+const maxIDBytes = 128
+
+// requestID returns the caller's identifier if it can stand in logs and headers,
+// else a new one.
 func requestID(r *http.Request) string {
-	if s := r.Header.Get(work.HeaderRequestID); s != "" {
-		return s
+	s := r.Header.Get(work.HeaderRequestID)
+	if s == "" || len(s) > maxIDBytes || strings.ContainsFunc(s, unprintable) {
+		return work.NewID()
 	}
-	return work.NewID()
+	return s
+}
+
+func unprintable(c rune) bool {
+	return c <= ' ' || c > '~'
 }
 
 // hopByHop are the headers that concern one connection only.
--- a/io/peer/carry.go
+++ b/io/peer/carry.go
@@ -153,6 +153,7 @@
 	h.Set(work.HeaderRequestID, r.ID)
 	h.Set(work.HeaderDeadline, r.Deadline.UTC().Format(time.RFC3339Nano))
 	h.Set(work.HeaderCaller, r.Caller.String())
+	h.Set(work.HeaderRank, r.RankName)
 	h.Set(stamp.Header, c.kernel.Clock.Now().String())
 	if r.Key != "" {
 		h.Set(work.HeaderIdempotencyKey, r.Key)
