--- a/sessions/grantcmd_test.go
+++ b/sessions/grantcmd_test.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
+
+	"heatherford/standin/upstream"
 )
 
 // cmdHosts writes the settings NAME.json of each host, with free addresses as
@@ -117,18 +119,7 @@
 }
 
 func burst(n int, args []string) map[string]int {
-	mu := sync.Mutex{}
-	counts := map[string]int{}
-	wg := sync.WaitGroup{}
-	for range n {
-		wg.Go(func() {
-			c := codeOf(args)
-			mu.Lock()
-			defer mu.Unlock()
-			counts[c]++
-		})
-	}
-	wg.Wait()
+	counts, _ := contend(n, args)
 	return counts
 }
 
@@ -152,3 +143,135 @@
 	defer a.Body.Close()
 	return a.Header.Get("Heatherford-Code")
 }
+
+// regionPeak returns the most requests that a region's endpoints held at once,
+// as the stand-in counted since its last reset.
+func regionPeak(ts *testscript.TestScript, control, region string) int {
+	a, err := http.Get("http://" + control + "/counts")
+	ts.Check(err)
+	defer a.Body.Close()
+	c := upstream.FleetCounts{}
+	ts.Check(json.NewDecoder(a.Body).Decode(&c))
+	for _, r := range c.Regions {
+		if r.Name == region {
+			return r.Peak
+		}
+	}
+	ts.Fatalf("no region %s", region)
+	return 0
+}
+
+// cmdPeak fails unless the region's endpoints held between one request and the
+// limit at once: peak CONTROL REGION LIMIT.
+func cmdPeak(ts *testscript.TestScript, neg bool, args []string) {
+	refuseNegation(ts, neg, "peak")
+	limit, err := strconv.Atoi(args[2])
+	ts.Check(err)
+	if n := regionPeak(ts, args[0], args[1]); n < 1 || n > limit {
+		ts.Fatalf("peak: the endpoints of %s held %d requests, expected 1 to %d", args[1], n, limit)
+	}
+}
+
+// cmdRise repeats bursts until the region's endpoints have held as many requests
+// at once as the limit; it fails if they hold more:
+// rise CONTROL REGION LIMIT COUNT METHOD URL [Header:Value]....
+func cmdRise(ts *testscript.TestScript, neg bool, args []string) {
+	refuseNegation(ts, neg, "rise")
+	limit, err := strconv.Atoi(args[2])
+	ts.Check(err)
+	n, err := strconv.Atoi(args[3])
+	ts.Check(err)
+	end := time.Now().Add(untilDeadline)
+	for time.Now().Before(end) {
+		burst(n, args[4:])
+		cmdPeak(ts, false, args[:3])
+		if regionPeak(ts, args[0], args[1]) == limit {
+			return
+		}
+	}
+	ts.Fatalf("rise: the endpoints of %s never held %d requests", args[1], limit)
+}
+
+// slowRefusal is how long a refusal may take that is called quick.
+const slowRefusal = time.Second
+
+// cmdContest sends as many requests of an urgent kind and of another at once and
+// fails unless the first gets at least as many answers, some of the other are
+// refused as not run, and no refusal takes long:
+// contest COUNT URL URL [Header:Value]....
+func cmdContest(ts *testscript.TestScript, neg bool, args []string) {
+	refuseNegation(ts, neg, "contest")
+	n, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	counts := [2]map[string]int{}
+	slowest := [2]time.Duration{}
+	wg := sync.WaitGroup{}
+	for i := range counts {
+		wg.Go(func() {
+			counts[i], slowest[i] = contend(n, append([]string{http.MethodPost, args[1+i]}, args[3:]...))
+		})
+	}
+	wg.Wait()
+	const answered = "5000"
+	urgent, other := counts[0][answered], counts[1][answered]
+	ts.Logf("answered %d and %d of %d, slowest refusals after %v", urgent, other, n, slowest)
+	if urgent < other || urgent == 0 || other == n {
+		ts.Fatalf("contest: %v and %v", counts[0], counts[1])
+	}
+	if s := max(slowest[0], slowest[1]); s > slowRefusal {
+		ts.Fatalf("contest: a refusal took %v", s)
+	}
+	for _, m := range counts {
+		for c := range m {
+			if c != answered && !strings.HasPrefix(c, "3") {
+				ts.Fatalf("contest: a request ended with %q", c)
+			}
+		}
+	}
+}
+
+// contend sends n requests at once and returns how many got each code, and how
+// long the slowest refusal took.
+func contend(n int, args []string) (map[string]int, time.Duration) {
+	mu := sync.Mutex{}
+	counts := map[string]int{}
+	slowest := time.Duration(0)
+	wg := sync.WaitGroup{}
+	for range n {
+		wg.Go(func() {
+			started := time.Now()
+			c := codeOf(args)
+			mu.Lock()
+			defer mu.Unlock()
+			counts[c]++
+			if strings.HasPrefix(c, "3") {
+				slowest = max(slowest, time.Since(started))
+			}
+		})
+	}
+	wg.Wait()
+	return counts, slowest
+}
+
+// cmdGoesOn sends requests to a paused host and, while they wait there, as many
+// to another, and lets the paused one go on in the midst:
+// goeson NAME COUNT METHOD URL URL.
+func cmdGoesOn(ts *testscript.TestScript, neg bool, args []string) {
+	refuseNegation(ts, neg, "goeson")
+	n, err := strconv.Atoi(args[1])
+	ts.Check(err)
+	p := processesOf(ts)[args[0]].command.Process
+	const apart = 50 * time.Millisecond
+	wg := sync.WaitGroup{}
+	wg.Go(func() {
+		burst(n, []string{args[2], args[3]})
+	})
+	<-time.After(apart)
+	wg.Go(func() {
+		burst(n, []string{args[2], args[4]})
+	})
+	<-time.After(apart)
+	err = p.Signal(syscall.SIGCONT)
+	wg.Wait()
+	ts.Check(err)
+}
