--- a/cmd/heatherford/main.go
+++ b/cmd/heatherford/main.go
@@ -58,6 +58,11 @@
 			about: "show the version in force at every host, and the drains",
 			run:   status,
 		},
+		{
+			name:  "report",
+			about: "write the evening page of a day",
+			run:   reportCommand,
+		},
 		{
 			name:  "drain",
 			about: "plan that an endpoint or entry host is leaving",
--- a/core/control.go
+++ b/core/control.go
@@ -5,6 +5,7 @@
 
 	"heatherford/core/config"
 	"heatherford/core/drain"
+	"heatherford/core/grant"
 	"heatherford/core/intent"
 	"heatherford/core/lookup"
 	"heatherford/core/member"
@@ -26,16 +27,27 @@
 	// hosts are this host and all others that are not dead, as traffic uses
 	// them. Hosts that take no new work have the state HostLeaving.
 	hosts []store.Host
+	// blocks are those of version.
+	blocks *lookup.Blocks
 	// suspects are the names of hosts that may be dead.
 	suspects map[string]bool
 	// isCutOff is true while this host takes itself for cut off.
 	isCutOff bool
 	// signs say what is leaving, besides the declaration.
 	signs *drain.Signs
+	// signed counts the changes of signs.
+	signed uint64
 	// drains is the progress of all drains.
 	drains *drain.Tracker
 	// stopping is true once a planned stop has begun.
 	stopping bool
+	// grants is this host's part in the grants of endpoints.
+	grants *grant.Machine
+	// granted is the revision of the grants that was published last.
+	granted uint64
+	// table is the newest table of look-ups, built from tableInputs.
+	table       *lookup.Table
+	tableInputs tableInputs
 	// changed is true if the state differs from the published snapshot.
 	changed bool
 }
@@ -45,20 +57,26 @@
 func (k *Kernel) control() error {
 	c := &control{
 		kernel: k,
+		grants: newGrants(k),
 		bundle: config.Empty(),
 		view:   newView(k),
 		signs:  drain.New(),
 		drains: drain.NewTracker(),
 	}
+	tick := time.NewTicker(grantTick)
+	defer tick.Stop()
 	c.updateHosts()
 	c.publish()
 	for {
 		select {
 		case f := <-k.events:
 			f(c)
+		case <-tick.C:
+			c.tickGrants()
 		case <-k.tomb.Dying():
 			return nil
 		}
+		c.carryOutGrants()
 		c.publish()
 	}
 }
@@ -83,12 +101,8 @@
 	}
 	if c.version != nil {
 		c.publishGrants(s)
-		s.Table = lookup.New(lookup.Options{
-			Declaration: c.declaration(),
-			Hosts:       c.nameable(),
-			Owners:      s.Owners,
-			Zone:        c.kernel.Settings.Zone,
-		})
+		s.Table = c.lookupTable(s.Owners)
 	}
 	c.kernel.current.Store(s)
+	c.kernel.Dispatcher.Refresh()
 }
--- a/core/controlconfig.go
+++ b/core/controlconfig.go
@@ -9,6 +9,7 @@
 	"heatherford/core/code"
 	"heatherford/core/config"
 	"heatherford/core/intent"
+	"heatherford/core/lookup"
 	"heatherford/core/timeline"
 )
 
@@ -23,6 +24,8 @@
 	c.bundle = b
 	c.version = b.Version
 	c.takenAt = c.kernel.Now()
+	c.blocks = lookup.NewBlocks(b.Version.Declaration)
+	c.grants.SetVersion(b.Version)
 	c.changed = true
 	c.publish()
 	level.Info(c.kernel.Log).Log("msg", "config: version in force", "version", b.Number)
--- a/core/controldrain.go
+++ b/core/controldrain.go
@@ -63,6 +63,7 @@
 // signChanged makes the new state of a subject visible.
 func (c *control) signChanged(s drain.Sign) {
 	c.changed = true
+	c.signed++
 	c.updateHosts()
 	text := "is back"
 	if s.Leaving {
--- a/core/controlmember.go
+++ b/core/controlmember.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"slices"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -47,6 +48,12 @@
 	c.hosts = hosts
 	c.suspects = suspects
 	c.changed = true
+	c.grants.SetAlive(hosts)
+	c.kernel.loads.forget(func(host string) bool {
+		return slices.ContainsFunc(hosts, func(h store.Host) bool {
+			return h.Name == host
+		})
+	})
 }
 
 func (c *control) hostLeaving(h store.Host) bool {
@@ -158,6 +165,7 @@
 func (k *Kernel) OfferHosts(hosts []store.Host) {
 	k.post(func(c *control) {
 		c.view.List(c.kernel.Now(), hosts)
+		c.grants.SetHosts(hosts, c.kernel.Now())
 		c.updateHosts()
 		c.listSigns(hosts)
 	})
--- a/core/dispatch/send.go
+++ b/core/dispatch/send.go
@@ -3,23 +3,21 @@
 import (
 	"context"
 
-	"heatherford/core/code"
-	"heatherford/core/snapshot"
+	"heatherford/core/admission"
 	"heatherford/core/timeline"
 	"heatherford/core/work"
 )
 
-// send waits for a slot of the endpoint and sends r to it. The slot is given
-// back after the answer's end.
-func (d *Dispatcher) send(ctx context.Context, o snapshot.Own, r *work.Request) (*work.Answer, error) {
-	g := d.gate(o)
-	if err := g.Acquire(ctx, r.Rank, r.Deadline); err != nil {
-		return nil, err
-	}
-	if err := d.fence(o, r); err != nil {
-		g.Release()
+// send uses the permit to send r. The slot is given back after the answer's
+// end.
+func (d *Dispatcher) send(ctx context.Context, p admission.Permit, r *work.Request) (*work.Answer, error) {
+	o := p.Own
+	if err := d.fence(p, r); err != nil {
+		d.release(p, r, admission.Abandoned)
 		return nil, err
 	}
+	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
+	r.MayRun = false
 	d.options.Record(timeline.Event{
 		Kind:    timeline.KindUpstream,
 		Request: r.ID,
@@ -28,27 +26,47 @@
 	})
 	a, err := d.options.Send(ctx, o.Endpoint, r)
 	if err != nil {
-		g.Release()
+		r.Tried = append(r.Tried, o.Endpoint.Name)
+		d.release(p, r, result(ctx))
+		cancel()
 		return nil, err
 	}
 	a.Host = d.options.Self
 	a.Body = &body{
 		ReadCloser: a.Body,
-		done: func(error) {
-			g.Release()
+		done: func(err error) {
+			d.release(p, r, ended(ctx, err))
+			cancel()
 		},
 	}
 	return a, nil
 }
 
-// fence reads the grant again right before the request is written, so that a
-// host that was paused sends nothing on an old grant.
-func (d *Dispatcher) fence(o snapshot.Own, r *work.Request) error {
-	if !o.Last.IsZero() && r.Deadline.After(o.Last) {
-		r.Deadline = o.Last
+// release gives the permit's slot back, unless the endpoint may still be at work
+// on r: then the slot counts as used until r's deadline.
+func (d *Dispatcher) release(p admission.Permit, r *work.Request, x admission.Result) {
+	l := d.Ledger(p.Own.Endpoint.Name)
+	if r.MayRun {
+		l.Linger(p.Flight)
+		p.Hold(r.Deadline)
+	} else {
+		l.Leave(p.Flight)
 	}
-	if !d.options.Now().Before(r.Deadline) {
-		return code.New(code.DeadlinePassed, "dispatch: the deadline passed in the queue")
+	p.Release(x)
+}
+
+// result says whether a request without an answer is the endpoint's fault.
+func result(ctx context.Context) admission.Result {
+	if ctx.Err() != nil {
+		return admission.Abandoned
+	}
+	return admission.Failed
+}
+
+// ended says how an answer's body ended.
+func ended(ctx context.Context, err error) admission.Result {
+	if err == nil {
+		return admission.Succeeded
 	}
-	return nil
+	return result(ctx)
 }
--- a/core/kernel.go
+++ b/core/kernel.go
@@ -15,6 +15,7 @@
 	"heatherford/core/dispatch"
 	"heatherford/core/drain"
 	"heatherford/core/intent"
+	"heatherford/core/once"
 	"heatherford/core/outcome"
 	"heatherford/core/rollup"
 	"heatherford/core/settings"
@@ -45,6 +46,9 @@
 	Send func(ctx context.Context, e intent.Endpoint, r *work.Request) (*work.Answer, error)
 	// Carry passes a request on to another host.
 	Carry func(ctx context.Context, h store.Host, r *work.Request) (*work.Answer, error)
+	// Reported returns the share of an endpoint's slots that it last reported as
+	// in use.
+	Reported func(endpoint string) float64
 	// Push tells the other hosts of a version that was confirmed here. It
 	// returns once a few of different zones have it, or ctx ends.
 	Push func(ctx context.Context, v *intent.Version)
@@ -53,6 +57,8 @@
 	Timeline func(ctx context.Context, q timeline.Query) []timeline.Answer
 	// Keep hands roll-ups that could not be written to another host.
 	Keep func(ctx context.Context, s []rollup.Object) error
+	// Grants calls other hosts about the grants of endpoints.
+	Grants GrantCalls
 	// Describe asks all other hosts for their reports. Nil stands for no
 	// other hosts.
 	Describe func(ctx context.Context) []Described
@@ -60,6 +66,9 @@
 	Traffic func() Traffic
 	// Once runs work that may not be repeated; nil stands for a direct call.
 	Once func(ctx context.Context, r *work.Request, run dispatch.Run) (*work.Answer, error)
+	// Issue returns a ticket for work that may not be repeated, whose home is
+	// the host if that can be.
+	Issue func(ctx context.Context, kind intent.Kind, home store.Host) (once.Issued, error)
 }
 
 const (
@@ -96,6 +105,8 @@
 	tomb    tomb.Tomb
 	events  chan func(c *control)
 	current atomic.Pointer[snapshot.Snapshot]
+	// loads are what hosts told of themselves, this one too.
+	loads *loads
 	// stopping is the state of a planned stop.
 	stopping stopping
 	flights  *flights
@@ -117,6 +128,7 @@
 		Dial:     o.Dial,
 		plugins:  o.Plugins,
 		events:   make(chan func(c *control)),
+		loads:    newLoads(),
 	}
 	if k.Now == nil {
 		k.Now = time.Now
@@ -136,11 +148,13 @@
 	k.Clock = timeline.NewClock(k.Now)
 	k.stopping.begun = make(chan struct{})
 	k.OnStop(PhaseExpire, "core", k.expireLookups)
+	k.OnStop(PhaseHandOver, "grants", k.handOverGrants)
 	k.Ring = timeline.NewRing(ringSize(o.Settings.Limits.TimelineEvents))
 	k.Rolls = rollup.New(rollup.Options{
 		Host:        o.Settings.Host,
 		Region:      o.Settings.Region,
 		Incarnation: strconv.FormatInt(k.Now().UnixMilli(), incarnationBase),
+		Interval:    o.Settings.Limits.RollUpInterval.Std(),
 		Now:         k.Now,
 	})
 	k.Results = outcome.New(k.Rolls.Result)
@@ -157,6 +171,9 @@
 		Record:   k.Record,
 		Results:  k.Results,
 		Now:      k.Now,
+
+		Reported:    k.Seams.Reported,
+		Independent: k.Settings.Policy == settings.PolicyIndependent,
 	})
 	return k, nil
 }
@@ -200,6 +217,14 @@
 	return k.current.Load()
 }
 
+// OfferLoads hands loads that hosts told of themselves to the control
+// goroutine, which takes those that are newer than what it knows.
+func (k *Kernel) OfferLoads(s []HostLoad) {
+	k.post(func(c *control) {
+		c.offerLoads(s)
+	})
+}
+
 // post runs f on the control goroutine and does not wait for it to end.
 func (k *Kernel) post(f func(c *control)) {
 	select {
--- /dev/null
+++ b/core/lookup/origin.go
@@ -0,0 +1,13 @@
+package lookup
+
+import "net/netip"
+
+// ZoneName returns the name of the availability zone that the caller is near, or
+// an empty string if the declaration has none.
+func (t *Table) ZoneName(caller netip.Addr) string {
+	z := t.Zone(caller)
+	if z >= len(t.blocks.names) {
+		return ""
+	}
+	return t.blocks.names[z]
+}
--- a/io/platform/plugin.go
+++ b/io/platform/plugin.go
@@ -13,7 +13,7 @@
 
 func init() {
 	store.Register("http", func(url string) (store.Store, error) {
-		return New(url), nil
+		return New(url), checkURL(url)
 	})
 	core.Register(Name, func() core.Plugin {
 		p := &poller{}
