--- a/core/quota/ledger.go
+++ b/core/quota/ledger.go
@@ -8,15 +8,14 @@
 
 // Right is what a host may send to an endpoint.
 type Right struct {
-	// Full bounds the requests in flight until Until, Smaller those in flight
-	// after it. Full covers Smaller.
+	// Full bounds the requests in flight until Until, Smaller those that begin
+	// after it, and Lasting those that begin before it and may end after it.
+	// Full covers Lasting, which covers Smaller.
 	Full    Limits
+	Lasting Limits
 	Smaller Limits
 	// Until is the lease's deadline. The zero value stands for no lease.
 	Until time.Time
-	// Covered is when requests under Full end at the latest. It is not before
-	// Until.
-	Covered time.Time
 }
 
 // Refusal says which bound keeps a request out. The zero value is none.
@@ -29,7 +28,7 @@
 	// NoSlot says that all slots are in use.
 	NoSlot
 	// NoLease says that the request may outlast the lease and that the part
-	// that needs none is in use.
+	// for such requests is in use.
 	NoLease
 	// NoPart says that the endpoint's part of a cap is in use.
 	NoPart
@@ -58,6 +57,11 @@
 	lingers bool
 }
 
+// Deadline returns when the endpoint ends the request at the latest.
+func (f *Flight) Deadline() time.Time {
+	return f.deadline
+}
+
 // Set replaces the right. Requests in flight stay.
 func (l *Ledger) Set(r Right) {
 	l.mu.Lock()
@@ -125,6 +129,25 @@
 	})
 }
 
+// Capped reports whether one of the caps keeps out any more requests.
+func (l *Ledger) Capped(now time.Time, caps []Name) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.prune(now)
+	bound := l.right.bound(now)
+	return slices.ContainsFunc(caps, func(n Name) bool {
+		return l.count(time.Time{}, n) >= bound.Of(n)
+	})
+}
+
+// bound returns what bounds the requests in flight at the time now.
+func (r *Right) bound(now time.Time) Limits {
+	if now.Before(r.Until) {
+		return r.Full
+	}
+	return r.Smaller
+}
+
 // prune forgets the requests that lingered until their deadline.
 func (l *Ledger) prune(now time.Time) {
 	l.flight = slices.DeleteFunc(l.flight, func(f *Flight) bool {
@@ -134,10 +157,7 @@
 
 func (l *Ledger) check(now time.Time, f *Flight) Refusal {
 	r := l.right
-	bound := r.Full
-	if !now.Before(r.Until) {
-		bound = r.Smaller
-	}
+	bound := r.bound(now)
 	all := time.Time{}
 	if l.count(all, "") >= bound.Slots {
 		return NoSlot
@@ -150,17 +170,15 @@
 	if !f.deadline.After(r.Until) {
 		return Allowed
 	}
-	if l.count(r.Until, "")+1 >= r.Smaller.Slots {
+	n := l.count(r.Until, "")
+	if n+1 >= r.Smaller.Slots {
 		l.pressedAt = now
 	}
-	if !f.deadline.After(r.Covered) {
-		return Allowed
-	}
-	if l.count(r.Covered, "") >= r.Smaller.Slots {
+	if n >= r.Lasting.Slots {
 		return NoLease
 	}
 	for _, n := range f.caps {
-		if l.count(r.Covered, n) >= r.Smaller.Of(n) {
+		if l.count(r.Until, n) >= r.Lasting.Of(n) {
 			return NoLease
 		}
 	}
@@ -194,9 +212,10 @@
 
 // Fits reports whether the requests whose deadlines are later than after stay
 // within the limits.
-func (l *Ledger) Fits(after time.Time, limits Limits) bool {
+func (l *Ledger) Fits(now, after time.Time, limits Limits) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.prune(now)
 	if l.count(after, "") > limits.Slots {
 		return false
 	}
--- a/core/work/work.go
+++ b/core/work/work.go
@@ -1,6 +1,7 @@
 package work
 
 import (
+	"crypto/rand"
 	"io"
 	"net/http"
 	"net/netip"
@@ -23,6 +24,7 @@
 	HeaderHop            = "Heatherford-Hop"
 	HeaderTried          = "Heatherford-Tried"
 	HeaderImmediate      = "Heatherford-Immediate"
+	HeaderDispatched     = "Heatherford-Dispatched"
 	HeaderIdempotencyKey = "Idempotency-Key"
 )
 
@@ -64,6 +66,14 @@
 	// Hop is true of a request that another host passed on. It is never
 	// passed on again.
 	Hop bool
+	// Dispatched is true of work that may not be repeated once its home has
+	// dispatched it. It is run without asking again whether it may.
+	Dispatched bool
+}
+
+// NewID returns a new distinct identifier.
+func NewID() string {
+	return rand.Text()
 }
 
 // Answer is an upstream's answer. Its receiver closes the body.
--- a/io/caller/lookup.go
+++ b/io/caller/lookup.go
@@ -9,6 +9,7 @@
 
 	"heatherford/core/code"
 	"heatherford/core/lookup"
+	"heatherford/core/once"
 	"heatherford/core/store"
 	"heatherford/io/internal/refuse"
 )
@@ -22,6 +23,10 @@
 	Hosts []LookupHost `json:"hosts"`
 	// ExpiresAt is when the caller has to look up again.
 	ExpiresAt time.Time `json:"expires_at"`
+	// Ticket is good for one request of work that may not be repeated and all
+	// its copies. It is empty for other work.
+	Ticket          string     `json:"ticket,omitempty"`
+	TicketExpiresAt *time.Time `json:"ticket_expires_at,omitempty"`
 }
 
 // LookupHost is a host to send to.
@@ -38,11 +43,14 @@
 		refuse.Write(w, "", err)
 		return
 	}
-	v := s.kernel.Snapshot()
-	if v.Table == nil {
-		refuse.Write(w, "", code.New(code.HostBehind, "caller: this host knows no declaration yet"))
+	// The answer expires by a time from before the check, so that one that a
+	// pause delays has expired when it comes.
+	now := s.kernel.Now()
+	if err := s.kernel.Serving(); err != nil {
+		refuse.Write(w, "", err)
 		return
 	}
+	v := s.kernel.Snapshot()
 	d, ok := v.Table.Decide(q.Get("kind"), a)
 	switch {
 	case !ok:
@@ -50,23 +58,36 @@
 	case d.Host == nil:
 		refuse.Write(w, "", code.New(code.NoEndpoint, "caller: no host owns an endpoint of %q", d.Kind.Upstream))
 	default:
-		s.writeLookup(w, v.Version.Number, d)
+		d, t, err := s.issue(r.Context(), d)
+		if err != nil {
+			refuse.Write(w, "", err)
+			return
+		}
+		s.writeLookup(w, now, v.Version.Number, d, t)
 	}
 }
 
-func (s *Server) writeLookup(w http.ResponseWriter, version uint64, d lookup.Decision) {
+func (s *Server) writeLookup(w http.ResponseWriter, now time.Time, version uint64, d lookup.Decision, t once.Issued) {
 	ttl := s.kernel.Settings.Limits.LookupTTL.Std()
-	e := s.kernel.Now().Add(ttl)
+	e := now.Add(ttl)
 	h := w.Header()
 	h.Set("Content-Type", "application/json")
 	h.Set("Cache-Control", fmt.Sprintf("private, max-age=%d", int(ttl.Seconds())))
 	h.Set("Expires", e.UTC().Format(http.TimeFormat))
+	if t.Token != "" {
+		// A ticket is good for one request.
+		h.Set("Cache-Control", "no-store")
+		h.Del("Expires")
+	}
 	json.NewEncoder(w).Encode(Lookup{
 		Kind:      d.Kind.Name,
 		Rank:      d.Kind.Rank,
 		Version:   version,
 		Hosts:     lookupHosts(d),
 		ExpiresAt: e.UTC(),
+
+		Ticket:          t.Token,
+		TicketExpiresAt: expiry(t),
 	})
 }
 
@@ -91,6 +112,14 @@
 	}
 }
 
+// expiry returns when t expires, or nil without a ticket.
+func expiry(t once.Issued) *time.Time {
+	if t.Token == "" {
+		return nil
+	}
+	return &t.ExpiresAt
+}
+
 // callerAddress returns the address that the caller states, else that of its
 // connection.
 func callerAddress(r *http.Request, stated string) (netip.Addr, error) {
--- a/io/platform/client.go
+++ b/io/platform/client.go
@@ -4,30 +4,36 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
-	"io"
 	"net/http"
 	"net/url"
-	"syscall"
 	"time"
 
 	"heatherford/core/code"
 	"heatherford/core/store"
+	"heatherford/io/internal/wire"
 )
 
 // maxAnswerBytes bounds what is read of one answer.
 const maxAnswerBytes = 64 << 20
 
+// readPath is the path of reads, which are posted for the length of queries.
+const readPath = "/v1/read"
+
 // callTimeout bounds one call whose context has no earlier deadline.
 const callTimeout = 5 * time.Second
 
+// commitPath is the path of commits, which are never sent again by themselves.
+const commitPath = "/v1/commit"
+
 // New returns a store that speaks to the platform at the URL.
 func New(base string) store.Store {
+	u, err := url.Parse(base)
+	if err != nil {
+		u = &url.URL{}
+	}
 	c := &client{
-		base: base,
-		http: &http.Client{
-			Timeout: callTimeout,
-		},
+		prefix: u.Path,
+		pool:   newPool(u),
 	}
 	return store.Store{
 		Commit:      c.commit,
@@ -40,13 +46,14 @@
 }
 
 type client struct {
-	base string
-	http *http.Client
+	// prefix starts the paths of all calls.
+	prefix string
+	pool   *wire.Pool
 }
 
 func (c *client) commit(ctx context.Context, t store.Transaction) (store.Committed, error) {
 	a := store.Committed{}
-	err := c.call(ctx, http.MethodPost, "/v1/commit", t, &a)
+	err := c.call(ctx, http.MethodPost, commitPath, t, &a)
 	return a, err
 }
 
@@ -54,7 +61,7 @@
 	a := struct {
 		Rows []store.Row `json:"rows"`
 	}{}
-	err := c.call(ctx, http.MethodPost, "/v1/read", q, &a)
+	err := c.call(ctx, http.MethodPost, readPath, q, &a)
 	return a.Rows, err
 }
 
@@ -103,30 +110,28 @@
 }
 
 func (c *client) do(ctx context.Context, method, path string, body []byte) ([]byte, error) {
-	r, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
-	if err != nil {
-		return nil, code.Wrap(code.PlatformDown, err, "platform: cannot build the call")
-	}
-	a, err := c.http.Do(r)
-	if err != nil {
-		return nil, callError(method, err)
-	}
-	defer a.Body.Close()
-	b, err := io.ReadAll(io.LimitReader(a.Body, maxAnswerBytes))
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	n, b, err := c.exchange(ctx, method, path, body)
 	if err != nil {
-		return nil, callError(method, err)
+		return nil, callError(changes(method, path), err)
 	}
-	return b, statusError(method, a.StatusCode, b)
+	return b, statusError(changes(method, path), n, b)
+}
+
+// changes reports whether a call may change what the platform holds.
+func changes(method, path string) bool {
+	return method != http.MethodGet && path != readPath
 }
 
-func callError(method string, err error) error {
-	if method == http.MethodGet || errors.Is(err, syscall.ECONNREFUSED) {
+func callError(changes bool, err error) error {
+	if !changes || !arrived(err) {
 		return code.Wrap(code.PlatformDown, err, "platform: the platform does not answer")
 	}
 	return code.Wrap(code.PlatformUnknown, err, "platform: the platform's answer was lost")
 }
 
-func statusError(method string, status int, body []byte) error {
+func statusError(changes bool, status int, body []byte) error {
 	switch {
 	case status == http.StatusOK:
 		return nil
@@ -134,9 +139,9 @@
 		return code.New(code.PlatformConflict, "platform: a condition does not hold")
 	case status == http.StatusNotFound:
 		return code.New(code.ObjectMissing, "platform: no such object")
-	case status == http.StatusServiceUnavailable || method == http.MethodGet:
-		return code.New(code.PlatformDown, "platform: the platform answers %d: %s", status, body)
+	case status == http.StatusServiceUnavailable || !changes:
+		return code.New(code.PlatformDown, "platform: the platform answers %d: %s", status, bytes.TrimSpace(body))
 	default:
-		return code.New(code.PlatformUnknown, "platform: the platform answers %d: %s", status, body)
+		return code.New(code.PlatformUnknown, "platform: the platform answers %d: %s", status, bytes.TrimSpace(body))
 	}
 }
