--- a/cmd/heatherfordd/main.go
+++ b/cmd/heatherfordd/main.go
@@ -12,6 +12,7 @@
 	path := flag.String("settings", "heatherfordd.json", "`file` with the daemon's settings")
 	check := flag.Bool("check", false, "validate the settings and exit")
 	flag.Parse()
+	tuneMemory()
 	os.Exit(daemon.Run(daemon.Options{
 		Path:  *path,
 		Check: *check,
