cmd/heatherford-demo: a shift that grows

Cause: shifts move work now.

Change: half of a region's work is shifted to another; the step holds once the share has grown to three times its first step. The declaration keeps the shift.

--- a/cmd/heatherford-demo/declaration.go
+++ b/cmd/heatherford-demo/declaration.go
@@ -10,7 +10,7 @@
 // connections is how many connections an endpoint takes.
 const connections = 660
 
-// declaration returns what the demo's operator wants at first.
+// declaration returns what the demo's operator wants: at first no shifts.
 func (w *world) declaration() *intent.Declaration {
 	d := &intent.Declaration{
 		Format: intent.Format,
@@ -37,6 +37,7 @@
 				Name: upstreamName,
 			},
 		},
+		Shifts: w.shifts,
 	}
 	for i, r := range regionNames {
 		d.Regions = append(d.Regions, intent.Region{
--- a/cmd/heatherford-demo/steps.go
+++ b/cmd/heatherford-demo/steps.go
@@ -26,6 +26,10 @@
 			name: "callers in three regions get their own whole answers",
 			run:  serveAll,
 		},
+		{
+			name: "half of a region's work shifts to another, within a cap",
+			run:  shiftWork,
+		},
 		{
 			name: "an endpoint is drained and gets nothing new after 3 s",
 			run:  drainEndpoint,
@@ -85,6 +89,49 @@
 	return t.expect(1)
 }
 
+// Shift of the demo: half of the first region's work goes to the second.
+const (
+	shiftShare = 0.5
+	shiftCap   = 6
+	// shiftGrown is the requests a second that show that the shift grows; its
+	// first step is a third of that.
+	shiftGrown = 8
+)
+
+func shiftWork(w *world, out io.Writer) error {
+	w.shifts = []intent.Shift{
+		{
+			Name:     "evening",
+			Upstream: upstreamName,
+			From:     regionNames[0],
+			To:       regionNames[1],
+			Share:    shiftShare,
+			Cap:      shiftCap,
+		},
+	}
+	if err := w.change(out, w.declaration()); err != nil {
+		return err
+	}
+	shifted := route{
+		from: regionNames[0],
+		to:   regionNames[1],
+	}
+	return w.until(func() error {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		t := w.callers(ctx)
+		if err := t.expect(1); err != nil {
+			return err
+		}
+		n := t.routes[shifted]
+		fmt.Fprintf(out, "   %d requests a second go from %s to %s\n", n, shifted.from, shifted.to)
+		if n < shiftGrown {
+			return fmt.Errorf("the shift has not grown to %d requests a second", shiftGrown)
+		}
+		return nil
+	})
+}
+
 func drainEndpoint(w *world, out io.Writer) error {
 	d := w.declaration()
 	e := &d.Upstreams[0].Endpoints[0]
--- a/cmd/heatherford-demo/world.go
+++ b/cmd/heatherford-demo/world.go
@@ -16,6 +16,7 @@
 	"gopkg.in/tomb.v2"
 
 	"heatherford/core"
+	"heatherford/core/intent"
 	"heatherford/core/settings"
 	"heatherford/core/store"
 	"heatherford/core/strict"
@@ -56,6 +57,8 @@
 	endpoints   []*endpoint
 	daemons     []*daemon
 	client      *http.Client
+	// shifts are those that the declaration holds.
+	shifts []intent.Shift
 	// sent counts the requests for work that callers sent.
 	sent atomic.Uint64
 }
