io/internal/wire, core/admission: a slow endpoint is not a silent one

The lab showed an upstream of 200 ms out of service: a peer that had never answered counted as silent after 150 ms, so none of its answers was ever seen, and each failure rested the endpoint. A peer without history now has a second, and an endpoint rests after three failures in a row, not after one.

--- a/cmd/heatherford-load/lab.go
+++ b/cmd/heatherford-load/lab.go
@@ -189,6 +189,8 @@
 	OperatorAddress  netip.AddrPort `json:"operator_address"`
 	CollectorAddress netip.AddrPort `json:"collector_address"`
 	Platform         labPlatform    `json:"platform"`
+	Operators        labOpen        `json:"operators"`
+	Peers            labOpen        `json:"peers"`
 	Log              labLog         `json:"log"`
 	Policy           string         `json:"policy,omitempty"`
 }
@@ -198,6 +200,11 @@
 	URL     string `json:"url"`
 }
 
+// labOpen lets everyone in, which a daemon accepts on loopback only.
+type labOpen struct {
+	Open bool `json:"open"`
+}
+
 type labLog struct {
 	Level string `json:"level"`
 }
@@ -215,6 +222,12 @@
 			Adapter: "http",
 			URL:     "http://" + platform.String(),
 		},
+		Operators: labOpen{
+			Open: true,
+		},
+		Peers: labOpen{
+			Open: true,
+		},
 		Log: labLog{
 			Level: "warn",
 		},
--- a/core/admission/seat.go
+++ b/core/admission/seat.go
@@ -7,8 +7,11 @@
 )
 
 const (
-	// firstPause is how long an endpoint rests after its first failure in a
-	// row; each further failure doubles it up to longestPause.
+	// failuresToRest is the number of failures in a row after which an endpoint
+	// rests: fewer may be the fault of one connection.
+	failuresToRest = 3
+	// firstPause is how long an endpoint rests the first time; each further
+	// failure in a row doubles it up to longestPause.
 	firstPause   = 50 * time.Millisecond
 	longestPause = 2 * time.Second
 )
@@ -43,7 +46,7 @@
 	switch {
 	case o.Endpoint.Leaving:
 		return 0
-	case s.failures == 0:
+	case s.failures < failuresToRest:
 		return o.Limit(now)
 	case now.Before(s.restUntil):
 		return 0
@@ -53,11 +56,14 @@
 }
 
 func (s *seat) fail(now time.Time) {
+	s.failures++
+	if s.failures < failuresToRest {
+		return
+	}
 	d := longestPause
 	const doublings = 5
-	if s.failures < doublings {
-		d = firstPause << s.failures
+	if n := s.failures - failuresToRest; n < doublings {
+		d = firstPause << n
 	}
-	s.failures++
 	s.restUntil = now.Add(d)
 }
--- a/io/internal/wire/pace.go
+++ b/io/internal/wire/pace.go
@@ -9,6 +9,9 @@
 	// minHeadSilence is the shortest wait for an answer's head before the
 	// connection counts as silent.
 	minHeadSilence = 150 * time.Millisecond
+	// firstHeadSilence is that wait for a peer that never answered: how slow it
+	// is when nothing is wrong is not known.
+	firstHeadSilence = time.Second
 	// headSilenceFactor is how many usual waits count as silence.
 	headSilenceFactor = 8
 	// paceWeight is the weight of the newest wait in the usual one.
@@ -40,6 +43,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	d := max(minHeadSilence, headSilenceFactor*p.usual)
+	if p.usual == 0 {
+		d = firstHeadSilence
+	}
 	if deadline.IsZero() {
 		return now.Add(d)
 	}
