--- a/io/internal/wire/pace.go
+++ b/io/internal/wire/pace.go
@@ -12,6 +12,8 @@
 	// firstHeadSilence is that wait for a peer that never answered: how slow it
 	// is when nothing is wrong is not known.
 	firstHeadSilence = time.Second
+	// maxHeadSilence bounds what backing off leads to.
+	maxHeadSilence = 5 * time.Second
 	// headSilenceFactor is how many usual waits count as silence.
 	headSilenceFactor = 8
 	// paceWeight is the weight of the newest wait in the usual one.
@@ -23,6 +25,9 @@
 // pace follows how long a peer usually takes until its answer's head. It is
 // safe for concurrent use.
 type pace struct {
+	// least is the shortest wait that counts as silence.
+	least time.Duration
+
 	mu    sync.Mutex
 	usual time.Duration
 }
@@ -37,12 +42,20 @@
 	p.usual += time.Duration(paceWeight * float64(d-p.usual))
 }
 
+// backOff doubles the wait that counts as silence, in case that the peer is
+// slow. The next answers bring it back.
+func (p *pace) backOff() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.usual = min(maxHeadSilence, 2*max(p.least, headSilenceFactor*p.usual)) / headSilenceFactor
+}
+
 // silence returns when a head that is waited for since now counts as overdue:
 // after several usual waits, but with half of the time left for another try.
 func (p *pace) silence(now, deadline time.Time) time.Time {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	d := max(minHeadSilence, headSilenceFactor*p.usual)
+	d := max(p.least, headSilenceFactor*p.usual)
 	if p.usual == 0 {
 		d = firstHeadSilence
 	}
--- a/io/peer/plugin.go
+++ b/io/peer/plugin.go
@@ -2,16 +2,24 @@
 
 import (
 	"net/http"
+	"time"
 
 	"gopkg.in/tomb.v2"
 
 	"heatherford/core"
+	"heatherford/core/once"
 	"heatherford/io/internal/carry"
 	"heatherford/io/internal/serve"
 	"heatherford/io/internal/stamp"
 	"heatherford/io/peer/peerpb"
 )
 
+// maxBodyBytes bounds a call for control, and readTimeout its reading.
+const (
+	maxBodyBytes = 64 << 20
+	readTimeout  = 30 * time.Second
+)
+
 // Name is the plug-in's name.
 const Name = "io/peer"
 
@@ -27,48 +35,82 @@
 }
 
 type plugin struct {
-	client *client
+	client    *client
+	carrier   *carrier
+	exchanger *exchanger
+	dialer    *dialer
+	once      *once.Once
 }
 
 func (p *plugin) attach(k *core.Kernel) error {
-	p.client = newClient(k)
-	k.Seams.Carry = p.client.carry
-	k.Seams.Push = p.client.push
+	d, err := newDialer(k)
+	if err != nil {
+		return err
+	}
+	p.dialer = d
+	p.client = newClient(k, d)
+	p.carrier = newCarrier(k, d)
+	p.once = newOnce(k, p.client, p.carrier)
+	k.Seams.Carry = p.carrier.carry
+	k.Seams.Once = p.once.Do
+	k.Seams.Issue = p.once.Issue
+	k.OnStop(core.PhaseHandOver, Name+"/once", p.once.HandOver)
 	k.Seams.Timeline = p.client.timeline
 	k.Seams.Keep = p.client.keep
 	k.Seams.Grants = p.client.grantCalls()
+	p.exchanger = newExchanger(k, d)
+	k.Seams.Push = p.exchanger.push
+	k.Seams.Describe = p.exchanger.describeAll
+	k.Seams.Traffic = p.exchanger.meter.traffic
+	k.OnPause(p.exchanger.learnNow)
+	k.OnVersion(p.exchanger.spreadVersion)
+	k.OnSign(p.exchanger.spreadSigns)
+	k.OnStop(core.PhaseAnnounce, Name, p.exchanger.announce)
 	return nil
 }
 
 func (p *plugin) start(k *core.Kernel, t *tomb.Tomb) error {
 	m := http.NewServeMux()
-	m.Handle(peerpb.PeerPathPrefix, peerpb.NewPeerServer(&server{
-		kernel: k,
-	}))
 	m.Handle(peerpb.LoadsPathPrefix, peerpb.NewLoadsServer(&loadsServer{
 		kernel: k,
 	}))
+	m.Handle(peerpb.PeerPathPrefix, http.MaxBytesHandler(peerpb.NewPeerServer(&server{
+		kernel:    k,
+		exchanger: p.exchanger,
+	}), maxBodyBytes))
 	m.Handle(peerpb.TimelinePathPrefix, peerpb.NewTimelineServer(&timelineServer{
 		kernel: k,
 	}))
+	m.Handle(peerpb.OncePathPrefix, peerpb.NewOnceServer(&onceServer{
+		once: p.once,
+	}))
 	m.Handle(peerpb.GrantsPathPrefix, peerpb.NewGrantsServer(&grantsServer{
 		kernel: k,
 	}))
 	m.HandleFunc(carry.WorkPrefix, func(w http.ResponseWriter, r *http.Request) {
 		carry.Serve(k, w, r, true)
 	})
-	if err := serve.Run(k, t, serve.Options{
-		Name:    Name,
-		Address: k.Settings.PeerAddress,
-		Handler: stamp.Handler(k.Clock, m),
-	}); err != nil {
+	o := serve.Options{
+		Name:        Name,
+		Address:     k.Settings.PeerAddress,
+		ReadTimeout: readTimeout,
+		Handler:     stamp.Handler(k.Clock, identified(m)),
+	}
+	if p.dialer.certs != nil {
+		o.TLS = p.dialer.certs.Server()
+	}
+	if err := serve.Run(k, t, o); err != nil {
 		return err
 	}
 	t.Go(func() error {
-		return p.client.exchangeLoop(t)
+		return p.exchanger.run(t)
 	})
 	t.Go(func() error {
 		return p.client.loadsLoop(t)
 	})
+	t.Go(func() error {
+		defer p.carrier.close()
+		return p.once.Run(t)
+	})
 	return nil
 }
