core/admission: wait out an endpoint's rest; io/internal/wire: no early end for slow answers

A head counted as overdue after half of the time left, however slow the endpoint usually is: with a deadline of four usual times, 0.7% of the answers were given up. Half of the time left now counts only from four usual times on. TestSilentSlowPeer asserted that the first answer of a slow peer fails, which was that fault; its peer now answers once at full speed before it turns slow.

--- a/core/admission/gate.go
+++ b/core/admission/gate.go
@@ -191,6 +191,10 @@
 // request for one that goes before it.
 func (g *Gate) queue(own []snapshot.Own, now time.Time, a Ask) (*waiter, error) {
 	slots := g.slots(own, now)
+	if slots == 0 && resting(own, now) {
+		// One request will show whether an endpoint is back.
+		slots = 1
+	}
 	if slots == 0 {
 		return nil, code.New(code.NoEndpoint, "admission: no endpoint may be sent to")
 	}
@@ -303,6 +307,16 @@
 	return n
 }
 
+// resting reports whether an endpoint could be sent to but for its rest.
+func resting(own []snapshot.Own, now time.Time) bool {
+	for i := range own {
+		if !own[i].Endpoint.Leaving && own[i].Limit(now) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // admit gives free slots to waiting requests.
 func (g *Gate) admit(own []snapshot.Own, now time.Time) {
 	for g.waiting() > 0 {
--- a/core/admission/share.go
+++ b/core/admission/share.go
@@ -215,6 +215,8 @@
 	// floodQueuePerSlot bounds it while the rank is asked for more than it can
 	// have: a longer queue would only make every answer later.
 	floodQueuePerSlot = 0.5
+	// leastQueue is the shortest bound.
+	leastQueue = 3
 	// floodRefusals is the part of the slots that refused work would have held
 	// from which on a rank counts as flooded.
 	floodRefusals = 0.2
@@ -224,8 +226,7 @@
 func (s shares) queueLimit(i, slots int) int {
 	n := float64(slots) * s.available(i, slots)
 	if s[i].refused*s.serviceOf(i).Seconds() <= floodRefusals*n {
-		return slots * queuePerSlot
+		return max(leastQueue, slots*queuePerSlot)
 	}
-	const least = 2
-	return max(least, int(math.Ceil(n*floodQueuePerSlot)))
+	return max(leastQueue, int(math.Ceil(n*floodQueuePerSlot)))
 }
--- a/io/internal/wire/pace.go
+++ b/io/internal/wire/pace.go
@@ -16,6 +16,8 @@
 	maxHeadSilence = 5 * time.Second
 	// headSilenceFactor is how many usual waits count as silence.
 	headSilenceFactor = 8
+	// slowFactor is how many usual waits a slow answer takes.
+	slowFactor = 4
 	// paceWeight is the weight of the newest wait in the usual one.
 	paceWeight = 0.1
 	// BodySilence is the longest pause between bytes of a body.
@@ -51,16 +53,22 @@
 }
 
 // silence returns when a head that is waited for since now counts as overdue:
-// after several usual waits, but with half of the time left for another try.
+// after several usual waits, or with half of the time left for another try if
+// that is still far beyond a usual wait. Else a slow answer would be given up
+// for a try that has no more time than it needs.
 func (p *pace) silence(now, deadline time.Time) time.Time {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	d := max(p.least, headSilenceFactor*p.usual)
+	d, shortest := max(p.least, headSilenceFactor*p.usual), slowFactor*p.usual
 	if p.usual == 0 {
-		d = firstHeadSilence
+		d, shortest = firstHeadSilence, firstHeadSilence
 	}
 	if deadline.IsZero() {
 		return now.Add(d)
 	}
-	return now.Add(min(d, deadline.Sub(now)/2))
+	half := deadline.Sub(now) / 2
+	if half < shortest {
+		return deadline
+	}
+	return now.Add(min(d, half))
 }
--- a/io/internal/wire/pace_test.go
+++ b/io/internal/wire/pace_test.go
@@ -15,6 +15,8 @@
 	now := time.Unix(1_000_000, 0)
 	slow := 2 * minHeadSilence
 	c.Assert(p.silence(now, now.Add(time.Minute)).Sub(now) > slow, qt.IsTrue)
+	c.Assert(p.silence(now, now.Add(2*slow)).Sub(now) > slow, qt.IsTrue)
 	p.observe(slow)
 	c.Assert(p.silence(now, now.Add(time.Minute)).Sub(now) > slow, qt.IsTrue)
+	c.Assert(p.silence(now, now.Add(2*slow)).Sub(now) > slow, qt.IsTrue)
 }
--- a/io/internal/wire/pool_test.go
+++ b/io/internal/wire/pool_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -137,11 +138,16 @@
 	c.Assert(p.Counts().Dials <= 2, qt.IsTrue)
 }
 
-// TestSilentSlowPeer answers slower than the shortest wait: after a few tries
-// the wait is long enough.
+// TestSilentSlowPeer answers at once, then slower than the shortest wait: after
+// a few tries the wait is long enough.
 func TestSilentSlowPeer(t *testing.T) {
 	c := qt.New(t)
+	answered := atomic.Int32{}
 	p, _ := newPool(c, func(w http.ResponseWriter, q *http.Request) {
+		if answered.Add(1) == 1 {
+			echo(w, q)
+			return
+		}
 		select {
 		case <-time.After(60 * time.Millisecond):
 			echo(w, q)
@@ -153,6 +159,7 @@
 		DialBurst:      2,
 		MinSilence:     20 * time.Millisecond,
 	})
+	c.Assert(do(p, newCall(false, false)), qt.IsNil)
 	c.Assert(do(p, newCall(false, false)), qt.IsNotNil)
 	err := error(nil)
 	for range 5 {
