core/dispatch: hedge repeatable work that is silent for three usual times

A connection that goes silent costs a request with a short deadline all of its time, since there is none left for a retry. A second endpoint with a free slot is now asked after three times the usual time, within the retry budget; the first answer counts, the other sending is cancelled.

Found on the way: a retry that was refused hid that the first try may have run. The caller is now told the unknown outcome (TestRetryDoesNotHideAnUnknownOutcome fails without it). Tests: amplification of an upstream that fails for all, never the same endpoint twice, one hop only.

--- a/core/admission/gate.go
+++ b/core/admission/gate.go
@@ -82,6 +82,9 @@
 type Permit struct {
 	// Own is the endpoint with its limits as they were on admission.
 	Own snapshot.Own
+	// Usual is the mean time that the rank's requests hold a slot, 0 if it is
+	// not known.
+	Usual time.Duration
 	// Flight counts the request against what Ask.Room bounds. The permit's user
 	// ends it.
 	Flight *quota.Flight
@@ -384,6 +387,7 @@
 	g.ranks[a.Rank].inFlight++
 	return Permit{
 		Own:     *o,
+		Usual:   g.ranks.serviceOf(a.Rank),
 		Flight:  f,
 		gate:    g,
 		seat:    s,
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -50,7 +50,10 @@
 // Dispatcher carries requests. It is safe for concurrent use.
 type Dispatcher struct {
 	options Options
-	mu      sync.Mutex
+	// racing are the goroutines of sendings. None is added once closed is true.
+	racing sync.WaitGroup
+	mu     sync.Mutex
+	closed bool
 	// gates holds a gate for every upstream that this host has owned endpoints
 	// of, budgets a budget for every upstream it has sent work for.
 	gates   map[string]*admission.Gate
@@ -68,6 +71,25 @@
 	}
 }
 
+// Close waits for sendings that were cancelled. Later requests are not hedged.
+func (d *Dispatcher) Close() {
+	d.mu.Lock()
+	d.closed = true
+	d.mu.Unlock()
+	d.racing.Wait()
+}
+
+// spawn runs f in a goroutine that Close waits for, or at once after Close.
+func (d *Dispatcher) spawn(f func()) {
+	d.mu.Lock()
+	if !d.closed {
+		d.racing.Go(f)
+		f = func() {}
+	}
+	d.mu.Unlock()
+	f()
+}
+
 // Do carries r and returns the answer. An error's code says whether r was run.
 // The context ends when the caller goes away.
 func (d *Dispatcher) Do(ctx context.Context, r *work.Request) (*work.Answer, error) {
--- a/core/dispatch/retry.go
+++ b/core/dispatch/retry.go
@@ -13,12 +13,21 @@
 func (d *Dispatcher) retry(ctx context.Context, r *work.Request, route Run) (*work.Answer, error) {
 	b := d.budget(r.Kind.Upstream)
 	r.Again = b.Take
+	unknown := error(nil)
 	for {
 		a, err := route(ctx, r)
 		if err == nil {
 			b.Succeed()
 			return a, nil
 		}
+		if code.Of(err).Outcome() == code.Unknown {
+			unknown = err
+		}
+		if unknown != nil {
+			// A refusal of a later try must not hide that the request may have
+			// run.
+			err = unknown
+		}
 		if r.Hop || ctx.Err() != nil || !retryable(err) || !b.Take() {
 			return nil, err
 		}
--- /dev/null
+++ b/core/dispatch/retry_test.go
@@ -0,0 +1,261 @@
+package dispatch
+
+import (
+	"context"
+	"io"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"heatherford/core/code"
+	"heatherford/core/intent"
+	"heatherford/core/lookup"
+	"heatherford/core/snapshot"
+	"heatherford/core/store"
+	"heatherford/core/work"
+)
+
+func whole() (*work.Answer, error) {
+	return &work.Answer{
+		Body: io.NopCloser(strings.NewReader("whole")),
+	}, nil
+}
+
+// finish reads an answer as its receiver does.
+func finish(c *qt.C, a *work.Answer) {
+	_, err := io.ReadAll(a.Body)
+	c.Assert(err, qt.IsNil)
+	c.Assert(a.Body.Close(), qt.IsNil)
+}
+
+// TestRetryAmplification has an upstream that answers for a while and then fails
+// for all: what is sent beyond the requests is a tenth of the answers at most.
+func TestRetryAmplification(t *testing.T) {
+	c := qt.New(t)
+	const good, bad = 100, 1000
+	now := time.Now()
+	sent, failing := 0, false
+	d := newDispatcher(func() time.Time { return now }, func(intent.Endpoint, *work.Request) (*work.Answer, error) {
+		sent++
+		if failing {
+			return nil, code.New(code.RepeatableNoAnswer, "test: no answer")
+		}
+		return whole()
+	})
+	for range good {
+		a, err := d.Do(context.Background(), newRequest(now))
+		c.Assert(err, qt.IsNil)
+		finish(c, a)
+	}
+	c.Assert(sent, qt.Equals, good)
+	failing = true
+	for range bad {
+		// Endpoints that rest are tried again by then.
+		now = now.Add(3 * time.Second)
+		r := newRequest(now)
+		r.Deadline = now.Add(20 * time.Millisecond)
+		_, err := d.Do(context.Background(), r)
+		c.Assert(code.Of(err).Outcome(), qt.Equals, code.Unknown)
+	}
+	c.Assert(sent >= good+bad && sent <= good+bad+good/10+1, qt.IsTrue, qt.Commentf("%d", sent))
+}
+
+func TestRetryNeverGoesToTheSameEndpoint(t *testing.T) {
+	c := qt.New(t)
+	now := time.Now()
+	tried := []string{}
+	d := newDispatcher(func() time.Time { return now }, func(e intent.Endpoint, _ *work.Request) (*work.Answer, error) {
+		tried = append(tried, e.Name)
+		return nil, code.New(code.UpstreamRefused, "test: refused")
+	})
+	for range 100 {
+		d.budget("u").Succeed()
+	}
+	r := newRequest(now)
+	r.Deadline = now.Add(20 * time.Millisecond)
+	_, err := d.Do(context.Background(), r)
+	c.Assert(err, qt.IsNotNil)
+	slices.Sort(tried)
+	c.Assert(tried, qt.DeepEquals, []string{"e1", "e2"})
+}
+
+// TestRetryDoesNotHideAnUnknownOutcome refuses the second try: the first may
+// have run nevertheless.
+func TestRetryDoesNotHideAnUnknownOutcome(t *testing.T) {
+	c := qt.New(t)
+	now := time.Now()
+	sent := 0
+	d := newDispatcher(func() time.Time { return now }, func(intent.Endpoint, *work.Request) (*work.Answer, error) {
+		sent++
+		if sent == 1 {
+			return nil, code.New(code.RepeatableNoAnswer, "test: no answer")
+		}
+		return nil, code.New(code.UpstreamRefused, "test: refused")
+	})
+	_, err := d.Do(context.Background(), newRequest(now))
+	c.Assert(sent, qt.Equals, 2)
+	c.Assert(code.Of(err).Outcome(), qt.Equals, code.Unknown)
+}
+
+func TestRetryOnlyOfRepeatableWork(t *testing.T) {
+	c := qt.New(t)
+	now := time.Now()
+	sent := 0
+	d := newDispatcher(func() time.Time { return now }, func(intent.Endpoint, *work.Request) (*work.Answer, error) {
+		sent++
+		return nil, code.New(code.OutcomeUnknown, "test: no answer")
+	})
+	r := newRequest(now)
+	r.Kind.Repeatable = false
+	_, err := d.Do(context.Background(), r)
+	c.Assert(code.Of(err), qt.Equals, code.OutcomeUnknown)
+	c.Assert(sent, qt.Equals, 1)
+}
+
+// TestRetryHedges has one endpoint that does not answer: the other does, and the
+// first sending is cancelled.
+func TestRetryHedges(t *testing.T) {
+	c := qt.New(t)
+	d := newDispatcher(time.Now, nil)
+	cancelled := make(chan string, 1)
+	silent := ""
+	d.options.Send = func(ctx context.Context, e intent.Endpoint, _ *work.Request) (*work.Answer, error) {
+		if silent == "" {
+			return whole()
+		}
+		if e.Name != silent {
+			return whole()
+		}
+		<-ctx.Done()
+		cancelled <- e.Name
+		return nil, code.New(code.RepeatableNoAnswer, "test: cancelled")
+	}
+	a, err := d.Do(context.Background(), newRequest(time.Now()))
+	c.Assert(err, qt.IsNil)
+	finish(c, a)
+	silent = "e1"
+	for range 4 {
+		r := newRequest(time.Now())
+		r.Deadline = r.Deadline.Add(time.Minute)
+		d.budget("u").Succeed()
+		a, err := d.Do(context.Background(), r)
+		c.Assert(err, qt.IsNil)
+		finish(c, a)
+		select {
+		case n := <-cancelled:
+			c.Assert(n, qt.Equals, silent)
+			d.Close()
+			return
+		default:
+		}
+	}
+	c.Fatal("no request was hedged")
+}
+
+// withSpare makes the dispatcher's host one of two, of which the other has free
+// slots.
+func withSpare(d *Dispatcher) {
+	s := *d.options.Snapshot()
+	n := *s.Version.Declaration
+	n.Upstreams = []intent.Upstream{
+		{
+			Name: "u",
+			Endpoints: []intent.Endpoint{
+				{
+					Name:  "e3",
+					Zone:  "here-1",
+					Slots: 9,
+				},
+			},
+		},
+	}
+	s.Table = lookup.New(lookup.Options{
+		Declaration: &n,
+		Hosts: []store.Host{
+			{
+				Name:   "h2",
+				Zone:   "here-1",
+				Region: "here",
+			},
+		},
+		Owners: map[string]string{
+			"e3": "h2",
+		},
+		Loads: lookup.Loads{
+			lookup.Source{
+				Host:     "h2",
+				Upstream: "u",
+			}: {
+				Slots: 9,
+			},
+		},
+		Self: "h1",
+		Zone: "here-1",
+	})
+	d.options.Snapshot = func() *snapshot.Snapshot {
+		return &s
+	}
+}
+
+// TestSpreadTakesOneHop fills this host's slots: the next request is offered to
+// the host with free slots, and one that was passed on is not passed on again.
+func TestSpreadTakesOneHop(t *testing.T) {
+	c := qt.New(t)
+	now := time.Now()
+	d := newDispatcher(func() time.Time { return now }, func(intent.Endpoint, *work.Request) (*work.Answer, error) {
+		return whole()
+	})
+	hops := 0
+	d.options.Carry = func(_ context.Context, h store.Host, r *work.Request) (*work.Answer, error) {
+		hops++
+		c.Check(h.Name, qt.Equals, "h2")
+		c.Check(r.Immediate, qt.IsTrue)
+		return whole()
+	}
+	withSpare(d)
+	for range 2 {
+		_, err := d.Do(context.Background(), newRequest(now))
+		c.Assert(err, qt.IsNil)
+	}
+	c.Assert(hops, qt.Equals, 0)
+	_, err := d.Do(context.Background(), newRequest(now))
+	c.Assert(err, qt.IsNil)
+	c.Assert(hops, qt.Equals, 1)
+	r := newRequest(now)
+	r.Hop = true
+	r.Immediate = true
+	_, err = d.Do(context.Background(), r)
+	c.Assert(code.Of(err), qt.Equals, code.HopRefused)
+	c.Assert(hops, qt.Equals, 1)
+}
+
+// TestSpreadWaitsHereIfNobodyTakesIt has the other host refuse: the request
+// waits for a slot of this one.
+func TestSpreadWaitsHereIfNobodyTakesIt(t *testing.T) {
+	c := qt.New(t)
+	d := newDispatcher(time.Now, func(intent.Endpoint, *work.Request) (*work.Answer, error) {
+		return whole()
+	})
+	hops := 0
+	held := []*work.Answer{}
+	d.options.Carry = func(context.Context, store.Host, *work.Request) (*work.Answer, error) {
+		hops++
+		// A slot comes free meanwhile.
+		finish(c, held[0])
+		held = held[1:]
+		return nil, code.New(code.HopRefused, "test: no slot is free")
+	}
+	withSpare(d)
+	for range 2 {
+		a, err := d.Do(context.Background(), newRequest(time.Now()))
+		c.Assert(err, qt.IsNil)
+		held = append(held, a)
+	}
+	a, err := d.Do(context.Background(), newRequest(time.Now()))
+	c.Assert(err, qt.IsNil)
+	c.Assert(a.Host, qt.Equals, "h1")
+	c.Assert(hops > 0, qt.IsTrue)
+}
--- a/core/dispatch/send.go
+++ b/core/dispatch/send.go
@@ -8,14 +8,22 @@
 	"heatherford/core/work"
 )
 
-// send uses the permit to send r. The slot is given back after the answer's
-// end.
+// send uses the permit to send r.
 func (d *Dispatcher) send(ctx context.Context, p admission.Permit, r *work.Request) (*work.Answer, error) {
-	o := p.Own
 	if err := d.fence(p, r); err != nil {
 		d.release(p, r, admission.Abandoned)
 		return nil, err
 	}
+	if r.Kind.Repeatable && p.Usual > 0 && d.options.Now().Add(hedgeFactor*p.Usual).Before(r.Deadline) {
+		return d.hedge(ctx, p, r)
+	}
+	return d.exchange(ctx, p, r)
+}
+
+// exchange sends r to the permit's endpoint. The slot is given back after the
+// answer's end.
+func (d *Dispatcher) exchange(ctx context.Context, p admission.Permit, r *work.Request) (*work.Answer, error) {
+	o := p.Own
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	r.MayRun = false
 	d.options.Record(timeline.Event{
--- a/core/kernel.go
+++ b/core/kernel.go
@@ -194,6 +194,11 @@
 // Start starts the control goroutine and all plug-ins. It is called once.
 func (k *Kernel) Start() error {
 	k.tomb.Go(k.control)
+	k.tomb.Go(func() error {
+		<-k.tomb.Dying()
+		k.Dispatcher.Close()
+		return nil
+	})
 	k.tomb.Go(k.pulse)
 	for _, p := range k.plugins {
 		if p.Start == nil {
