core/member: a death needs contact since the suspicion; faults of commits name their keys

Cause: a host that was cut off took another for dead before its third probe had failed, as a failing probe takes 1.2 s; the stand-in's faults of commits were set off by renewals of grants. core.ask and wait did the same, as did the kernel's and the dispatcher's counts of requests in flight.

Change: a suspected host is declared dead only if something was heard from outside since the suspicion began. Probes go on side by side. Faults of commits may name the prefix of the keys they are for. ask is made of wait; requests in flight are counted by the dispatcher alone.

--- a/core/controldrain.go
+++ b/core/controldrain.go
@@ -101,6 +101,7 @@
 	if c.version == nil {
 		return s
 	}
+	inFlight := c.kernel.Dispatcher.InFlight()
 	for _, u := range c.version.Declaration.Upstreams {
 		for _, e := range u.Endpoints {
 			sign, signed := c.signs.Leaving(endpointSubject(e.Name))
@@ -110,7 +111,7 @@
 			l := drain.Leaving{
 				Subject:  endpointSubject(e.Name),
 				Source:   drain.SourceDeclaration,
-				InFlight: c.kernel.flights.at(e.Name),
+				InFlight: inFlight[e.Name],
 			}
 			if !e.Leaving {
 				l.Source = sign.Source
@@ -126,13 +127,21 @@
 					Name: h.Name,
 				},
 				Source:   "host leaving",
-				InFlight: c.kernel.flights.total(),
+				InFlight: sum(inFlight),
 			})
 		}
 	}
 	return s
 }
 
+func sum(m map[string]int) int {
+	n := 0
+	for _, x := range m {
+		n += x
+	}
+	return n
+}
+
 // OfferSign takes what a plug-in has seen of an endpoint.
 func (k *Kernel) OfferSign(endpoint string, leaving bool, source string) {
 	k.post(func(c *control) {
--- a/core/flight.go
+++ b/core/flight.go
@@ -17,8 +17,8 @@
 	loadWindows = 12
 )
 
-// flights counts the requests that this host has in flight at endpoints. It is
-// safe for concurrent use.
+// flights averages the requests that this host has in flight at endpoints over
+// time. It is safe for concurrent use.
 type flights struct {
 	mu     sync.Mutex
 	counts map[string]*flightCount
@@ -91,27 +91,6 @@
 	return m
 }
 
-// at returns the requests in flight at the endpoint.
-func (f *flights) at(endpoint string) int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if c := f.counts[endpoint]; c != nil {
-		return c.now
-	}
-	return 0
-}
-
-// total returns the requests in flight at all endpoints.
-func (f *flights) total() int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	n := 0
-	for _, c := range f.counts {
-		n += c.now
-	}
-	return n
-}
-
 // loads returns the load of late at each endpoint that has had any.
 func (f *flights) loads(now time.Time) map[string]float64 {
 	f.mu.Lock()
--- a/core/kernel.go
+++ b/core/kernel.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 	"github.com/uber-go/tally/v4"
 	"gopkg.in/tomb.v2"
 
@@ -236,17 +237,11 @@
 // ask runs f on the control goroutine and returns its result, or the zero value
 // if the daemon ends first.
 func ask[T any](k *Kernel, f func(c *control) T) T {
-	answer := make(chan T, 1)
-	k.post(func(c *control) {
-		answer <- f(c)
-	})
-	select {
-	case a := <-answer:
-		return a
-	case <-k.tomb.Dying():
-		var zero T
-		return zero
+	a, err := wait(context.Background(), k, f)
+	if err != nil {
+		level.Debug(k.Log).Log("msg", "core: no answer from the control goroutine", "err", err)
 	}
+	return a
 }
 
 // settle waits until the events posted before it have taken effect.
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -60,6 +60,8 @@
 	listLeaving bool
 	// listAddress is the peer address in the list.
 	listAddress netip.AddrPort
+	// suspectAt is when the last suspicion of the host began.
+	suspectAt time.Time
 	// deadAt is when a suspected host is declared dead. It is zero in other
 	// states.
 	deadAt time.Time
--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -200,3 +200,25 @@
 	}
 	c.Assert(n, qt.Equals, 8)
 }
+
+// A host that has heard from nobody since it began to suspect another has no
+// reason to think that it is the other that is gone.
+func TestMemberDeathNeedsContactSinceTheSuspicion(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(10000, 0)
+	v := member.New(member.Options{
+		Self: host(0, 0),
+		Now:  now,
+	})
+	v.List(now, []store.Host{host(0, 0), host(1, 1), host(2, 2)})
+	now = now.Add(time.Second)
+	v.Missed(now, "h01", false)
+	for range 20 {
+		now = now.Add(time.Second)
+		v.Tick(now)
+		c.Assert(v.All()[0].State, qt.Equals, member.Suspect)
+	}
+	v.Contact(now)
+	v.Tick(now.Add(time.Second))
+	c.Assert(v.All()[0].State, qt.Equals, member.Dead)
+}
--- a/core/member/view.go
+++ b/core/member/view.go
@@ -27,14 +27,11 @@
 	// is declared dead. It grows with the logarithm of the number of hosts,
 	// as the way of a refutation does.
 	suspectTime = 1200 * time.Millisecond
-	// doubtMisses is the number of probes that fail one after another, and
-	// doubtTime the time without any contact, after which a daemon doubts
-	// itself and declares nobody dead.
-	doubtMisses = 3
-	doubtTime   = time.Second
-	// cutOffTime is the time without any contact after which a daemon takes
+	// cutOffMisses is the number of probes that fail one after another, and
+	// cutOffTime the time without any contact, after which a daemon takes
 	// itself for cut off.
-	cutOffTime = 5 * time.Second
+	cutOffMisses = 3
+	cutOffTime   = 5 * time.Second
 	// forgetTime is how long a dead host that is not listed is remembered, so
 	// that late updates do not bring it back.
 	forgetTime = time.Minute
@@ -169,6 +166,7 @@
 	e.deadAt = time.Time{}
 	e.forgetAt = time.Time{}
 	if u.State == Suspect {
+		e.suspectAt = now
 		e.deadAt = now.Add(v.suspectTime())
 	}
 	if u.State == Dead && !e.listed {
@@ -240,8 +238,9 @@
 	v.incarnation = u.Incarnation + 1
 }
 
-// Tick declares suspected hosts dead whose time is over, unless this daemon
-// doubts itself, and forgets old ones.
+// Tick declares suspected hosts dead whose time is over, and forgets old ones. A
+// daemon that has had no contact since the suspicion doubts itself and declares
+// nobody dead.
 func (v *View) Tick(now time.Time) {
 	for n, e := range v.others {
 		if !e.forgetAt.IsZero() && !now.Before(e.forgetAt) {
@@ -251,8 +250,7 @@
 		if e.State != Suspect || now.Before(e.deadAt) {
 			continue
 		}
-		if v.doubts(now) {
-			e.deadAt = now.Add(v.suspectTime())
+		if !v.contactAt.After(e.suspectAt) {
 			continue
 		}
 		u := e.Update
@@ -262,17 +260,11 @@
 	}
 }
 
-// doubts reports whether the daemon has reason to think that it is itself the
-// one that nobody hears.
-func (v *View) doubts(now time.Time) bool {
-	return v.misses >= doubtMisses && now.Sub(v.contactAt) > doubtTime
-}
-
 // CutOff reports whether this host has to take itself for cut off: it has had no
 // contact for long, though there are other hosts.
 func (v *View) CutOff(now time.Time) bool {
 	const fewest = 2
-	return len(v.others) >= fewest && v.misses >= doubtMisses && now.Sub(v.contactAt) > cutOffTime
+	return len(v.others) >= fewest && v.misses >= cutOffMisses && now.Sub(v.contactAt) > cutOffTime
 }
 
 func (v *View) bits() int {
--- a/core/report.go
+++ b/core/report.go
@@ -59,7 +59,7 @@
 		TakenAt:  s.TakenAt,
 		Serving:  k.Serving() == nil,
 		Stopping: k.Stopping(),
-		InFlight: k.flights.total(),
+		InFlight: sum(k.Dispatcher.InFlight()),
 		Loads:    k.flights.loads(k.Now()),
 		Drains:   k.Drains(),
 	}
--- a/io/internal/serve/stop_test.go
+++ b/io/internal/serve/stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -69,7 +70,7 @@
 	a := freeAddress(c)
 	k := newKernel(c, a, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		<-time.After(time.Millisecond)
-		io.WriteString(w, "whole")
+		fmt.Fprint(w, "whole")
 	}))
 	const clients = 8
 	g := sync.WaitGroup{}
@@ -122,7 +123,7 @@
 	k := newKernel(c, a, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		close(begun)
 		<-goOn
-		io.WriteString(w, "whole")
+		fmt.Fprint(w, "whole")
 	}))
 	g := sync.WaitGroup{}
 	g.Go(func() {
--- a/io/peer/exchange.go
+++ b/io/peer/exchange.go
@@ -35,6 +35,9 @@
 	// run, and budgetBurst what it may send at once.
 	budgetBytes = 3 << 10
 	budgetBurst = 256 << 10
+	// probesAtOnce bounds the probes that go on side by side: a failing one
+	// takes longer than the interval.
+	probesAtOnce = 4
 	// idleConns is the number of idle connections to each host.
 	idleConns = 2
 )
@@ -46,6 +49,8 @@
 	transport *stamp.Transport
 	meter     *meter
 	budget    *rate.Limiter
+	// probing holds one element for each probe that goes on.
+	probing chan struct{}
 	// learn holds a value if the newest version is to be learnt at once.
 	learn chan struct{}
 	// spread holds what is to be told to other hosts at once.
@@ -73,6 +78,7 @@
 			},
 		},
 		budget:   rate.NewLimiter(budgetBytes, budgetBurst),
+		probing:  make(chan struct{}, probesAtOnce),
 		learn:    make(chan struct{}, 1),
 		spread:   make(chan spreadTask, 1),
 		pull:     make(chan store.Host, 1),
@@ -104,13 +110,28 @@
 	for {
 		select {
 		case <-tick.C:
-			x.probe(ctx)
+			x.startProbe(ctx, t)
 		case <-ctx.Done():
 			return nil
 		}
 	}
 }
 
+// startProbe probes the next host without waiting for the answer. A probe is left
+// out while too many others go on.
+func (x *exchanger) startProbe(ctx context.Context, t *tomb.Tomb) {
+	select {
+	case x.probing <- struct{}{}:
+	default:
+		return
+	}
+	t.Go(func() error {
+		defer func() { <-x.probing }()
+		x.probe(ctx)
+		return nil
+	})
+}
+
 // probe probes the next host, directly and then through others.
 func (x *exchanger) probe(ctx context.Context) {
 	h := x.kernel.NextProbe()
--- a/sessions/changebench_test.go
+++ b/sessions/changebench_test.go
@@ -271,7 +271,7 @@
 		at := w.hosts[order[0]]
 		p, err := w.plan(at, "/v1/plan/edit", w.toggle(i))
 		c.Assert(err, qt.IsNil)
-		w.faults(`{"down_after_commit": true}`)
+		w.faults(`{"down_after_commit": true, "for_keys": "config/"}`)
 		started := time.Now()
 		n, err := w.put(at, p)
 		c.Assert(err, qt.IsNil)
--- a/standin/platform/faults.go
+++ b/standin/platform/faults.go
@@ -25,6 +25,9 @@
 	// DownAfterCommit makes the platform go down right after the next commit,
 	// which is answered.
 	DownAfterCommit bool `json:"down_after_commit"`
+	// ForKeys bounds the faults of commits to those that write a key with the
+	// prefix.
+	ForKeys string `json:"for_keys"`
 	// DelayMS delays every call.
 	DelayMS int `json:"delay_ms"`
 	// ListLagMS is how long a change of the list of hosts stays unseen.
@@ -85,7 +88,10 @@
 	if !decode(w, r, &t) {
 		return
 	}
-	f := p.beforeCommit(t)
+	f := Faults{}
+	if p.concerned(t) {
+		f = p.beforeCommit(t)
+	}
 	if f.DropCommits || f.HoldCommits {
 		panic(http.ErrAbortHandler)
 	}
@@ -101,6 +107,17 @@
 	encode(w, a)
 }
 
+// concerned reports whether the faults of commits are for t.
+func (p *Platform) concerned(t store.Transaction) bool {
+	prefix := p.current().ForKeys
+	for _, w := range t.Writes {
+		if strings.HasPrefix(w.Key, prefix) {
+			return true
+		}
+	}
+	return false
+}
+
 // beforeCommit returns the faults for a commit, of which some hold only once.
 func (p *Platform) beforeCommit(t store.Transaction) Faults {
 	p.mu.Lock()
