core/report: shifts and links against their caps, and when shifts began

The page showed regions alone. Hosts now sample what they have in flight against the cap of every shift and link; what is idle is left out, since 90 links in 12 slots would make a roll-up 65 KB. A host that others take for dead right after its planned stop is no failure.

Shown by: go test -race ./core/report ./core/rollup ./io/collector

--- a/cmd/heatherford-capacity/record.go
+++ b/cmd/heatherford-capacity/record.go
@@ -137,7 +137,8 @@
 	loads := []rollup.Load{}
 	for r := range regionsSentTo {
 		loads = append(loads, rollup.Load{
-			Region:   fmt.Sprintf("region-%d", r),
+			Bound:    rollup.BoundRegion,
+			Name:     fmt.Sprintf("region-%d", r),
 			Cap:      500,
 			InFlight: 17,
 		})
--- a/core/controlconfig.go
+++ b/core/controlconfig.go
@@ -21,6 +21,11 @@
 		}
 		return
 	}
+	old := (*intent.Declaration)(nil)
+	if c.version != nil {
+		old = c.version.Declaration
+	}
+	c.recordShifts(old, b.Version.Declaration)
 	c.bundle = b
 	c.version = b.Version
 	c.takenAt = c.kernel.Now()
--- a/core/dispatch/load.go
+++ b/core/dispatch/load.go
@@ -5,6 +5,7 @@
 	"heatherford/core/budget"
 	"heatherford/core/intent"
 	"heatherford/core/lookup"
+	"heatherford/core/quota"
 	"heatherford/core/snapshot"
 )
 
@@ -81,3 +82,14 @@
 	}
 	return m
 }
+
+// CapCounts returns the requests in flight that count against each cap of a
+// shift or a link.
+func (d *Dispatcher) CapCounts() map[quota.Name]int {
+	m := map[quota.Name]int{}
+	d.ledgers.Range(func(_, l any) bool {
+		l.(*quota.Ledger).Counts(m)
+		return true
+	})
+	return m
+}
--- a/core/report/build.go
+++ b/core/report/build.go
@@ -35,11 +35,11 @@
 	in     Input
 	report *Report
 	// rolls are distinct by name and ordered by it.
-	rolls   []*rollup.Roll
-	kinds   map[string]*sum
-	ranks   map[string]*sum
-	slots   map[time.Time]map[string]*SlotRank
-	regions map[string]map[time.Time]*RegionSlot
+	rolls []*rollup.Roll
+	kinds map[string]*sum
+	ranks map[string]*sum
+	slots map[time.Time]map[string]*SlotRank
+	loads map[rollup.Bound]map[string]map[time.Time]*LoadSlot
 }
 
 // sum is a Kind or Rank whose histogram is still being merged.
@@ -67,7 +67,7 @@
 			Notes:    []string{},
 			Ranks:    []Rank{},
 			Kinds:    []Kind{},
-			Regions:  []Region{},
+			Regions:  []Load{},
 			Shifts:   []Span{},
 			Drains:   []Span{},
 			Stops:    []Stop{},
@@ -77,10 +77,14 @@
 			Slots:    []Slot{},
 			Gaps:     []Gap{},
 		},
-		kinds:   map[string]*sum{},
-		ranks:   map[string]*sum{},
-		slots:   map[time.Time]map[string]*SlotRank{},
-		regions: map[string]map[time.Time]*RegionSlot{},
+		kinds: map[string]*sum{},
+		ranks: map[string]*sum{},
+		slots: map[time.Time]map[string]*SlotRank{},
+		loads: map[rollup.Bound]map[string]map[time.Time]*LoadSlot{
+			rollup.BoundRegion: {},
+			rollup.BoundShift:  {},
+			rollup.BoundLink:   {},
+		},
 	}
 	if in.Problems == nil {
 		b.report.Missing = []string{}
@@ -189,16 +193,23 @@
 		x.Asked += r.Asked
 		x.Correct += r.Correct
 	}
-	for _, r := range s.Regions {
-		if b.regions[r.Region] == nil {
-			b.regions[r.Region] = map[time.Time]*RegionSlot{}
+	b.addLoads(t, rollup.BoundRegion, s.Regions)
+	b.addLoads(t, rollup.BoundShift, s.Shifts)
+	b.addLoads(t, rollup.BoundLink, s.Links)
+}
+
+func (b *builder) addLoads(t time.Time, bound rollup.Bound, loads []rollup.SlotLoad) {
+	m := b.loads[bound]
+	for _, r := range loads {
+		if m[r.Name] == nil {
+			m[r.Name] = map[time.Time]*LoadSlot{}
 		}
-		x := b.regions[r.Region][t]
+		x := m[r.Name][t]
 		if x == nil {
-			x = &RegionSlot{
+			x = &LoadSlot{
 				Start: t,
 			}
-			b.regions[r.Region][t] = x
+			m[r.Name][t] = x
 		}
 		x.Cap = max(x.Cap, r.Cap)
 		x.Peak += r.Peak
@@ -278,22 +289,30 @@
 	slices.SortFunc(b.report.Slots, func(x, y Slot) int {
 		return x.Start.Compare(y.Start)
 	})
-	for n, m := range b.regions {
-		b.report.Regions = append(b.report.Regions, newRegion(n, m))
+	b.report.Regions = b.loadsOf(rollup.BoundRegion)
+	b.report.ShiftLoads = b.loadsOf(rollup.BoundShift)
+	b.report.LinkLoads = b.loadsOf(rollup.BoundLink)
+}
+
+func (b *builder) loadsOf(bound rollup.Bound) []Load {
+	s := []Load{}
+	for n, m := range b.loads[bound] {
+		s = append(s, newLoad(n, m))
 	}
-	slices.SortFunc(b.report.Regions, func(x, y Region) int {
+	slices.SortFunc(s, func(x, y Load) int {
 		return cmp.Compare(x.Name, y.Name)
 	})
+	return s
 }
 
-func newRegion(name string, m map[time.Time]*RegionSlot) Region {
-	r := Region{
+func newLoad(name string, m map[time.Time]*LoadSlot) Load {
+	r := Load{
 		Name: name,
 	}
 	for _, s := range m {
 		r.Slots = append(r.Slots, *s)
 	}
-	slices.SortFunc(r.Slots, func(x, y RegionSlot) int {
+	slices.SortFunc(r.Slots, func(x, y LoadSlot) int {
 		return x.Start.Compare(y.Start)
 	})
 	for i, s := range r.Slots {
--- a/core/report/chart.go
+++ b/core/report/chart.go
@@ -88,9 +88,12 @@
 	return []chart{share, asked}
 }
 
-func (r *Report) regionCharts() []chart {
+// maxLoadCharts bounds the charts of one section.
+const maxLoadCharts = 20
+
+func (r *Report) loadCharts(what string, loads []Load) []chart {
 	s := []chart{}
-	for _, g := range r.Regions {
+	for _, g := range loads[:min(len(loads), maxLoadCharts)] {
 		limit := r.dayLine()
 		peak := r.dayLine()
 		mean := r.dayLine()
@@ -101,7 +104,7 @@
 			mean[i] = x.Mean
 		}
 		c := chart{
-			caption: fmt.Sprintf("Region %s: requests in flight, peak and mean in five minutes, and the cap. A break in a line: nothing is known.", g.Name),
+			caption: fmt.Sprintf("The %s %s: requests in flight, peak and mean in five minutes, and the cap. A break in a line: nothing is known.", what, g.Name),
 		}
 		c.add("cap", limit)
 		c.add("peak", peak)
--- a/core/report/coverage.go
+++ b/core/report/coverage.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"heatherford/core/rollup"
+	"heatherford/core/timeline"
 )
 
 const (
@@ -16,6 +17,8 @@
 	graceExtra     = time.Second
 	// maxGapTexts bounds the gaps that are told one by one.
 	maxGapTexts = 200
+	// stopLag is how long others may take to see that a stopped host is gone.
+	stopLag = time.Minute
 	// listLag is how long the platform may list a host that has stopped.
 	listLag = 10 * time.Minute
 )
@@ -94,9 +97,17 @@
 	slices.SortStableFunc(b.report.Stops, func(x, y Stop) int {
 		return x.At.Compare(y.At)
 	})
+	b.report.Failures = slices.DeleteFunc(b.report.Failures, b.planned)
 	b.tellGaps()
 }
 
+// planned reports whether the others only saw the end of a host's planned stop.
+func (b *builder) planned(s Span) bool {
+	return s.Kind == timeline.KindMember && slices.ContainsFunc(b.report.Stops, func(x Stop) bool {
+		return x.Host == s.Subject && s.begin().Sub(x.At).Abs() < stopLag
+	})
+}
+
 // coverLife finds the gaps in l, which was followed by another incarnation at
 // the time next if that is not zero.
 func (b *builder) coverLife(l *life, next time.Time) {
--- a/core/report/report.go
+++ b/core/report/report.go
@@ -47,13 +47,16 @@
 	// Kinds are ordered by rank and name.
 	Kinds []Kind `json:"kinds"`
 	// Regions are ordered by name.
-	Regions  []Region `json:"regions"`
-	Shifts   []Span   `json:"shifts"`
-	Drains   []Span   `json:"drains"`
-	Stops    []Stop   `json:"stops"`
-	Changes  []Change `json:"changes"`
-	Failures []Span   `json:"failures"`
-	Outages  []Span   `json:"platform_outages"`
+	Regions []Load `json:"regions"`
+	// ShiftLoads and LinkLoads are ordered by name.
+	ShiftLoads []Load   `json:"shift_loads"`
+	LinkLoads  []Load   `json:"link_loads"`
+	Shifts     []Span   `json:"shifts"`
+	Drains     []Span   `json:"drains"`
+	Stops      []Stop   `json:"stops"`
+	Changes    []Change `json:"changes"`
+	Failures   []Span   `json:"failures"`
+	Outages    []Span   `json:"platform_outages"`
 	// Hosts is the number of hosts that wrote a roll-up.
 	Hosts int `json:"hosts"`
 	// Slots are the day's service in steps of five minutes.
@@ -106,9 +109,9 @@
 	Count   uint64       `json:"count"`
 }
 
-// Region is the load on one region.
-type Region struct {
-	Name string `json:"region"`
+// Load is the load against the cap of one region, shift or link.
+type Load struct {
+	Name string `json:"name"`
 	// Cap is the cap last in force.
 	Cap int `json:"cap"`
 	// Peak is the largest number of requests in flight in a slot, PeakAt that
@@ -118,12 +121,12 @@
 	// Headroom is the smallest distance from the peak to the cap in a slot.
 	Headroom int `json:"least_headroom"`
 	// Mean is the mean of the requests in flight over the covered slots.
-	Mean  float64      `json:"mean"`
-	Slots []RegionSlot `json:"slots"`
+	Mean  float64    `json:"mean"`
+	Slots []LoadSlot `json:"slots"`
 }
 
-// RegionSlot is the load on a region in five minutes.
-type RegionSlot struct {
+// LoadSlot is the load against a cap in five minutes.
+type LoadSlot struct {
 	Start time.Time `json:"start"`
 	Cap   int       `json:"cap"`
 	// Peak is the sum of the hosts' peaks, which need not have been at once.
--- a/core/report/section.go
+++ b/core/report/section.go
@@ -23,7 +23,9 @@
 		r.rankSection(),
 		r.kindSection(),
 		r.codeSection(),
-		r.regionSection(),
+		r.loadSection("Headroom by region (requests in flight)", "region", "No host sent to a region.", r.Regions),
+		r.loadSection("Shifts against their caps (requests in flight)", "shift", "No request came by a shift.", r.ShiftLoads),
+		r.loadSection("Links against their caps (requests in flight)", "link", "No request came over a link with a cap.", r.LinkLoads),
 		r.changeSection(),
 		r.spanSection("Shifts of traffic", "No shift began or ended.", r.Shifts),
 		r.spanSection("Drains", "Nothing was drained.", r.Drains),
@@ -103,14 +105,14 @@
 	return s
 }
 
-func (r *Report) regionSection() section {
+func (r *Report) loadSection(title, what, empty string, loads []Load) section {
 	s := section{
-		title:   "Headroom by region (requests in flight)",
-		columns: []string{"region", "cap", "mean", "peak", "peak from", "least headroom"},
-		empty:   "No host sent to a region.",
-		charts:  r.regionCharts(),
+		title:   title,
+		columns: []string{what, "cap", "mean", "peak", "peak from", "least headroom"},
+		empty:   empty,
+		charts:  r.loadCharts(what, loads),
 	}
-	for _, g := range r.Regions {
+	for _, g := range loads {
 		s.rows = append(s.rows, []string{
 			g.Name,
 			strconv.Itoa(g.Cap),
--- a/core/report/verdict.go
+++ b/core/report/verdict.go
@@ -20,7 +20,9 @@
 func (b *builder) judge() {
 	b.judgeRanks()
 	b.judgeKinds()
-	b.judgeRegions()
+	b.judgeLoads("Region", b.report.Regions)
+	b.judgeLoads("Shift", b.report.ShiftLoads)
+	b.judgeLoads("Link", b.report.LinkLoads)
 	b.judgeChanges()
 	b.judgeSpans()
 	b.note()
@@ -57,11 +59,11 @@
 	}
 }
 
-func (b *builder) judgeRegions() {
-	for _, r := range b.report.Regions {
+func (b *builder) judgeLoads(what string, loads []Load) {
+	for _, r := range loads {
 		if r.Headroom < 0 {
-			b.because("Region %s: up to %s in flight in the five minutes from %s, the cap is %d.",
-				r.Name, count(uint64(r.Peak), "request"), b.clock(r.PeakAt), r.Cap)
+			b.because("%s %s: up to %s in flight in the five minutes from %s, the cap is %d.",
+				what, r.Name, count(uint64(r.Peak), "request"), b.clock(r.PeakAt), r.Cap)
 		}
 	}
 }
@@ -113,7 +115,7 @@
 		r.Notes = append(r.Notes, "No rank has a target, so the shares of correct answers say nothing of how the day went.")
 	}
 	if len(r.Regions) > 0 {
-		r.Notes = append(r.Notes, "A region's peak is the sum of its hosts' peaks in five minutes, which need not have been at once.")
+		r.Notes = append(r.Notes, "A peak is the sum of the hosts' peaks in five minutes, which need not have been at once.")
 	}
 	if len(r.Outages) > 0 {
 		r.Notes = append(r.Notes, "In an outage of the platform the hosts keep their counts and write them afterwards; what is not here is listed as missing.")
--- a/core/rollup/hour.go
+++ b/core/rollup/hour.go
@@ -24,7 +24,7 @@
 	roll      Roll
 	kinds     map[string]*kind
 	ranks     map[rankSlot]*SlotRank
-	regions   map[regionSlot]*SlotRegion
+	loads     map[loadSlot]*SlotLoad
 	incidents []Incident
 	versions  map[uint64]*Version
 	listed    map[string]bool
@@ -40,9 +40,10 @@
 	rank string
 }
 
-type regionSlot struct {
-	slot   int
-	region string
+type loadSlot struct {
+	slot  int
+	bound Bound
+	name  string
 }
 
 func newHour(r Roll) *hour {
@@ -50,7 +51,7 @@
 		roll:     r,
 		kinds:    map[string]*kind{},
 		ranks:    map[rankSlot]*SlotRank{},
-		regions:  map[regionSlot]*SlotRegion{},
+		loads:    map[loadSlot]*SlotLoad{},
 		versions: map[uint64]*Version{},
 		listed:   map[string]bool{},
 	}
@@ -111,16 +112,17 @@
 }
 
 func (h *hour) sample(now time.Time, l Load, d time.Duration) {
-	key := regionSlot{
-		slot:   h.slot(now),
-		region: l.Region,
+	key := loadSlot{
+		slot:  h.slot(now),
+		bound: l.Bound,
+		name:  l.Name,
 	}
-	s, ok := h.regions[key]
+	s, ok := h.loads[key]
 	if !ok {
-		s = &SlotRegion{
-			Region: l.Region,
+		s = &SlotLoad{
+			Name: l.Name,
 		}
-		h.regions[key] = s
+		h.loads[key] = s
 	}
 	s.Cap = l.Cap
 	s.Peak = max(s.Peak, l.InFlight)
@@ -244,22 +246,35 @@
 	for k, r := range h.ranks {
 		all[k.slot].Ranks = append(all[k.slot].Ranks, *r)
 	}
-	for k, r := range h.regions {
-		all[k.slot].Regions = append(all[k.slot].Regions, *r)
+	for k, l := range h.loads {
+		all[k.slot].add(k.bound, *l)
 	}
 	s := []Slot{}
 	for i, x := range all {
-		if len(x.Ranks) == 0 && len(x.Regions) == 0 {
+		if len(x.Ranks)+len(x.Regions)+len(x.Shifts)+len(x.Links) == 0 {
 			continue
 		}
 		x.Index = i
 		slices.SortFunc(x.Ranks, func(a, b SlotRank) int {
 			return cmp.Compare(a.Index, b.Index)
 		})
-		slices.SortFunc(x.Regions, func(a, b SlotRegion) int {
-			return cmp.Compare(a.Region, b.Region)
-		})
+		for _, l := range [][]SlotLoad{x.Regions, x.Shifts, x.Links} {
+			slices.SortFunc(l, func(a, b SlotLoad) int {
+				return cmp.Compare(a.Name, b.Name)
+			})
+		}
 		s = append(s, x)
 	}
 	return s
 }
+
+func (s *Slot) add(b Bound, l SlotLoad) {
+	switch b {
+	case BoundShift:
+		s.Shifts = append(s.Shifts, l)
+	case BoundLink:
+		s.Links = append(s.Links, l)
+	default:
+		s.Regions = append(s.Regions, l)
+	}
+}
--- a/core/rollup/keeper.go
+++ b/core/rollup/keeper.go
@@ -28,9 +28,21 @@
 	Now func() time.Time
 }
 
-// Load is what this host has in flight at a region's endpoints.
+// Bound says what a cap bounds.
+type Bound string
+
+// The bounds of caps.
+const (
+	BoundRegion Bound = "region"
+	BoundShift  Bound = "shift"
+	BoundLink   Bound = "link"
+)
+
+// Load is what this host has in flight against one cap.
 type Load struct {
-	Region   string
+	Bound Bound
+	// Name names the region, the shift or the link.
+	Name     string
 	Cap      int
 	InFlight int
 }
@@ -102,7 +114,7 @@
 	k.current.event(e)
 }
 
-// Sample takes the loads of all regions that the host sends to.
+// Sample takes the loads against all caps that the host sends under.
 func (k *Keeper) Sample(loads []Load) {
 	now := k.options.Now()
 	k.mu.Lock()
--- a/core/rollup/roll.go
+++ b/core/rollup/roll.go
@@ -91,9 +91,12 @@
 // Slot is a part of the hour's series.
 type Slot struct {
 	// Index counts slots from the start of the hour.
-	Index   int          `json:"index"`
-	Ranks   []SlotRank   `json:"ranks,omitempty"`
-	Regions []SlotRegion `json:"regions,omitempty"`
+	Index   int        `json:"index"`
+	Ranks   []SlotRank `json:"ranks,omitempty"`
+	Regions []SlotLoad `json:"regions,omitempty"`
+	// Shifts and Links hold the requests that count against their caps.
+	Shifts []SlotLoad `json:"shifts,omitempty"`
+	Links  []SlotLoad `json:"links,omitempty"`
 }
 
 // SlotRank is the service to one rank in a slot.
@@ -104,10 +107,10 @@
 	Correct uint64 `json:"correct"`
 }
 
-// SlotRegion is what this host had in flight at a region's endpoints.
-type SlotRegion struct {
-	Region string `json:"region"`
-	// Cap is the region's cap in the declaration then in force.
+// SlotLoad is what this host had in flight against one cap.
+type SlotLoad struct {
+	Name string `json:"name"`
+	// Cap is the cap in the declaration then in force.
 	Cap int `json:"cap"`
 	// Peak is the largest sample of the host's requests in flight.
 	Peak int `json:"peak"`
--- a/io/collector/sampler.go
+++ b/io/collector/sampler.go
@@ -10,6 +10,7 @@
 
 	"heatherford/core"
 	"heatherford/core/intent"
+	"heatherford/core/quota"
 	"heatherford/core/rollup"
 	"heatherford/core/snapshot"
 )
@@ -58,16 +59,46 @@
 	s.scope.Gauge("version").Update(float64(v.Version.Number))
 	s.place(v.Version)
 	l := s.loads(s.kernel.Dispatcher.InFlight())
-	s.kernel.Rolls.Sample(l)
+	l = append(l, s.capLoads(s.kernel.Dispatcher.CapCounts())...)
+	s.kernel.Rolls.Sample(slices.DeleteFunc(slices.Clone(l), idle))
 	for _, r := range l {
 		g := s.scope.Tagged(map[string]string{
-			"region": r.Region,
+			"bound": string(r.Bound),
+			"name":  r.Name,
 		})
 		g.Gauge("in_flight").Update(float64(r.InFlight))
-		g.Gauge("region_cap").Update(float64(r.Cap))
+		g.Gauge("cap").Update(float64(r.Cap))
 	}
 }
 
+// idle reports whether a load is left out of the roll-up: nothing in flight
+// against the cap of a shift or link, of which there may be very many.
+func idle(l rollup.Load) bool {
+	return l.Bound != rollup.BoundRegion && l.InFlight == 0
+}
+
+// capLoads returns the loads against the caps of the declared shifts and links.
+func (s *sampler) capLoads(counts map[quota.Name]int) []rollup.Load {
+	a := []rollup.Load{}
+	for _, f := range s.version.Declaration.Shifts {
+		a = append(a, rollup.Load{
+			Bound:    rollup.BoundShift,
+			Name:     f.Name,
+			Cap:      f.Cap,
+			InFlight: counts[quota.Shift(f.Name)],
+		})
+	}
+	for _, l := range s.version.Declaration.Links {
+		a = append(a, rollup.Load{
+			Bound:    rollup.BoundLink,
+			Name:     l.From + " to " + l.To,
+			Cap:      l.Cap,
+			InFlight: counts[quota.Link(l.From, l.To)],
+		})
+	}
+	return a
+}
+
 // list counts the hosts that the platform lists.
 func (s *sampler) list(v *snapshot.Snapshot) {
 	names := make([]string, 0, len(v.Hosts))
@@ -107,7 +138,8 @@
 			continue
 		}
 		l := m[r.Name]
-		l.Region = r.Name
+		l.Bound = rollup.BoundRegion
+		l.Name = r.Name
 		l.Cap = r.Cap
 		l.InFlight += f
 		m[r.Name] = l
@@ -117,7 +149,7 @@
 		a = append(a, l)
 	}
 	slices.SortFunc(a, func(x, y rollup.Load) int {
-		return cmp.Compare(x.Region, y.Region)
+		return cmp.Compare(x.Name, y.Name)
 	})
 	return a
 }
