--- a/io/internal/serve/stop_test.go
+++ b/io/internal/serve/stop_test.go
@@ -69,7 +69,7 @@
 	a := freeAddress(c)
 	k := newKernel(c, a, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		<-time.After(time.Millisecond)
-		io.WriteString(w, "whole")
+		w.Write([]byte("whole"))
 	}))
 	const clients = 8
 	g := sync.WaitGroup{}
@@ -122,7 +122,7 @@
 	k := newKernel(c, a, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		close(begun)
 		<-goOn
-		io.WriteString(w, "whole")
+		w.Write([]byte("whole"))
 	}))
 	g := sync.WaitGroup{}
 	g.Go(func() {
