--- a/core/budget/budget.go
+++ b/core/budget/budget.go
@@ -32,6 +32,13 @@
 	b.tokens = min(most, b.tokens+share)
 }
 
+// Return gives back a retry that was taken and not made.
+func (b *Budget) Return() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.tokens = min(most, b.tokens+1)
+}
+
 // Take takes one retry and reports whether it is allowed.
 func (b *Budget) Take() bool {
 	b.mu.Lock()
--- a/core/dispatch/hedge.go
+++ b/core/dispatch/hedge.go
@@ -28,14 +28,20 @@
 		return first.result(r)
 	case <-t.C:
 	}
-	if !d.budget(r.Kind.Upstream).Take() {
+	b := d.budget(r.Kind.Upstream)
+	if !b.Take() {
 		<-first.ended
 		return first.result(r)
 	}
 	d.note(r, p.Own.Endpoint.Name, "no answer yet, another endpoint is asked")
 	second := d.start(ctx, r, func(ctx context.Context, r *work.Request) (*work.Answer, error) {
 		r.Tried = append(r.Tried, p.Own.Endpoint.Name)
-		return d.second(ctx, r)
+		a, err := d.second(ctx, r)
+		if refused(err) {
+			// Nothing was sent.
+			b.Return()
+		}
+		return a, err
 	})
 	select {
 	case <-first.ended:
