--- a/cmd/heatherford-capacity/control.go
+++ b/cmd/heatherford-capacity/control.go
@@ -20,25 +20,26 @@
 		plan:  planBlocks,
 		measure: func(n int) ([]figure, error) {
 			const hosts, endpoints = 100, 200
-			o := lookup.Options{
-				Declaration: newDeclaration(n, planSites, endpoints),
+			d := newDeclaration(n, planSites, endpoints)
+			t := lookup.New(lookup.Options{
+				Declaration: d,
+				Blocks:      lookup.NewBlocks(d),
 				Hosts:       newHosts(hosts),
 				Owners:      owners(endpoints, hosts),
 				Zone:        zoneName(0),
-			}
-			t := lookup.New(o)
+			})
 			i := 0
 			f := []figure{
 				{
-					name:  "build",
+					name:  "build the table of blocks",
 					unit:  "ms",
-					value: milliseconds(timeOf(func() { lookup.New(o) })),
+					value: milliseconds(timeOf(func() { lookup.NewBlocks(d) })),
 				},
 				{
-					name: "table",
+					name: "table of blocks",
 					unit: "MiB",
 					value: heapOf(func() any {
-						return lookup.New(o)
+						return lookup.NewBlocks(d)
 					}) / mib,
 				},
 				{
--- a/cmd/heatherford-capacity/main.go
+++ b/cmd/heatherford-capacity/main.go
@@ -55,8 +55,13 @@
 	return []part{
 		lookupPart(),
 		declarationPart(),
+		bundlePart(),
+		changePart(),
 		snapshotPart(),
+		rowsPart(),
 		hostsPart(),
+		memberPart(),
+		loadsPart(),
 		eventPart(),
 		mergePart(),
 		rollUpPart(),
--- a/cmd/heatherford/client.go
+++ b/cmd/heatherford/client.go
@@ -83,30 +83,46 @@
 
 // call sends in to the host's operators' interface and decodes the answer.
 func (t *target) call(method, path string, in []byte, out any) error {
-	r, err := http.NewRequest(method, *t.host+path, bytes.NewReader(in))
+	body, err := t.open(method, path, in, callTimeout)
 	if err != nil {
 		return err
 	}
-	if err := t.authorize(r); err != nil {
+	defer body.Close()
+	b, err := io.ReadAll(io.LimitReader(body, maxAnswerBytes))
+	if err != nil {
 		return err
 	}
+	return json.Unmarshal(b, out)
+}
+
+// open sends in to the host's operators' interface and returns the answer's
+// body, which the caller closes. An answer other than 200 is an error.
+func (t *target) open(method, path string, in []byte, timeout time.Duration) (io.ReadCloser, error) {
+	r, err := http.NewRequest(method, *t.host+path, bytes.NewReader(in))
+	if err != nil {
+		return nil, err
+	}
+	if err := t.authorize(r); err != nil {
+		return nil, err
+	}
 	c, err := t.client()
 	if err != nil {
-		return err
+		return nil, err
 	}
+	c.Timeout = timeout
 	a, err := c.Do(r)
 	if err != nil {
-		return err
+		return nil, err
+	}
+	if a.StatusCode == http.StatusOK {
+		return a.Body, nil
 	}
 	defer a.Body.Close()
 	b, err := io.ReadAll(io.LimitReader(a.Body, maxAnswerBytes))
 	if err != nil {
-		return err
-	}
-	if a.StatusCode != http.StatusOK {
-		return refusal(b)
+		return nil, err
 	}
-	return json.Unmarshal(b, out)
+	return nil, refusal(b)
 }
 
 // send is call with a message in JSON.
@@ -135,9 +151,7 @@
 }
 
 func (t *target) client() (*http.Client, error) {
-	c := &http.Client{
-		Timeout: callTimeout,
-	}
+	c := &http.Client{}
 	if *t.authority == "" {
 		return c, nil
 	}
--- a/cmd/heatherford/report.go
+++ b/cmd/heatherford/report.go
@@ -4,9 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"errors"
-	"flag"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"os"
@@ -26,28 +24,25 @@
 const reportTimeout = 15 * time.Minute
 
 func reportCommand(e *environment, args []string) error {
-	f := flag.NewFlagSet("report", flag.ContinueOnError)
-	f.SetOutput(e.stderr)
-	host := f.String("host", "http://127.0.0.1:7002", "`URL` of a host's operators' interface")
+	f, t := newFlags(e, "report")
 	day := f.String("day", "", "the `date`, such as 2026-12-04; today if empty")
 	zone := f.String("zone", "UTC", "the `time zone` of the day, such as Asia/Ulaanbaatar")
 	out := f.String("out", ".", "`directory` for the page as HTML, text and JSON")
-	asJSON := f.Bool("json", false, "print the whole page as JSON in place of its first line")
-	if err := f.Parse(args); err != nil {
+	if err := parse(f, args); err != nil {
 		return err
 	}
 	in, err := reportDay(*day, *zone, time.Now())
 	if err != nil {
 		return err
 	}
-	if err := readRollUps(*host, in); err != nil {
+	if err := readRollUps(t, in); err != nil {
 		return err
 	}
 	r := report.Build(*in)
 	if err := writeReport(*out, r); err != nil {
 		return err
 	}
-	if *asJSON {
+	if *t.asJSON {
 		return json.NewEncoder(e.stdout).Encode(r)
 	}
 	fmt.Fprintln(e.stdout, r.Headline)
@@ -82,26 +77,16 @@
 }
 
 // readRollUps fills in the roll-ups and what could not be read.
-func readRollUps(host string, in *report.Input) error {
+func readRollUps(t *target, in *report.Input) error {
 	q := url.Values{}
 	q.Set("from", in.From.Format(time.RFC3339))
 	q.Set("to", in.To.Format(time.RFC3339))
-	c := &http.Client{
-		Timeout: reportTimeout,
-	}
-	a, err := c.Get(host + "/v1/rollups?" + q.Encode())
+	b, err := t.open(http.MethodGet, "/v1/rollups?"+q.Encode(), nil, reportTimeout)
 	if err != nil {
 		return err
 	}
-	defer a.Body.Close()
-	if a.StatusCode != http.StatusOK {
-		b, err := io.ReadAll(a.Body)
-		if err != nil {
-			return err
-		}
-		return refusal(b)
-	}
-	d := json.NewDecoder(a.Body)
+	defer b.Close()
+	d := json.NewDecoder(b)
 	for {
 		l := operator.RollUpLine{}
 		if err := d.Decode(&l); err != nil {
--- a/sessions/cost_test.go
+++ b/sessions/cost_test.go
@@ -197,7 +197,11 @@
 
 // processorTime returns what the daemon has used of all cores together.
 func (p *pair) processorTime(c *qt.C) time.Duration {
-	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.daemon.Process.Pid))
+	return processorTime(c, p.daemon.Process)
+}
+
+func processorTime(c *qt.C, p *os.Process) time.Duration {
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.Pid))
 	c.Assert(err, qt.IsNil)
 	f := strings.Fields(string(b[bytes.LastIndexByte(b, ')')+1:]))
 	const user, system = 11, 12
@@ -213,7 +217,11 @@
 
 // resident returns the daemon's memory in MiB.
 func (p *pair) resident(c *qt.C) float64 {
-	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.daemon.Process.Pid))
+	return resident(c, p.daemon.Process)
+}
+
+func resident(c *qt.C, p *os.Process) float64 {
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.Pid))
 	c.Assert(err, qt.IsNil)
 	_, rest, ok := strings.Cut(string(b), "VmRSS:")
 	c.Assert(ok, qt.IsTrue)
--- a/standin/platform/faults.go
+++ b/standin/platform/faults.go
@@ -39,6 +39,7 @@
 	Commits      int   `json:"commits"`
 	Reads        int   `json:"reads"`
 	ListReads    int   `json:"list_reads"`
+	Puts         int   `json:"puts"`
 	BytesRead    int64 `json:"bytes_read"`
 	BytesWritten int64 `json:"bytes_written"`
 }
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -115,6 +115,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.objects[objectName(r)] = b
+	p.counts.Puts++
+	p.counts.BytesWritten += int64(len(b))
 }
 
 func (p *Platform) serveGet(w http.ResponseWriter, r *http.Request) {
