--- a/core/admission/gate.go
+++ b/core/admission/gate.go
@@ -82,6 +82,9 @@
 type Permit struct {
 	// Own is the endpoint with its limits as they were on admission.
 	Own snapshot.Own
+	// Usual is the mean time that the rank's requests hold a slot, 0 if it is
+	// not known.
+	Usual time.Duration
 	// Flight counts the request against what Ask.Room bounds. The permit's user
 	// ends it.
 	Flight *quota.Flight
@@ -191,6 +194,10 @@
 // request for one that goes before it.
 func (g *Gate) queue(own []snapshot.Own, now time.Time, a Ask) (*waiter, error) {
 	slots := g.slots(own, now)
+	if slots == 0 && resting(own, now) {
+		// One request will show whether an endpoint is back.
+		slots = 1
+	}
 	if slots == 0 {
 		return nil, code.New(code.NoEndpoint, "admission: no endpoint may be sent to")
 	}
@@ -303,6 +310,16 @@
 	return n
 }
 
+// resting reports whether an endpoint could be sent to but for its rest.
+func resting(own []snapshot.Own, now time.Time) bool {
+	for i := range own {
+		if !own[i].Endpoint.Leaving && own[i].Limit(now) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // admit gives free slots to waiting requests.
 func (g *Gate) admit(own []snapshot.Own, now time.Time) {
 	for g.waiting() > 0 {
@@ -370,6 +387,7 @@
 	g.ranks[a.Rank].inFlight++
 	return Permit{
 		Own:     *o,
+		Usual:   g.ranks.serviceOf(a.Rank),
 		Flight:  f,
 		gate:    g,
 		seat:    s,
