--- a/core/kernel.go
+++ b/core/kernel.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 	"github.com/uber-go/tally/v4"
 	"gopkg.in/tomb.v2"
 
@@ -49,8 +50,9 @@
 	// Reported returns the share of an endpoint's slots that it last reported as
 	// in use.
 	Reported func(endpoint string) float64
-	// Push tells the other hosts of a version. It does not wait for them.
-	Push func(v *intent.Version)
+	// Push tells the other hosts of a version that was confirmed here. It
+	// returns once a few of different zones have it, or ctx ends.
+	Push func(ctx context.Context, v *intent.Version)
 	// Timeline asks all hosts, this one among them, and returns an answer for
 	// each, ordered by host.
 	Timeline func(ctx context.Context, q timeline.Query) []timeline.Answer
@@ -193,6 +195,11 @@
 // Start starts the control goroutine and all plug-ins. It is called once.
 func (k *Kernel) Start() error {
 	k.tomb.Go(k.control)
+	k.tomb.Go(func() error {
+		<-k.tomb.Dying()
+		k.Dispatcher.Close()
+		return nil
+	})
 	k.tomb.Go(k.pulse)
 	for _, p := range k.plugins {
 		if p.Start == nil {
@@ -235,17 +242,11 @@
 // ask runs f on the control goroutine and returns its result, or the zero value
 // if the daemon ends first.
 func ask[T any](k *Kernel, f func(c *control) T) T {
-	answer := make(chan T, 1)
-	k.post(func(c *control) {
-		answer <- f(c)
-	})
-	select {
-	case a := <-answer:
-		return a
-	case <-k.tomb.Dying():
-		var zero T
-		return zero
+	a, err := wait(context.Background(), k, f)
+	if err != nil {
+		level.Debug(k.Log).Log("msg", "core: no answer from the control goroutine", "err", err)
 	}
+	return a
 }
 
 // settle waits until the events posted before it have taken effect.
--- a/io/peer/carry.go
+++ b/io/peer/carry.go
@@ -119,7 +119,7 @@
 	p := c.pool(h.PeerAddress)
 	a, err := p.Do(ctx, q)
 	f := (*wire.Failure)(nil)
-	if errors.As(err, &f) && r.Kind.Repeatable && f.Reused && ctx.Err() == nil {
+	if errors.As(err, &f) && r.Kind.Repeatable && f.Reused && ctx.Err() == nil && (r.Again == nil || r.Again()) {
 		q.ID = work.NewID()
 		q.Fresh = true
 		a, err = p.Do(ctx, q)
@@ -153,6 +153,7 @@
 	h.Set(work.HeaderRequestID, r.ID)
 	h.Set(work.HeaderDeadline, r.Deadline.UTC().Format(time.RFC3339Nano))
 	h.Set(work.HeaderCaller, r.Caller.String())
+	h.Set(work.HeaderRank, r.RankName)
 	h.Set(stamp.Header, c.kernel.Clock.Now().String())
 	if r.Key != "" {
 		h.Set(work.HeaderIdempotencyKey, r.Key)
--- a/sessions/cost_test.go
+++ b/sessions/cost_test.go
@@ -197,7 +197,11 @@
 
 // processorTime returns what the daemon has used of all cores together.
 func (p *pair) processorTime(c *qt.C) time.Duration {
-	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.daemon.Process.Pid))
+	return processorTime(c, p.daemon.Process)
+}
+
+func processorTime(c *qt.C, p *os.Process) time.Duration {
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.Pid))
 	c.Assert(err, qt.IsNil)
 	f := strings.Fields(string(b[bytes.LastIndexByte(b, ')')+1:]))
 	const user, system = 11, 12
@@ -213,7 +217,11 @@
 
 // resident returns the daemon's memory in MiB.
 func (p *pair) resident(c *qt.C) float64 {
-	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.daemon.Process.Pid))
+	return resident(c, p.daemon.Process)
+}
+
+func resident(c *qt.C, p *os.Process) float64 {
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.Pid))
 	c.Assert(err, qt.IsNil)
 	_, rest, ok := strings.Cut(string(b), "VmRSS:")
 	c.Assert(ok, qt.IsTrue)
@@ -339,13 +347,21 @@
 }
 
 func (p *pair) perCore(b *testing.B, c *qt.C, url, method string) {
-	const workers = 16
 	before := p.processorTime(c)
+	b.ResetTimer()
+	p.drive(c, url, method, b.N)
+	b.StopTimer()
+	used := p.processorTime(c) - before
+	b.ReportMetric(float64(b.N)/used.Seconds(), "per-core/s")
+}
+
+// drive makes n calls from several workers.
+func (p *pair) drive(c *qt.C, url, method string, n int) {
+	const workers = 16
 	left := atomic.Int64{}
-	left.Store(int64(b.N))
+	left.Store(int64(n))
 	failed := atomic.Int64{}
 	w := sync.WaitGroup{}
-	b.ResetTimer()
 	for range workers {
 		w.Go(func() {
 			for left.Add(-1) >= 0 {
@@ -356,8 +372,5 @@
 		})
 	}
 	w.Wait()
-	b.StopTimer()
 	c.Assert(failed.Load(), qt.Equals, int64(0))
-	used := p.processorTime(c) - before
-	b.ReportMetric(float64(b.N)/used.Seconds(), "per-core/s")
 }
--- a/sessions/oncecmd_test.go
+++ b/sessions/oncecmd_test.go
@@ -10,8 +10,10 @@
 
 	"github.com/rogpeppe/go-internal/testscript"
 
+	"heatherford/core/code"
 	"heatherford/core/store"
 	"heatherford/core/ticket"
+	"heatherford/core/work"
 )
 
 // cmdTicket looks up and sets a variable to the ticket: ticket VAR URL. It
@@ -44,6 +46,28 @@
 	return s[strings.LastIndex(s, "\n{")+1:]
 }
 
+// cmdFresh calls with a new ticket each until the work is run, sets a variable
+// to the ticket and prints the result: fresh VAR LOOKUP METHOD URL....
+func cmdFresh(ts *testscript.TestScript, neg bool, args []string) {
+	refuseNegation(ts, neg, "fresh")
+	if len(args) < 4 {
+		ts.Fatalf("usage: fresh VAR LOOKUP METHOD URL [Header:Value]... [@FILE]")
+	}
+	out := ""
+	for end := time.Now().Add(untilDeadline); time.Now().Before(end); {
+		cmdTicket(ts, false, args[:2])
+		s, err := call(ts, append(args[2:len(args):len(args)], work.HeaderTicket+":"+ts.Getenv(args[0])))
+		ts.Check(err)
+		out = s
+		if !strings.Contains(out, work.HeaderOutcome+": "+string(code.NotRun)) {
+			fmt.Fprint(ts.Stdout(), mask(ts, out))
+			return
+		}
+		<-time.After(pollInterval)
+	}
+	ts.Fatalf("fresh: not run, last output:\n%s", out)
+}
+
 const sentKey = "sent"
 
 // sent are the calls in progress, by name.
