core/quota: urgent work goes first at caps too; core/grant: survey rows seldom

At a cap on a link or shift the first to come got a part, whatever its rank. A ledger now remembers the rank that a cap kept out; for a second, less urgent ranks take no more of that cap than their floor, at least one request.

All rows are read each 5 s, not 0.5 s, while every endpoint has an owner with all that the version allows; hosts are told of a planned hand-over as well.

--- a/core/dispatch/fence.go
+++ b/core/dispatch/fence.go
@@ -27,8 +27,8 @@
 	now := d.options.Now()
 	o := p.Own
 	r.Deadline = bounded(now, r.Deadline, o.Longest)
-	if d := p.Flight.Deadline(); r.Deadline.After(d) {
-		r.Deadline = d
+	if p.Flight.Deadline.Before(r.Deadline) {
+		r.Deadline = p.Flight.Deadline
 	}
 	if !now.Before(r.Deadline) {
 		return code.New(code.DeadlinePassed, "dispatch: the deadline passed in the queue")
@@ -59,13 +59,11 @@
 	return admission.Room{
 		Fits: func(o *snapshot.Own) bool {
 			now := d.options.Now()
-			deadline := bounded(now, r.Deadline, o.Longest)
-			return d.Ledger(o.Endpoint.Name).Allows(now, deadline, d.caps(o, r)) == quota.Allowed
+			return d.Ledger(o.Endpoint.Name).Allows(now, d.counted(now, o, r)) == quota.Allowed
 		},
 		Enter: func(o *snapshot.Own) *quota.Flight {
 			now := d.options.Now()
-			deadline := bounded(now, r.Deadline, o.Longest)
-			f, refusal := d.Ledger(o.Endpoint.Name).Enter(now, deadline, d.caps(o, r))
+			f, refusal := d.Ledger(o.Endpoint.Name).Enter(now, d.counted(now, o, r))
 			if refusal != quota.Allowed {
 				return nil
 			}
@@ -74,12 +72,25 @@
 	}
 }
 
+// counted returns what the ledger of the endpoint has to know of r.
+func (d *Dispatcher) counted(now time.Time, o *snapshot.Own, r *work.Request) quota.Request {
+	q := quota.Request{
+		Deadline: bounded(now, r.Deadline, o.Longest),
+		Caps:     d.caps(o, r),
+		Rank:     r.Rank,
+	}
+	if s := d.options.Snapshot(); s.Version != nil && r.Rank < len(s.Version.Declaration.Ranks) {
+		q.Floor = s.Version.Declaration.Ranks[r.Rank].Floor
+	}
+	return q
+}
+
 // capped reports whether caps keep r out of all endpoints of this host.
 func (d *Dispatcher) capped(s *snapshot.Snapshot, r *work.Request) bool {
 	now := d.options.Now()
 	own := s.Owned[r.Kind.Upstream]
 	for i := range own {
-		if !d.Ledger(own[i].Endpoint.Name).Capped(now, d.caps(&own[i], r)) {
+		if !d.Ledger(own[i].Endpoint.Name).Capped(now, d.counted(now, &own[i], r)) {
 			return false
 		}
 	}
--- a/core/grant/machine.go
+++ b/core/grant/machine.go
@@ -144,6 +144,7 @@
 	m.version = v
 	m.limits = quota.Divide(v.Declaration)
 	m.setLongest(v.Declaration)
+	m.nextAll = time.Time{}
 	for _, h := range m.held {
 		h.bound = h.bound.Min(m.boundOf(h.row))
 		h.changed = true
--- a/core/grant/read.go
+++ b/core/grant/read.go
@@ -12,7 +12,10 @@
 	if !m.surveying && !now.Before(m.nextAll) {
 		m.surveying = true
 		m.surveySent = now
-		m.nextAll = now.Add(m.options.Timing.Survey)
+		m.nextAll = now.Add(m.options.Timing.Resurvey)
+		if !m.atRest() {
+			m.nextAll = now.Add(m.options.Timing.Survey)
+		}
 		m.emit(Effect{
 			Read: &Read{
 				All: true,
@@ -41,6 +44,19 @@
 	})
 }
 
+// atRest reports whether, as far as this host knows, every endpoint has an owner
+// and all that the version allows it.
+func (m *Machine) atRest() bool {
+	for e, l := range m.limits {
+		s := m.rows[e]
+		if s == nil || s.row.Owner == "" || s.row.Version != m.version.Number ||
+			!s.row.Limits.Equal(l) || len(s.row.Reserved) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // list asks for the platform's list, which is read seldom otherwise, while it
 // may be that a host has left it and so frees a part or an endpoint.
 func (m *Machine) list(now time.Time) {
@@ -226,8 +242,8 @@
 	}
 }
 
-// tellAll tells the other hosts that this one has taken the endpoint over, so
-// that they need not wait for their next survey.
+// tellAll tells the other hosts that the endpoint's owner has changed, so that
+// they need not wait for their next survey.
 func (m *Machine) tellAll(e string, now time.Time) {
 	for _, h := range m.answering(now) {
 		if h.Name != m.options.Self {
--- a/core/grant/renew.go
+++ b/core/grant/renew.go
@@ -199,26 +199,15 @@
 				m.note(e, "removed")
 			} else {
 				m.see(a.row, version, now)
-				m.handedOver(e, a.row)
+				if a.row.Owner != m.options.Self {
+					m.tellAll(e, now)
+				}
 			}
 			break
 		}
 	}
 }
 
-// handedOver tells the successor if the row names one.
-func (m *Machine) handedOver(e string, row Row) {
-	if row.Owner == m.options.Self || row.Owner == "" {
-		return
-	}
-	m.emit(Effect{
-		Tell: &Tell{
-			Host:     row.Owner,
-			Endpoint: e,
-		},
-	})
-}
-
 // claimFailed ends a claim. Unless it had no effect, it stays in doubt.
 func (m *Machine) claimFailed(attempt uint64, r result) {
 	for _, e := range sortedKeys(m.claims) {
--- a/core/grant/timing.go
+++ b/core/grant/timing.go
@@ -9,9 +9,11 @@
 	// Renew is the time between renewals.
 	Renew time.Duration
 	// Watch is the time between reads of the rows that this host is standby for,
-	// Survey that between reads of all rows.
-	Watch  time.Duration
-	Survey time.Duration
+	// Survey that between reads of all rows while some are on the move, and
+	// Resurvey that while none is.
+	Watch    time.Duration
+	Survey   time.Duration
+	Resurvey time.Duration
 	// List is the time between reads of the platform's list while it matters.
 	List time.Duration
 	// Ask is the time between calls to hosts that still have a part reserved.
@@ -37,6 +39,7 @@
 	Renew:     250 * time.Millisecond,
 	Watch:     100 * time.Millisecond,
 	Survey:    500 * time.Millisecond,
+	Resurvey:  5 * time.Second,
 	List:      2 * time.Second,
 	Ask:       500 * time.Millisecond,
 	Skew:      100 * time.Millisecond,
--- a/core/grant/world_test.go
+++ b/core/grant/world_test.go
@@ -404,7 +404,11 @@
 		caps = []quota.Name{worldLink}
 	}
 	deadline := p.clock().Add(min(d, p.machine.Longest(endpoint)))
-	f, refusal := p.ledger(endpoint).Enter(p.clock(), deadline, caps)
+	f, refusal := p.ledger(endpoint).Enter(p.clock(), quota.Request{
+		Deadline: deadline,
+		Caps:     caps,
+		Rank:     n % 2,
+	})
 	if refusal != quota.Allowed {
 		return
 	}
--- a/core/quota/ledger.go
+++ b/core/quota/ledger.go
@@ -45,23 +45,40 @@
 	pressedAt time.Time
 	// flight is short: an endpoint has few slots.
 	flight []*Flight
+	// wanted says for each cap which rank it kept out last.
+	wanted map[Name]want
+}
+
+// want is a rank that a cap kept out.
+type want struct {
+	rank int
+	at   time.Time
+}
+
+// wantTime is how long less urgent ranks give way at a cap that kept out a more
+// urgent one.
+const wantTime = time.Second
+
+// Request is what a ledger has to know of a request.
+type Request struct {
+	// Deadline is when the endpoint ends the request at the latest.
+	Deadline time.Time
+	// Caps are those that the request counts against.
+	Caps []Name
+	// Rank is an index into the declaration's ranks, the most urgent first, and
+	// Floor the share that the rank keeps while a more urgent one wants all.
+	Rank  int
+	Floor float64
 }
 
 // Flight is a request in flight.
 type Flight struct {
-	// deadline is when the endpoint ends the request at the latest.
-	deadline time.Time
-	caps     []Name
+	Request
 	// lingers is true once the host has given the request up although the
 	// endpoint may be at work on it until the deadline.
 	lingers bool
 }
 
-// Deadline returns when the endpoint ends the request at the latest.
-func (f *Flight) Deadline() time.Time {
-	return f.deadline
-}
-
 // Set replaces the right. Requests in flight stay.
 func (l *Ledger) Set(r Right) {
 	l.mu.Lock()
@@ -84,16 +101,14 @@
 	return l.pressedAt
 }
 
-// Enter counts a request that may be in flight until its deadline and counts
-// against the caps. The caller writes the request after Enter returned Allowed,
-// and calls Leave once it has ended.
-func (l *Ledger) Enter(now, deadline time.Time, caps []Name) (*Flight, Refusal) {
+// Enter counts a request. The caller writes the request after Enter returned
+// Allowed, and calls Leave once it has ended.
+func (l *Ledger) Enter(now time.Time, q Request) (*Flight, Refusal) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.prune(now)
 	f := &Flight{
-		deadline: deadline,
-		caps:     caps,
+		Request: q,
 	}
 	if e := l.check(now, f); e != Allowed {
 		return nil, e
@@ -119,25 +134,58 @@
 }
 
 // Allows returns what Enter would, and counts nothing.
-func (l *Ledger) Allows(now, deadline time.Time, caps []Name) Refusal {
+func (l *Ledger) Allows(now time.Time, q Request) Refusal {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.prune(now)
 	return l.check(now, &Flight{
-		deadline: deadline,
-		caps:     caps,
+		Request: q,
 	})
 }
 
-// Capped reports whether one of the caps keeps out any more requests.
-func (l *Ledger) Capped(now time.Time, caps []Name) bool {
+// Capped reports whether one of its caps keeps the request out. Less urgent ranks
+// give way at that cap for a while.
+func (l *Ledger) Capped(now time.Time, q Request) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.prune(now)
-	bound := l.right.bound(now)
-	return slices.ContainsFunc(caps, func(n Name) bool {
-		return l.count(time.Time{}, n) >= bound.Of(n)
-	})
+	capped := false
+	for _, n := range q.Caps {
+		if !l.capped(now, n, &q) {
+			continue
+		}
+		capped = true
+		if w := l.wanted[n]; q.Rank <= w.rank || now.Sub(w.at) >= wantTime {
+			if l.wanted == nil {
+				l.wanted = map[Name]want{}
+			}
+			l.wanted[n] = want{
+				rank: q.Rank,
+				at:   now,
+			}
+		}
+	}
+	return capped
+}
+
+// capped reports whether the cap keeps the request out: it is used up, or a more
+// urgent rank wants it and the request's rank has its floor, at least one request.
+func (l *Ledger) capped(now time.Time, n Name, q *Request) bool {
+	limit := l.right.bound(now).Of(n)
+	if l.count(time.Time{}, n) >= limit {
+		return true
+	}
+	w := l.wanted[n]
+	if w.rank >= q.Rank || now.Sub(w.at) >= wantTime {
+		return false
+	}
+	k := 0
+	for _, f := range l.flight {
+		if f.Rank == q.Rank && slices.Contains(f.Caps, n) {
+			k++
+		}
+	}
+	return k >= max(1, int(q.Floor*float64(limit)))
 }
 
 // bound returns what bounds the requests in flight at the time now.
@@ -151,7 +199,7 @@
 // prune forgets the requests that lingered until their deadline.
 func (l *Ledger) prune(now time.Time) {
 	l.flight = slices.DeleteFunc(l.flight, func(f *Flight) bool {
-		return f.lingers && !now.Before(f.deadline)
+		return f.lingers && !now.Before(f.Deadline)
 	})
 }
 
@@ -162,12 +210,12 @@
 	if l.count(all, "") >= bound.Slots {
 		return NoSlot
 	}
-	for _, n := range f.caps {
-		if l.count(all, n) >= bound.Of(n) {
+	for _, n := range f.Caps {
+		if l.capped(now, n, &f.Request) {
 			return NoPart
 		}
 	}
-	if !f.deadline.After(r.Until) {
+	if !f.Deadline.After(r.Until) {
 		return Allowed
 	}
 	n := l.count(r.Until, "")
@@ -177,7 +225,7 @@
 	if n >= r.Lasting.Slots {
 		return NoLease
 	}
-	for _, n := range f.caps {
+	for _, n := range f.Caps {
 		if l.count(r.Until, n) >= r.Lasting.Of(n) {
 			return NoLease
 		}
@@ -239,7 +287,7 @@
 func (l *Ledger) count(after time.Time, n Name) int {
 	k := 0
 	for _, f := range l.flight {
-		if f.deadline.After(after) && (n == "" || slices.Contains(f.caps, n)) {
+		if f.Deadline.After(after) && (n == "" || slices.Contains(f.Caps, n)) {
 			k++
 		}
 	}
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -140,7 +140,10 @@
 		Until: until,
 	})
 	enter := func(at time.Time, d time.Duration, caps ...Name) Refusal {
-		_, r := l.Enter(at, at.Add(d), caps)
+		_, r := l.Enter(at, Request{
+			Deadline: at.Add(d),
+			Caps:     caps,
+		})
 		return r
 	}
 	c.Assert(enter(now, time.Minute), qt.Equals, Allowed)
@@ -148,7 +151,9 @@
 	c.Assert(enter(now, time.Minute), qt.Equals, NoLease)
 	c.Assert(enter(now, time.Second, "shift/s"), qt.Equals, Allowed)
 	c.Assert(enter(now, time.Second, "shift/s"), qt.Equals, NoPart)
-	f, r := l.Enter(now, until, nil)
+	f, r := l.Enter(now, Request{
+		Deadline: until,
+	})
 	c.Assert(r, qt.Equals, Allowed)
 	c.Assert(enter(now, time.Second), qt.Equals, NoSlot)
 	l.Leave(f)
@@ -157,3 +162,52 @@
 	c.Assert(l.Fits(until, until, Limits{Slots: 2}), qt.IsTrue)
 	c.Assert(l.Fits(until, time.Time{}, Limits{Slots: 2}), qt.IsFalse)
 }
+
+// TestCapRank checks that a cap that kept out urgent work lets less urgent work
+// in only up to its floor, for a while.
+func TestCapRank(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(100, 0)
+	l := &Ledger{}
+	limits := Limits{
+		Slots: 9,
+		Parts: []Part{
+			{
+				Name:  "link/a/b",
+				Limit: 4,
+			},
+		},
+	}
+	l.Set(Right{
+		Full:    limits,
+		Lasting: limits,
+		Smaller: limits,
+	})
+	request := func(rank int) Request {
+		return Request{
+			Deadline: now.Add(time.Minute),
+			Caps:     []Name{"link/a/b"},
+			Rank:     rank,
+			Floor:    0.25,
+		}
+	}
+	batch := []*Flight{}
+	for range 4 {
+		f, r := l.Enter(now, request(1))
+		c.Assert(r, qt.Equals, Allowed)
+		batch = append(batch, f)
+	}
+	c.Assert(l.Capped(now, request(0)), qt.IsTrue)
+	l.Leave(batch[0])
+	c.Assert(l.Allows(now, request(1)), qt.Equals, NoPart)
+	_, r := l.Enter(now, request(0))
+	c.Assert(r, qt.Equals, Allowed)
+	for _, f := range batch[1:] {
+		l.Leave(f)
+	}
+	// One request is the batch rank's floor.
+	_, r = l.Enter(now, request(1))
+	c.Assert(r, qt.Equals, Allowed)
+	c.Assert(l.Allows(now, request(1)), qt.Equals, NoPart)
+	c.Assert(l.Allows(now.Add(wantTime), request(1)), qt.Equals, Allowed)
+}
--- a/core/quota/sample.go
+++ b/core/quota/sample.go
@@ -5,7 +5,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, f := range l.flight {
-		for _, n := range f.caps {
+		for _, n := range f.Caps {
 			counts[n]++
 		}
 	}
