sessions: measure what claims and silent connections cost

How many of the platform's writes go into claims becomes a setting of all hosts together (limits.claim_writes, 250): at 300 requests a second it is what they wait for, not the platform's 2 ms.

--- a/core/once/claims.go
+++ b/core/once/claims.go
@@ -13,10 +13,8 @@
 )
 
 const (
-	// writesPerSecond is the part of the platform's writes that all hosts
-	// together use for claims and outcomes.
-	writesPerSecond = 250
-	writeBurst      = 8
+	// writeBurst is how many transactions may follow each other at once.
+	writeBurst = 8
 	// maxBatch is the most rows in one transaction.
 	maxBatch = 128
 	// maxCommits is the most transactions in progress.
@@ -53,10 +51,12 @@
 // claims writes rows: all that wait go into one transaction. It is safe for
 // concurrent use.
 type claims struct {
-	store   *store.Store
-	health  *health
-	now     func() time.Time
-	hosts   func() int
+	store  *store.Store
+	health *health
+	now    func() time.Time
+	hosts  func() int
+	// writes is how many writes a second all hosts together use.
+	writes  int
 	limiter *rate.Limiter
 	// slots holds one element for each transaction in progress.
 	slots chan struct{}
@@ -86,7 +86,8 @@
 		hosts: func() int {
 			return max(1, len(o.Snapshot().Hosts))
 		},
-		limiter: rate.NewLimiter(writesPerSecond, writeBurst),
+		writes:  o.Writes,
+		limiter: rate.NewLimiter(rate.Limit(o.Writes), writeBurst),
 		slots:   make(chan struct{}, maxCommits),
 		ready:   make(chan struct{}, 1),
 	}
@@ -194,7 +195,7 @@
 	case <-ctx.Done():
 		return false
 	}
-	c.limiter.SetLimit(rate.Limit(float64(writesPerSecond) / float64(c.hosts())))
+	c.limiter.SetLimit(rate.Limit(float64(c.writes) / float64(c.hosts())))
 	return c.limiter.Wait(ctx) == nil
 }
 
--- a/core/once/once.go
+++ b/core/once/once.go
@@ -23,6 +23,9 @@
 type Options struct {
 	// Self is the name of this host.
 	Self string
+	// Writes is how many of the platform's writes a second all hosts together
+	// use.
+	Writes int
 	// Store is the platform; its fields may be set until Run.
 	Store *store.Store
 	// Snapshot returns the view to decide by.
--- a/core/once/once_test.go
+++ b/core/once/once_test.go
@@ -120,8 +120,9 @@
 func (x *cluster) start(name string) {
 	s := x.platform.store()
 	o := once.New(once.Options{
-		Self:  name,
-		Store: &s,
+		Self:   name,
+		Writes: 250,
+		Store:  &s,
 		Snapshot: func() *snapshot.Snapshot {
 			return x.snapshot
 		},
--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -62,6 +62,9 @@
 	RequestBytes int64 `json:"request_bytes,omitempty"`
 	// LookupTTL is how long callers may cache a look-up.
 	LookupTTL strict.Duration `json:"lookup_ttl,omitempty"`
+	// ClaimWrites is how many of the platform's writes a second all hosts
+	// together use for work that may not be repeated.
+	ClaimWrites int `json:"claim_writes,omitempty"`
 	// StopDeadline is the longest that a planned stop takes.
 	StopDeadline strict.Duration `json:"stop_deadline,omitempty"`
 	// TimelineEvents is how many events the daemon keeps for the time line: 0
@@ -75,6 +78,7 @@
 
 const (
 	defaultRequestBytes = 1 << 20
+	defaultClaimWrites  = 250
 	defaultLookupTTL    = 2 * time.Second
 	defaultStopDeadline = 30 * time.Second
 )
@@ -120,6 +124,9 @@
 	if s.Limits.RequestBytes == 0 {
 		s.Limits.RequestBytes = defaultRequestBytes
 	}
+	if s.Limits.ClaimWrites == 0 {
+		s.Limits.ClaimWrites = defaultClaimWrites
+	}
 	if s.Limits.LookupTTL == 0 {
 		s.Limits.LookupTTL = strict.Duration(defaultLookupTTL)
 	}
--- a/core/settings/validate.go
+++ b/core/settings/validate.go
@@ -91,6 +91,9 @@
 	if l.TimelineEvents < -1 {
 		v.add("limits.timeline_events", "expected at least -1, found %d", l.TimelineEvents)
 	}
+	if l.ClaimWrites < 1 {
+		v.add("limits.claim_writes", "expected at least 1, found %d", l.ClaimWrites)
+	}
 	v.atLeast("limits.lookup_ttl", l.LookupTTL.Std(), time.Millisecond)
 	v.atLeast("limits.roll_up_interval", l.RollUpInterval.Std(), 0)
 	v.atLeast("limits.stop_deadline", l.StopDeadline.Std(), time.Second)
--- a/io/peer/once.go
+++ b/io/peer/once.go
@@ -18,6 +18,7 @@
 func newOnce(k *core.Kernel, c *client, r *carrier) *once.Once {
 	return once.New(once.Options{
 		Self:       k.Settings.Host,
+		Writes:     k.Settings.Limits.ClaimWrites,
 		Store:      &k.Seams.Store,
 		Snapshot:   k.Snapshot,
 		Pass:       r.pass,
--- a/sessions/oncelong_test.go
+++ b/sessions/oncelong_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"encoding/json"
 	"flag"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"regexp"
 	"sort"
 	"strings"
 	"sync"
@@ -31,6 +33,9 @@
 	// onceCopies is the most copies that a caller sends of one request.
 	onceCopies  = 6
 	copyTimeout = 2500 * time.Millisecond
+	// copyPause is the pause before the second copy. It doubles from copy to
+	// copy.
+	copyPause = 50 * time.Millisecond
 )
 
 // TestOnceLong sends work that may not be repeated through daemons that are
@@ -63,8 +68,10 @@
 
 	mu sync.Mutex
 	// ended counts the requests by what the caller was told in the end.
-	ended      map[code.Outcome]int
-	codes      map[code.Code]int
+	ended map[code.Outcome]int
+	codes map[code.Code]int
+	// reasons counts the copies that were told "outcome unknown".
+	reasons    map[string]int
 	copies     int
 	unanswered int
 	notRunRuns []string
@@ -77,6 +84,8 @@
 		world: w,
 		ended: map[code.Outcome]int{},
 		codes: map[code.Code]int{},
+
+		reasons: map[string]int{},
 	}
 }
 
@@ -143,7 +152,10 @@
 		code: code.OutcomeUnknown,
 	}
 	address := a.Hosts[0].Address
-	for range onceCopies {
+	for i := range onceCopies {
+		if i > 0 {
+			<-time.After(copyPause << (i - 1))
+		}
 		s, err := sendCopy(ctx, x, address, onceDeposit, a.Ticket, body)
 		l.copy(body, s, err)
 		if err == nil {
@@ -181,9 +193,23 @@
 			l.violateLocked("%s ran %d times and its caller was told %d: %s", body, runs, s.code, s.body)
 		}
 	default:
+		l.reasons[reason(s.body)]++
 	}
 }
 
+var variable = regexp.MustCompile(`"[^"]*"|\d+[\d.:]*`)
+
+// reason returns a refusal's message without names and numbers.
+func reason(body string) string {
+	x := struct {
+		Message string `json:"message"`
+	}{}
+	if json.Unmarshal([]byte(body), &x) != nil {
+		return body
+	}
+	return variable.ReplaceAllString(x.Message, "_")
+}
+
 func (l *ledgerCheck) end(body string, s toldAnswer, elapsed time.Duration) {
 	runs := l.world.runs(body)
 	l.mu.Lock()
@@ -213,9 +239,19 @@
 	share := func(o code.Outcome) float64 {
 		return 100 * float64(l.ended[o]) / float64(n)
 	}
-	return fmt.Sprintf("seed %d: %d requests in %d copies (%d without an answer): answered %.3f %%, not run %.3f %%, outcome unknown %.3f %%; violations %d; median %v, p99 %v; copies by code %v",
+	return fmt.Sprintf("seed %d: %d requests in %d copies (%d without an answer): answered %.3f %%, not run %.3f %%, outcome unknown %.3f %%; violations %d; median %v, p99 %v; copies by code %v; unknown because %v",
 		*onceSeed, n, l.copies, l.unanswered, share(code.Executed), share(code.NotRun), share(code.Unknown),
-		len(l.violations), l.elapsed[n/2], l.elapsed[n*99/100], l.codes)
+		len(l.violations), l.elapsed[n/2], l.elapsed[n*99/100], l.codes, reasonLines(l.reasons))
+}
+
+// reasonLines returns one line for each reason, the most frequent first.
+func reasonLines(m map[string]int) string {
+	s := make([]string, 0, len(m))
+	for r, n := range m {
+		s = append(s, fmt.Sprintf("\n%7d %s", n, r))
+	}
+	sort.Sort(sort.Reverse(sort.StringSlice(s)))
+	return strings.Join(s, "")
 }
 
 // faults brings about faults at random.
--- a/sessions/onceworld_test.go
+++ b/sessions/onceworld_test.go
@@ -15,6 +15,7 @@
 	"path/filepath"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"heatherford/core/code"
@@ -42,10 +43,12 @@
 	platform *platform.Platform
 	// toPlatform is the relay between all daemons and the platform.
 	toPlatform *relay.Relay
-	hosts      []*onceHost
-	tills      []*upstream.Ledger
-	toTills    []*relay.Relay
-	servers    []*http.Server
+	// commits counts the commits that came to the platform.
+	commits atomic.Int64
+	hosts   []*onceHost
+	tills   []*upstream.Ledger
+	toTills []*relay.Relay
+	servers []*http.Server
 }
 
 // onceHost is one daemon.
@@ -240,7 +243,13 @@
 
 func (w *onceWorld) startPlatform(list []store.Host, d *intent.Declaration) error {
 	w.platform = platform.New(list)
-	r, err := w.serve(w.platform.Handler())
+	p := w.platform.Handler()
+	r, err := w.serve(http.HandlerFunc(func(x http.ResponseWriter, q *http.Request) {
+		if q.URL.Path == "/v1/commit" {
+			w.commits.Add(1)
+		}
+		p.ServeHTTP(x, q)
+	}))
 	if err != nil {
 		return err
 	}
