sessions: never give two sessions of a run the same port

Sessions run side by side and gave their ports back before the programs took them: with some 200 ports of 20,000 drawn at random two often met. A daemon that could not listen failed once_kill and once_pause, and requests of another session came to the hostile endpoint of crossed_answers.

--- a/sessions/commands_test.go
+++ b/sessions/commands_test.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"regexp"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
@@ -27,11 +28,19 @@
 	portTries = 100
 )
 
+// nextPort is the number of the next port to try, so that sessions that run
+// side by side never get the same one. Other test processes begin elsewhere.
+var nextPort = func() *atomic.Int64 {
+	n := &atomic.Int64{}
+	n.Store(rand.Int64N(portCount))
+	return n
+}()
+
 // listenFree listens on a free port of loopback.
 func listenFree() (net.Listener, error) {
 	err := error(nil)
 	for range portTries {
-		l, e := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(portCount)))
+		l, e := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1)%portCount))
 		if e == nil {
 			return l, nil
 		}
--- a/sessions/oncecost_test.go
+++ b/sessions/oncecost_test.go
@@ -31,24 +31,24 @@
 	failed map[code.Code]int
 }
 
-// offer sends requests of the kind at the rate for a while, each after its own
+// offer sends requests of the kind at a fixed rate for a while, each after its own
 // look-up, which is not counted.
-func offer(w *onceWorld, kind string, rate int, d time.Duration) *load {
+func offer(w *onceWorld, kind string, d time.Duration) *load {
 	l := &load{
 		failed: map[code.Code]int{},
 	}
 	t := &http.Transport{
-		MaxIdleConnsPerHost: rate,
+		MaxIdleConnsPerHost: costRate,
 	}
 	defer t.CloseIdleConnections()
 	x := &http.Client{
 		Transport: t,
 		Timeout:   copyTimeout,
 	}
-	tick := time.NewTicker(time.Second / time.Duration(rate))
+	tick := time.NewTicker(time.Second / costRate)
 	defer tick.Stop()
 	group := sync.WaitGroup{}
-	for i := range int(d.Seconds() * float64(rate)) {
+	for i := range int(d.Seconds() * float64(costRate)) {
 		<-tick.C
 		group.Go(func() {
 			l.one(w, x, kind, i)
@@ -115,8 +115,8 @@
 		DelayMS: int(delay.Milliseconds()),
 	})
 	const settle = 3 * time.Second
-	offer(w, onceDeposit, costRate, settle)
-	offer(w, onceWaiver, costRate, settle)
+	offer(w, onceDeposit, settle)
+	offer(w, onceWaiver, settle)
 	return w
 }
 
@@ -134,10 +134,10 @@
 
 func claimCost(b *testing.B, w *onceWorld) {
 	before := w.commits.Load()
-	plain := offer(w, onceWaiver, costRate, costDuration)
+	plain := offer(w, onceWaiver, costDuration)
 	idle := w.commits.Load() - before
 	before = w.commits.Load()
-	claimed := offer(w, onceDeposit, costRate, costDuration)
+	claimed := offer(w, onceDeposit, costDuration)
 	commits := w.commits.Load() - before
 	ms := func(d time.Duration) float64 {
 		return float64(d.Microseconds()) / 1000
@@ -172,8 +172,8 @@
 		h.toPeers.Silence()
 	}
 	w.toPlatform.Silence()
-	first := offer(w, kind, costRate, time.Second)
-	second := offer(w, kind, costRate, time.Second)
+	first := offer(w, kind, time.Second)
+	second := offer(w, kind, time.Second)
 	ms := func(d time.Duration) float64 {
 		return float64(d.Microseconds()) / 1000
 	}
