--- a/cmd/heatherford-demo/steps.go
+++ b/cmd/heatherford-demo/steps.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"time"
@@ -15,7 +16,7 @@
 	run  func(w *world, out io.Writer) error
 }
 
-func steps(string) []step {
+func steps(out string) []step {
 	return []step{
 		{
 			name: "an operator plans and confirms the first declaration",
@@ -25,6 +26,10 @@
 			name: "callers in three regions get their own whole answers",
 			run:  serveAll,
 		},
+		{
+			name: "half of a region's work shifts to another, within a cap",
+			run:  shiftWork,
+		},
 		{
 			name: "an endpoint is drained and gets nothing new after 3 s",
 			run:  drainEndpoint,
@@ -33,6 +38,16 @@
 			name: "an endpoint dies and its work goes elsewhere",
 			run:  killEndpoint,
 		},
+		{
+			name: "all hosts but one stop by plan, under load",
+			run:  stopHosts,
+		},
+		{
+			name: "the evening page",
+			run: func(w *world, o io.Writer) error {
+				return w.writePage(o, out)
+			},
+		},
 	}
 }
 
@@ -74,6 +89,49 @@
 	return t.expect(1)
 }
 
+// Shift of the demo: half of the first region's work goes to the second.
+const (
+	shiftShare = 0.5
+	shiftCap   = 6
+	// shiftGrown is the requests a second that show that the shift grows; its
+	// first step is a third of that.
+	shiftGrown = 8
+)
+
+func shiftWork(w *world, out io.Writer) error {
+	w.shifts = []intent.Shift{
+		{
+			Name:     "evening",
+			Upstream: upstreamName,
+			From:     regionNames[0],
+			To:       regionNames[1],
+			Share:    shiftShare,
+			Cap:      shiftCap,
+		},
+	}
+	if err := w.change(out, w.declaration()); err != nil {
+		return err
+	}
+	shifted := route{
+		from: regionNames[0],
+		to:   regionNames[1],
+	}
+	return w.until(func() error {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		t := w.callers(ctx)
+		if err := t.expect(1); err != nil {
+			return err
+		}
+		n := t.routes[shifted]
+		fmt.Fprintf(out, "   %d requests a second go from %s to %s\n", n, shifted.from, shifted.to)
+		if n < shiftGrown {
+			return fmt.Errorf("the shift has not grown to %d requests a second", shiftGrown)
+		}
+		return nil
+	})
+}
+
 func drainEndpoint(w *world, out io.Writer) error {
 	d := w.declaration()
 	e := &d.Upstreams[0].Endpoints[0]
@@ -109,6 +167,24 @@
 	return w.traffic(out).expect(minimumAfterDeath)
 }
 
+// stopHosts stops all daemons but the first, one after another.
+func stopHosts(w *world, out io.Writer) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan *tallied)
+	go func() {
+		done <- w.callers(ctx)
+	}()
+	errs := []error{}
+	for _, d := range w.daemons[1:] {
+		w.leave(d)
+		errs = append(errs, d.kernel.Stop())
+	}
+	cancel()
+	t := <-done
+	fmt.Fprintf(out, "   %d of %d answered correctly in time while %d hosts stopped\n", t.correct, t.asked, len(w.daemons)-1)
+	return errors.Join(append(errs, t.expect(1))...)
+}
+
 // minimumAfterDeath is the share of correct answers while an endpoint is dead.
 const minimumAfterDeath = 0.99
 
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -131,11 +131,13 @@
 				},
 			},
 		},
-		Smaller: Limits{
+		Lasting: Limits{
 			Slots: 2,
 		},
-		Until:   until,
-		Covered: until,
+		Smaller: Limits{
+			Slots: 1,
+		},
+		Until: until,
 	})
 	enter := func(at time.Time, d time.Duration, caps ...Name) Refusal {
 		_, r := l.Enter(at, at.Add(d), caps)
@@ -152,6 +154,6 @@
 	l.Leave(f)
 	c.Assert(l.InFlight(), qt.Equals, 3)
 	c.Assert(enter(until, time.Millisecond), qt.Equals, NoSlot)
-	c.Assert(l.Fits(until, Limits{Slots: 2}), qt.IsTrue)
-	c.Assert(l.Fits(time.Time{}, Limits{Slots: 2}), qt.IsFalse)
+	c.Assert(l.Fits(until, until, Limits{Slots: 2}), qt.IsTrue)
+	c.Assert(l.Fits(until, time.Time{}, Limits{Slots: 2}), qt.IsFalse)
 }
--- a/io/caller/lookup.go
+++ b/io/caller/lookup.go
@@ -43,11 +43,14 @@
 		refuse.Write(w, "", err)
 		return
 	}
-	v := s.kernel.Snapshot()
-	if v.Table == nil {
-		refuse.Write(w, "", code.New(code.HostBehind, "caller: this host knows no declaration yet"))
+	// The answer expires by a time from before the check, so that one that a
+	// pause delays has expired when it comes.
+	now := s.kernel.Now()
+	if err := s.kernel.Serving(); err != nil {
+		refuse.Write(w, "", err)
 		return
 	}
+	v := s.kernel.Snapshot()
 	d, ok := v.Table.Decide(q.Get("kind"), a)
 	switch {
 	case !ok:
@@ -60,13 +63,13 @@
 			refuse.Write(w, "", err)
 			return
 		}
-		s.writeLookup(w, v.Version.Number, d, t)
+		s.writeLookup(w, now, v.Version.Number, d, t)
 	}
 }
 
-func (s *Server) writeLookup(w http.ResponseWriter, version uint64, d lookup.Decision, t once.Issued) {
+func (s *Server) writeLookup(w http.ResponseWriter, now time.Time, version uint64, d lookup.Decision, t once.Issued) {
 	ttl := s.kernel.Settings.Limits.LookupTTL.Std()
-	e := s.kernel.Now().Add(ttl)
+	e := now.Add(ttl)
 	h := w.Header()
 	h.Set("Content-Type", "application/json")
 	h.Set("Cache-Control", fmt.Sprintf("private, max-age=%d", int(ttl.Seconds())))
@@ -88,14 +91,6 @@
 	})
 }
 
-// expiry returns when t expires, or nil without a ticket.
-func expiry(t once.Issued) *time.Time {
-	if t.Token == "" {
-		return nil
-	}
-	return &t.ExpiresAt
-}
-
 // lookupHosts returns the hosts that d names, the best first.
 func lookupHosts(d lookup.Decision) []LookupHost {
 	s := []LookupHost{
@@ -117,6 +112,14 @@
 	}
 }
 
+// expiry returns when t expires, or nil without a ticket.
+func expiry(t once.Issued) *time.Time {
+	if t.Token == "" {
+		return nil
+	}
+	return &t.ExpiresAt
+}
+
 // callerAddress returns the address that the caller states, else that of its
 // connection.
 func callerAddress(r *http.Request, stated string) (netip.Addr, error) {
--- a/io/peer/carry.go
+++ b/io/peer/carry.go
@@ -39,14 +39,16 @@
 // carrier passes requests on to other hosts. It is safe for concurrent use.
 type carrier struct {
 	kernel *core.Kernel
+	dialer *dialer
 
 	mu    sync.Mutex
 	pools map[netip.AddrPort]*wire.Pool
 }
 
-func newCarrier(k *core.Kernel) *carrier {
+func newCarrier(k *core.Kernel, d *dialer) *carrier {
 	return &carrier{
 		kernel: k,
+		dialer: d,
 		pools:  map[netip.AddrPort]*wire.Pool{},
 	}
 }
@@ -67,6 +69,7 @@
 	if !ok {
 		p = wire.New(wire.Options{
 			Address:        a,
+			Dial:           c.dialer.dial,
 			Connections:    hopConnections,
 			DialsPerSecond: hopDialsPerSecond,
 			DialBurst:      hopDialBurst,
@@ -150,6 +153,7 @@
 	h.Set(work.HeaderRequestID, r.ID)
 	h.Set(work.HeaderDeadline, r.Deadline.UTC().Format(time.RFC3339Nano))
 	h.Set(work.HeaderCaller, r.Caller.String())
+	h.Set(work.HeaderRank, r.RankName)
 	h.Set(stamp.Header, c.kernel.Clock.Now().String())
 	if r.Key != "" {
 		h.Set(work.HeaderIdempotencyKey, r.Key)
--- a/io/peer/grants.go
+++ b/io/peer/grants.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"heatherford/core"
 	"heatherford/core/code"
@@ -12,6 +13,9 @@
 	"heatherford/io/peer/peerpb"
 )
 
+// grantTimeout bounds one call about grants.
+const grantTimeout = time.Second
+
 // grantCalls returns the calls about grants that the kernel makes.
 func (c *client) grantCalls() core.GrantCalls {
 	return core.GrantCalls{
@@ -28,7 +32,7 @@
 	}
 	return peerpb.NewGrantsProtobufClient("http://"+h.PeerAddress.String(), &http.Client{
 		Transport: c.transport,
-		Timeout:   exchangeTimeout,
+		Timeout:   grantTimeout,
 	}), nil
 }
 
--- a/io/peer/once.go
+++ b/io/peer/once.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"time"
 
 	"heatherford/core"
 	"heatherford/core/code"
@@ -13,6 +14,9 @@
 	"heatherford/io/peer/peerpb"
 )
 
+// onceTimeout bounds one call about tickets.
+const onceTimeout = time.Second
+
 // newOnce returns what runs work that may not be repeated, and connects it to
 // the other hosts.
 func newOnce(k *core.Kernel, c *client, r *carrier) *once.Once {
@@ -34,7 +38,7 @@
 func (c *client) once(h store.Host) peerpb.Once {
 	return peerpb.NewOnceProtobufClient("http://"+h.PeerAddress.String(), &http.Client{
 		Transport: c.transport,
-		Timeout:   exchangeTimeout,
+		Timeout:   onceTimeout,
 	})
 }
 
--- a/io/platform/client.go
+++ b/io/platform/client.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"net/http"
@@ -15,6 +16,9 @@
 // maxAnswerBytes bounds what is read of one answer.
 const maxAnswerBytes = 64 << 20
 
+// readPath is the path of reads, which are posted for the length of queries.
+const readPath = "/v1/read"
+
 // callTimeout bounds one call whose context has no earlier deadline.
 const callTimeout = 5 * time.Second
 
@@ -57,7 +61,7 @@
 	a := struct {
 		Rows []store.Row `json:"rows"`
 	}{}
-	err := c.call(ctx, http.MethodPost, "/v1/read", q, &a)
+	err := c.call(ctx, http.MethodPost, readPath, q, &a)
 	return a.Rows, err
 }
 
@@ -110,19 +114,24 @@
 	defer cancel()
 	n, b, err := c.exchange(ctx, method, path, body)
 	if err != nil {
-		return nil, callError(method, err)
+		return nil, callError(changes(method, path), err)
 	}
-	return b, statusError(method, n, b)
+	return b, statusError(changes(method, path), n, b)
+}
+
+// changes reports whether a call may change what the platform holds.
+func changes(method, path string) bool {
+	return method != http.MethodGet && path != readPath
 }
 
-func callError(method string, err error) error {
-	if method == http.MethodGet || !arrived(err) {
+func callError(changes bool, err error) error {
+	if !changes || !arrived(err) {
 		return code.Wrap(code.PlatformDown, err, "platform: the platform does not answer")
 	}
 	return code.Wrap(code.PlatformUnknown, err, "platform: the platform's answer was lost")
 }
 
-func statusError(method string, status int, body []byte) error {
+func statusError(changes bool, status int, body []byte) error {
 	switch {
 	case status == http.StatusOK:
 		return nil
@@ -130,9 +139,9 @@
 		return code.New(code.PlatformConflict, "platform: a condition does not hold")
 	case status == http.StatusNotFound:
 		return code.New(code.ObjectMissing, "platform: no such object")
-	case status == http.StatusServiceUnavailable || method == http.MethodGet:
-		return code.New(code.PlatformDown, "platform: the platform answers %d: %s", status, body)
+	case status == http.StatusServiceUnavailable || !changes:
+		return code.New(code.PlatformDown, "platform: the platform answers %d: %s", status, bytes.TrimSpace(body))
 	default:
-		return code.New(code.PlatformUnknown, "platform: the platform answers %d: %s", status, body)
+		return code.New(code.PlatformUnknown, "platform: the platform answers %d: %s", status, bytes.TrimSpace(body))
 	}
 }
--- a/io/upstream/plugin.go
+++ b/io/upstream/plugin.go
@@ -21,6 +21,8 @@
 			Name: Name,
 			Attach: func(k *core.Kernel) error {
 				k.Seams.Send = s.Send
+				p = newPoller(k)
+				k.Seams.Reported = p.reported
 				s.Silent = func(endpoint string, siblings int) {
 					k.Metrics.Counter("upstream_connections_silent").Inc(1)
 					k.Record(timeline.Event{
@@ -29,8 +31,6 @@
 						Text:    fmt.Sprintf("silent connection closed with %d idle siblings", siblings),
 					})
 				}
-				p = newPoller(k)
-				k.Seams.Reported = p.reported
 				return nil
 			},
 			Start: func(k *core.Kernel, t *tomb.Tomb) error {
--- a/sessions/commands_test.go
+++ b/sessions/commands_test.go
@@ -4,14 +4,11 @@
 	"bytes"
 	"fmt"
 	"io"
-	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"regexp"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
@@ -20,48 +17,14 @@
 // untilDeadline bounds the wait for a condition that a session expects.
 const untilDeadline = 20 * time.Second
 
-// Ports below those that the kernel gives to outgoing connections, one of which
-// might take a port between its choice and the start of the program.
-const (
-	firstPort = 12_000
-	portCount = 20_000
-	portTries = 100
-)
-
-// nextPort is the number of the next port to try, so that sessions that run
-// side by side never get the same one. Other test processes begin elsewhere.
-var nextPort = func() *atomic.Int64 {
-	n := &atomic.Int64{}
-	n.Store(rand.Int64N(portCount))
-	return n
-}()
-
-// listenFree listens on a free port of loopback.
-func listenFree() (net.Listener, error) {
-	err := error(nil)
-	for range portTries {
-		l, e := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1)%portCount))
-		if e == nil {
-			return l, nil
-		}
-		err = e
-	}
-	return nil, err
-}
-
 // cmdPorts sets each named variable to a free address on loopback.
 func cmdPorts(ts *testscript.TestScript, neg bool, args []string) {
 	refuseNegation(ts, neg, "ports")
-	held := []net.Listener{}
 	for _, a := range args {
-		l, err := listenFree()
+		p, err := freeAddress()
 		ts.Check(err)
-		held = append(held, l)
-		ts.Setenv(a, l.Addr().String())
-		ts.Setenv("MASKS", ts.Getenv("MASKS")+" "+l.Addr().String()+"="+a)
-	}
-	for _, l := range held {
-		ts.Check(l.Close())
+		ts.Setenv(a, p.String())
+		ts.Setenv("MASKS", ts.Getenv("MASKS")+" "+p.String()+"="+a)
 	}
 }
 
--- a/sessions/onceworld_test.go
+++ b/sessions/onceworld_test.go
@@ -187,12 +187,11 @@
 	n := fmt.Sprintf("h%d", i+1)
 	own := []string{}
 	for range 4 {
-		l, err := listenFree()
+		a, err := freeAddress()
 		if err != nil {
 			return store.Host{}, err
 		}
-		defer l.Close()
-		own = append(own, l.Addr().String())
+		own = append(own, a.String())
 	}
 	callers, err := relay.New("127.0.0.1:0", own[0])
 	if err != nil {
@@ -436,6 +435,11 @@
 	if err != nil {
 		return err
 	}
-	_, err = config.Confirm(context.Background(), &s, 0, d, "first")
+	_, err = config.Confirm(context.Background(), &s, config.Empty(), config.Confirmation{
+		Declaration: d,
+		Operation:   "first",
+		Operator:    "session",
+		At:          time.Now(),
+	})
 	return err
 }
--- a/sessions/sessions_test.go
+++ b/sessions/sessions_test.go
@@ -45,6 +45,7 @@
 			e.Setenv("PATH", bin+string(filepath.ListSeparator)+e.Getenv("PATH"))
 			p := processes{}
 			e.Values[processesKey] = p
+			e.Values[trafficsKey{}] = map[string]*traffic{}
 			e.Values[sentKey] = sent{}
 			e.Defer(p.killAll)
 			return nil
@@ -58,13 +59,27 @@
 			"start":    cmdStart,
 			"signal":   cmdSignal,
 			"ended":    cmdEnded,
+			"noon":     cmdNoon,
+			"fleet":    cmdFleet,
+			"never":    cmdNever,
+			"shown":    cmdShown,
+			"replace":  cmdReplace,
+			"steady":   cmdSteady,
+			"traffic":  cmdTraffic,
 			"deadline": cmdDeadline,
 			"rows":     cmdRows,
 			"ticket":   cmdTicket,
 			"fresh":    cmdFresh,
 			"send":     cmdSend,
 			"sent":     cmdSent,
-			"noon":     cmdNoon,
+			"hosts":    cmdHosts,
+			"burst":    cmdBurst,
+			"peak":     cmdPeak,
+			"rise":     cmdRise,
+			"contest":  cmdContest,
+			"goeson":   cmdGoesOn,
+
+			"backinuse": cmdBackInUse,
 		},
 		RequireExplicitExec: true,
 		UpdateScripts:       os.Getenv("UPDATE_SESSIONS") != "",
