io/upstream, io/peer: try again after a silent used connection without the budget

A peer behind a connection that lost track has most likely not seen the request, and each such try costs a used connection, which are bounded in number and in the rate of new ones.

--- a/io/internal/wire/error.go
+++ b/io/internal/wire/error.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"os"
@@ -41,6 +42,19 @@
 	return fmt.Sprintf("wire: %s: %v", f.Step, f.Cause)
 }
 
+// WorthRetry reports whether a request that may be repeated should be sent once
+// more on a new connection after err. That is asked of again unless the used
+// connection went silent: then the peer has most likely not seen the request,
+// and each such retry costs a connection, whose number and rate are bounded.
+// A nil again stands for yes.
+func WorthRetry(ctx context.Context, err error, again func() bool) bool {
+	f := (*Failure)(nil)
+	if !errors.As(err, &f) || !f.Reused || ctx.Err() != nil {
+		return false
+	}
+	return f.Silent || again == nil || again()
+}
+
 // Unwrap returns the cause.
 func (f *Failure) Unwrap() error {
 	return f.Cause
--- a/io/peer/carry.go
+++ b/io/peer/carry.go
@@ -118,8 +118,7 @@
 	q := c.newCall(r)
 	p := c.pool(h.PeerAddress)
 	a, err := p.Do(ctx, q)
-	f := (*wire.Failure)(nil)
-	if errors.As(err, &f) && r.Kind.Repeatable && f.Reused && ctx.Err() == nil && (r.Again == nil || r.Again()) {
+	if r.Kind.Repeatable && wire.WorthRetry(ctx, err, r.Again) {
 		q.ID = work.NewID()
 		q.Fresh = true
 		a, err = p.Do(ctx, q)
--- a/io/platform/connect.go
+++ b/io/platform/connect.go
@@ -70,8 +70,7 @@
 		Body:   body,
 	}
 	a, err := c.pool.Do(ctx, q)
-	f := (*wire.Failure)(nil)
-	if errors.As(err, &f) && f.Reused && ctx.Err() == nil && (!f.Sent || path != commitPath) {
+	if (path != commitPath || !arrived(err)) && wire.WorthRetry(ctx, err, nil) {
 		q.Fresh = true
 		a, err = c.pool.Do(ctx, q)
 	}
--- a/io/upstream/sender.go
+++ b/io/upstream/sender.go
@@ -80,7 +80,7 @@
 	p := s.pool(e)
 	c := newCall(r)
 	a, err := p.Do(ctx, c)
-	if r.Kind.Repeatable && worthRetry(ctx, err) && (r.Again == nil || r.Again()) {
+	if r.Kind.Repeatable && wire.WorthRetry(ctx, err, r.Again) {
 		c.ID = work.NewID()
 		c.Fresh = true
 		a, err = p.Do(ctx, c)
@@ -129,12 +129,6 @@
 	return errors.As(err, &f) && f.MayRun
 }
 
-// worthRetry reports whether a new connection may help.
-func worthRetry(ctx context.Context, err error) bool {
-	f := (*wire.Failure)(nil)
-	return errors.As(err, &f) && f.Reused && ctx.Err() == nil
-}
-
 func (s *Sender) pool(e intent.Endpoint) *wire.Pool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
