--- a/core/once/once_test.go
+++ b/core/once/once_test.go
@@ -298,10 +298,13 @@
 func TestTicketHandOver(t *testing.T) {
 	c := qt.New(t)
 	x := newCluster(c, "h1", "h2", "h3")
+	claimed := x.issue("h1")
+	_, err := x.do("h1", request(claimed, "a"))
+	c.Assert(err, qt.IsNil)
 	x.platform.down.Store(true)
 	r := request(x.issue("h1"), "a")
 	r.Deadline = time.Now().Add(200 * time.Millisecond)
-	_, err := x.do("h1", r)
+	_, err = x.do("h1", r)
 	c.Assert(code.Of(err), qt.Equals, code.ClaimFailed)
 	ran := x.issue("h1")
 	unused := x.issue("h1")
@@ -316,10 +319,13 @@
 		s, err := x.do(h, request(ran, "b"))
 		c.Assert(err, qt.IsNil)
 		c.Assert(s, qt.Equals, "done b")
+		s, err = x.do(h, request(claimed, "a"))
+		c.Assert(err, qt.IsNil)
+		c.Assert(s, qt.Equals, "done a")
 		_, err = x.do(h, request(unused, "d"))
 		c.Assert(code.Of(err), qt.Equals, code.HostStopping)
 	}
-	c.Assert(x.ran.Load(), qt.Equals, int64(1))
+	c.Assert(x.ran.Load(), qt.Equals, int64(2))
 }
 
 // TestClaimLostAnswer loses the answers of all commits: claims are settled by
--- a/core/once/settle.go
+++ b/core/once/settle.go
@@ -74,6 +74,9 @@
 	}
 	row, found, err := o.readRow(ctx, t.RowKey())
 	if err != nil {
+		if a, ok, err := o.askSuccessors(ctx, t, c); ok {
+			return a, err
+		}
 		return nil, code.Wrap(code.OutcomeUnknown, err, "once: the home is gone and the platform does not answer")
 	}
 	if found {
--- /dev/null
+++ b/core/once/sweep_test.go
@@ -0,0 +1,61 @@
+package once
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"heatherford/core/snapshot"
+	"heatherford/core/store"
+	"heatherford/core/ticket"
+	"heatherford/standin/platform"
+)
+
+// TestClaimSweep deletes the rows whose time has come, and no others.
+func TestClaimSweep(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1_000_000, 0)
+	p := platform.NewTable()
+	s := store.Store{
+		Commit: func(_ context.Context, t store.Transaction) (store.Committed, error) {
+			a, _ := p.Commit(t)
+			return a, nil
+		},
+		Read: func(_ context.Context, q store.Query) ([]store.Row, error) {
+			return p.Read(q), nil
+		},
+	}
+	o := New(Options{
+		Self:   "h1",
+		Writes: 250,
+		Store:  &s,
+		Snapshot: func() *snapshot.Snapshot {
+			return &snapshot.Snapshot{}
+		},
+		Now: func() time.Time {
+			return now
+		},
+	})
+	put := func(id string, expires time.Time) {
+		p.Commit(store.Transaction{
+			Writes: []store.Write{
+				{
+					Key: ticket.TicketPrefix + "1/" + id,
+					Value: ticket.Row{
+						ExpiresAt: expires,
+					}.Encode(),
+				},
+			},
+		})
+	}
+	put("old", now)
+	put("live", now.Add(time.Second))
+	o.sweepPrefix(context.Background(), ticket.TicketPrefix+"1/")
+	rows := p.Read(store.Query{
+		Prefixes: []string{ticket.TicketPrefix},
+	})
+	c.Assert(rows, qt.HasLen, 1)
+	c.Assert(rows[0].Key, qt.Equals, ticket.TicketPrefix+"1/live")
+}
