core/once: ask other hosts who they are every 10 s, not every second

Tickets name their home's incarnation, which the host that issues them asks for. At 400 bytes a call and up to 21 homes a second that was 8 KB/s, over the 3 KB/s that a daemon may spend on control. It is asked every 10 s now, and a process announces itself once at its start. That the platform is down a host also knows from its own calls.

Tried and reverted: that a new process runs unused claimed tickets of the one before it, as the row would keep both from running one. The model found a caller that the earlier process had told 'not run' (3003), without a row, and whose ticket the new one ran: 'not run' would not have been final.

--- a/core/kernel.go
+++ b/core/kernel.go
@@ -106,6 +106,8 @@
 	tomb    tomb.Tomb
 	events  chan func(c *control)
 	current atomic.Pointer[snapshot.Snapshot]
+	// platformDown is true if the platform did not answer the last call.
+	platformDown atomic.Bool
 	// loads are what hosts told of themselves, this one too.
 	loads *loads
 	// stopping is the state of a planned stop.
--- a/core/once/issue.go
+++ b/core/once/issue.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"heatherford/core/code"
 	"heatherford/core/intent"
 	"heatherford/core/store"
@@ -13,10 +15,12 @@
 
 const (
 	// homeFresh is how long another host's answer is used without asking again.
-	homeFresh = time.Second
+	homeFresh = 10 * time.Second
 	// homeUsable is how long it is used at all.
-	homeUsable = 5 * time.Second
+	homeUsable = time.Minute
 	askTimeout = 300 * time.Millisecond
+	// announcements is the most hosts that are told of this process at once.
+	announcements = 16
 )
 
 // Home is what tickets say of their home.
@@ -53,20 +57,68 @@
 	return k, ok
 }
 
+// forget makes the host be asked again.
+func (h *homes) forget(name string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.known, name)
+}
+
 func (h *homes) set(name string, k knownHome) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.known[name] = k
 }
 
+// Heard takes what another host says of itself.
+func (o *Once) Heard(name string, h Home) {
+	o.homes.set(name, knownHome{
+		home: h,
+		at:   o.options.Now(),
+	})
+}
+
+// announce tells all other hosts of this process, so that none gives tickets
+// for an earlier one until it asks again. It reports whether there were any.
+func (o *Once) announce(ctx context.Context) bool {
+	group := errgroup.Group{}
+	group.SetLimit(announcements)
+	n := 0
+	for name, h := range o.options.Snapshot().Hosts {
+		if name == o.options.Self {
+			continue
+		}
+		n++
+		group.Go(func() error {
+			ctx, cancel := context.WithTimeout(ctx, askTimeout)
+			defer cancel()
+			// A host that does not hear of it asks within homeFresh.
+			_ = o.options.Announce(ctx, h, o.Self())
+			return nil
+		})
+	}
+	// No announcement returns an error.
+	_ = group.Wait()
+	return n > 0
+}
+
 // Self returns what tickets say of this process.
 func (o *Once) Self() Home {
 	return Home{
 		Incarnation: o.incarnation,
-		Mode:        o.health.mode(),
+		Mode:        o.mode(),
 	}
 }
 
+// mode returns the mode for tickets that are issued now, as far as this host
+// sees the platform.
+func (o *Once) mode() ticket.Mode {
+	if o.options.PlatformDown() {
+		return ticket.MemoryOnly
+	}
+	return o.health.mode()
+}
+
 // Issue returns a ticket for work of the kind with the home. If that does not
 // say who it is, this host becomes the home in its place.
 func (o *Once) Issue(ctx context.Context, kind intent.Kind, home store.Host) (Issued, error) {
@@ -87,6 +139,9 @@
 		home = s
 		h = o.Self()
 	}
+	if o.mode() == ticket.MemoryOnly {
+		h.Mode = ticket.MemoryOnly
+	}
 	now := o.options.Now()
 	t := ticket.Ticket{
 		ID:          ticket.NewID(),
@@ -122,10 +177,7 @@
 		defer cancel()
 		a, err := o.options.Ask(x, h)
 		if err == nil {
-			o.homes.set(h.Name, knownHome{
-				home: a,
-				at:   o.options.Now(),
-			})
+			o.Heard(h.Name, a)
 		}
 		return a, err
 	})
--- a/core/once/once.go
+++ b/core/once/once.go
@@ -37,6 +37,11 @@
 	Ask func(ctx context.Context, h store.Host) (Home, error)
 	// AskKeyring asks another host for the secrets it knows.
 	AskKeyring func(ctx context.Context, h store.Host) (ticket.Keyring, error)
+	// Announce tells another host what its tickets have to say of this one.
+	Announce func(ctx context.Context, h store.Host, x Home) error
+	// PlatformDown reports whether the platform did not answer last, whoever
+	// called it.
+	PlatformDown func() bool
 	// HandOver leaves what this home knows to another host.
 	HandOver func(ctx context.Context, h store.Host, x Handover) error
 	Record   func(e timeline.Event)
--- a/core/once/once_test.go
+++ b/core/once/once_test.go
@@ -73,6 +73,8 @@
 type cluster struct {
 	c        *qt.C
 	platform *platformFake
+	// mu guards hosts.
+	mu       sync.Mutex
 	hosts    map[string]*once.Once
 	stores   map[string]*store.Store
 	snapshot *snapshot.Snapshot
@@ -116,6 +118,12 @@
 	return x
 }
 
+func (x *cluster) host(name string) *once.Once {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.hosts[name]
+}
+
 // start starts a host, or a new incarnation of it.
 func (x *cluster) start(name string) {
 	s := x.platform.store()
@@ -132,23 +140,36 @@
 			}
 			q := *r
 			q.Hop = true
-			return x.hosts[h.Name].Do(ctx, &q, x.run)
+			return x.host(h.Name).Do(ctx, &q, x.run)
 		},
 		Ask: func(_ context.Context, h store.Host) (once.Home, error) {
-			return x.hosts[h.Name].Self(), nil
+			return x.host(h.Name).Self(), nil
 		},
 		AskKeyring: func(_ context.Context, h store.Host) (ticket.Keyring, error) {
-			return x.hosts[h.Name].Keyring(), nil
+			return x.host(h.Name).Keyring(), nil
+		},
+		Announce: func(_ context.Context, h store.Host, a once.Home) error {
+			x.mu.Lock()
+			defer x.mu.Unlock()
+			if o := x.hosts[h.Name]; o != nil {
+				o.Heard(name, a)
+			}
+			return nil
+		},
+		PlatformDown: func() bool {
+			return false
 		},
 		HandOver: func(_ context.Context, h store.Host, l once.Handover) error {
-			x.hosts[h.Name].TakeOver(l)
+			x.host(h.Name).TakeOver(l)
 			return nil
 		},
 		Record: func(timeline.Event) {},
 		Log:    log.NewNopLogger(),
 		Now:    time.Now,
 	})
+	x.mu.Lock()
 	x.hosts[name] = o
+	x.mu.Unlock()
 	t := &tomb.Tomb{}
 	t.Go(func() error {
 		return o.Run(t)
@@ -185,7 +206,7 @@
 
 // issue returns a ticket for h1 that the host issues.
 func (x *cluster) issue(at string) string {
-	i, err := x.hosts[at].Issue(context.Background(), deposit, x.snapshot.Hosts["h1"])
+	i, err := x.host(at).Issue(context.Background(), deposit, x.snapshot.Hosts["h1"])
 	x.c.Assert(err, qt.IsNil)
 	x.c.Assert(i.Home.Name, qt.Equals, "h1")
 	return i.Token
@@ -207,7 +228,7 @@
 func (x *cluster) do(host string, r *work.Request) (string, error) {
 	ctx, cancel := context.WithDeadline(context.Background(), r.Deadline)
 	defer cancel()
-	a, err := x.hosts[host].Do(ctx, r, x.run)
+	a, err := x.host(host).Do(ctx, r, x.run)
 	if err != nil {
 		return "", err
 	}
@@ -310,7 +331,7 @@
 	unused := x.issue("h1")
 	_, err = x.do("h1", request(ran, "b"))
 	c.Assert(err, qt.IsNil)
-	c.Assert(x.hosts["h1"].HandOver(context.Background()), qt.IsNil)
+	c.Assert(x.host("h1").HandOver(context.Background()), qt.IsNil)
 	_, err = x.do("h1", request(x.issue("h1"), "c"))
 	c.Assert(code.Of(err), qt.Equals, code.HostStopping)
 	x.stops["h1"]()
@@ -442,7 +463,7 @@
 		<-queued
 		cancel()
 	}()
-	_, err := x.hosts["h1"].Do(ctx, request(k, "a"), x.run)
+	_, err := x.host("h1").Do(ctx, request(k, "a"), x.run)
 	c.Assert(code.Of(err), qt.Equals, code.RequestCancelled)
 	_, err = x.do("h1", request(k, "a"))
 	c.Assert(code.Of(err), qt.Equals, code.RequestCancelled)
@@ -468,7 +489,7 @@
 		<-sent
 		cancel()
 	}()
-	_, err := x.hosts["h1"].Do(ctx, request(k, "a"), x.run)
+	_, err := x.host("h1").Do(ctx, request(k, "a"), x.run)
 	c.Assert(code.Of(err), qt.Equals, code.OutcomeUnknown)
 	close(leave)
 	s, err := x.do("h1", request(k, "a"))
--- a/core/once/settle.go
+++ b/core/once/settle.go
@@ -29,6 +29,7 @@
 	if !gone {
 		return a, err
 	}
+	o.homes.forget(t.Home)
 	if ctx.Err() != nil {
 		return nil, code.New(code.OutcomeUnknown, "once: the copy was given up before the home answered")
 	}
--- a/core/once/tend.go
+++ b/core/once/tend.go
@@ -48,6 +48,7 @@
 	forget := time.NewTicker(forgetInterval)
 	defer forget.Stop()
 	read := o.options.Now()
+	announced := false
 	for {
 		select {
 		case <-ctx.Done():
@@ -55,6 +56,9 @@
 		case <-forget.C:
 			o.forget()
 		case <-probe.C:
+			if !announced {
+				announced = o.announce(ctx)
+			}
 			now := o.options.Now()
 			if now.Sub(read) >= keyringInterval || o.keyring.Load() == nil || o.health.mode() != ticket.Claimed {
 				o.probe(ctx)
--- a/core/record.go
+++ b/core/record.go
@@ -14,9 +14,16 @@
 	k.Rolls.Event(e)
 }
 
+// PlatformDown reports whether the platform did not answer this host's last
+// call. It is safe for concurrent use.
+func (k *Kernel) PlatformDown() bool {
+	return k.platformDown.Load()
+}
+
 // platformChanged records the begin and the end of an outage of the platform as
 // this host sees it.
 func (k *Kernel) platformChanged(err error) {
+	k.platformDown.Store(err != nil)
 	e := timeline.Event{
 		Kind:  timeline.KindPlatform,
 		Phase: timeline.PhaseEnded,
--- a/io/peer/once.go
+++ b/io/peer/once.go
@@ -29,9 +29,13 @@
 		Ask:        c.home,
 		AskKeyring: c.keyring,
 		HandOver:   c.handOver,
-		Record:     k.Record,
-		Log:        k.Log,
-		Now:        k.Now,
+		Announce:   c.announce,
+
+		PlatformDown: k.PlatformDown,
+
+		Record: k.Record,
+		Log:    k.Log,
+		Now:    k.Now,
 	})
 }
 
@@ -67,6 +71,21 @@
 	return k, nil
 }
 
+// announce tells h of this process.
+func (c *client) announce(ctx context.Context, h store.Host, x once.Home) error {
+	_, err := c.once(h).Announce(ctx, &peerpb.AnnounceRequest{
+		Host: c.kernel.Settings.Host,
+		Home: &peerpb.HomeResponse{
+			Incarnation: x.Incarnation,
+			Mode:        string(x.Mode),
+		},
+	})
+	if err != nil {
+		return code.Wrap(code.PeerUnreachable, err, "peer: host %q was not told of this process", h.Name)
+	}
+	return nil
+}
+
 // handOver leaves tickets to h.
 func (c *client) handOver(ctx context.Context, h store.Host, x once.Handover) error {
 	b, err := json.Marshal(x)
@@ -106,6 +125,18 @@
 	}, nil
 }
 
+// Announce implements peerpb.Once.
+func (s *onceServer) Announce(ctx context.Context, r *peerpb.AnnounceRequest) (*peerpb.AnnounceResponse, error) {
+	if err := checkName(ctx, r.Host); err != nil {
+		return nil, err
+	}
+	s.once.Heard(r.Host, once.Home{
+		Incarnation: r.GetHome().GetIncarnation(),
+		Mode:        ticket.Mode(r.GetHome().GetMode()),
+	})
+	return &peerpb.AnnounceResponse{}, nil
+}
+
 // TakeOver implements peerpb.Once.
 func (s *onceServer) TakeOver(_ context.Context, r *peerpb.TakeOverRequest) (*peerpb.TakeOverResponse, error) {
 	h := once.Handover{}
--- a/io/peer/peerpb/once.twirp.go
+++ b/io/peer/peerpb/once.twirp.go
@@ -36,6 +36,9 @@
 	// Keyring returns the secrets that tickets are made by.
 	Keyring(context.Context, *KeyringRequest) (*KeyringResponse, error)
 
+	// Announce tells the receiver what Home would return of the sender.
+	Announce(context.Context, *AnnounceRequest) (*AnnounceResponse, error)
+
 	// TakeOver leaves the tickets of a home that stops to the receiver.
 	TakeOver(context.Context, *TakeOverRequest) (*TakeOverResponse, error)
 }
@@ -46,7 +49,7 @@
 
 type onceProtobufClient struct {
 	client      HTTPClient
-	urls        [3]string
+	urls        [4]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -74,9 +77,10 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "heatherford.peer", "Once")
-	urls := [3]string{
+	urls := [4]string{
 		serviceURL + "Home",
 		serviceURL + "Keyring",
+		serviceURL + "Announce",
 		serviceURL + "TakeOver",
 	}
 
@@ -180,6 +184,52 @@
 	return out, nil
 }
 
+func (c *onceProtobufClient) Announce(ctx context.Context, in *AnnounceRequest) (*AnnounceResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "heatherford.peer")
+	ctx = ctxsetters.WithServiceName(ctx, "Once")
+	ctx = ctxsetters.WithMethodName(ctx, "Announce")
+	caller := c.callAnnounce
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *AnnounceRequest) (*AnnounceResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*AnnounceRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*AnnounceRequest) when calling interceptor")
+					}
+					return c.callAnnounce(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*AnnounceResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*AnnounceResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *onceProtobufClient) callAnnounce(ctx context.Context, in *AnnounceRequest) (*AnnounceResponse, error) {
+	out := new(AnnounceResponse)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 func (c *onceProtobufClient) TakeOver(ctx context.Context, in *TakeOverRequest) (*TakeOverResponse, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "heatherford.peer")
 	ctx = ctxsetters.WithServiceName(ctx, "Once")
@@ -211,7 +261,7 @@
 
 func (c *onceProtobufClient) callTakeOver(ctx context.Context, in *TakeOverRequest) (*TakeOverResponse, error) {
 	out := new(TakeOverResponse)
-	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[3], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -232,7 +282,7 @@
 
 type onceJSONClient struct {
 	client      HTTPClient
-	urls        [3]string
+	urls        [4]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -260,9 +310,10 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "heatherford.peer", "Once")
-	urls := [3]string{
+	urls := [4]string{
 		serviceURL + "Home",
 		serviceURL + "Keyring",
+		serviceURL + "Announce",
 		serviceURL + "TakeOver",
 	}
 
@@ -366,6 +417,52 @@
 	return out, nil
 }
 
+func (c *onceJSONClient) Announce(ctx context.Context, in *AnnounceRequest) (*AnnounceResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "heatherford.peer")
+	ctx = ctxsetters.WithServiceName(ctx, "Once")
+	ctx = ctxsetters.WithMethodName(ctx, "Announce")
+	caller := c.callAnnounce
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *AnnounceRequest) (*AnnounceResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*AnnounceRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*AnnounceRequest) when calling interceptor")
+					}
+					return c.callAnnounce(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*AnnounceResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*AnnounceResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *onceJSONClient) callAnnounce(ctx context.Context, in *AnnounceRequest) (*AnnounceResponse, error) {
+	out := new(AnnounceResponse)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 func (c *onceJSONClient) TakeOver(ctx context.Context, in *TakeOverRequest) (*TakeOverResponse, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "heatherford.peer")
 	ctx = ctxsetters.WithServiceName(ctx, "Once")
@@ -397,7 +494,7 @@
 
 func (c *onceJSONClient) callTakeOver(ctx context.Context, in *TakeOverRequest) (*TakeOverResponse, error) {
 	out := new(TakeOverResponse)
-	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[3], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -515,6 +612,9 @@
 	case "Keyring":
 		s.serveKeyring(ctx, resp, req)
 		return
+	case "Announce":
+		s.serveAnnounce(ctx, resp, req)
+		return
 	case "TakeOver":
 		s.serveTakeOver(ctx, resp, req)
 		return
@@ -885,6 +985,186 @@
 	callResponseSent(ctx, s.hooks)
 }
 
+func (s *onceServer) serveAnnounce(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveAnnounceJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveAnnounceProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *onceServer) serveAnnounceJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Announce")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(AnnounceRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Once.Announce
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *AnnounceRequest) (*AnnounceResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*AnnounceRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*AnnounceRequest) when calling interceptor")
+					}
+					return s.Once.Announce(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*AnnounceResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*AnnounceResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *AnnounceResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *AnnounceResponse and nil error while calling Announce. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *onceServer) serveAnnounceProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Announce")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(AnnounceRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Once.Announce
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *AnnounceRequest) (*AnnounceResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*AnnounceRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*AnnounceRequest) when calling interceptor")
+					}
+					return s.Once.Announce(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*AnnounceResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*AnnounceResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *AnnounceResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *AnnounceResponse and nil error while calling Announce. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
 func (s *onceServer) serveTakeOver(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	header := req.Header.Get("Content-Type")
 	i := strings.Index(header, ";")
@@ -1081,22 +1361,25 @@
 }
 
 var twirpFileDescriptor2 = []byte{
-	// 269 bytes of a gzipped FileDescriptorProto
-	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x7c, 0x92, 0x51, 0x4b, 0xc3, 0x30,
-	0x10, 0xc7, 0xa9, 0x14, 0x37, 0x6f, 0xd3, 0x95, 0x7b, 0x2a, 0x41, 0xa5, 0xe6, 0x49, 0x10, 0x3b,
-	0xd0, 0x6f, 0x20, 0x0a, 0x82, 0xe0, 0xb0, 0xf8, 0xe4, 0x5b, 0xd6, 0x9e, 0xb6, 0x8c, 0xe5, 0x6a,
-	0x5a, 0x07, 0x7e, 0x6b, 0x3f, 0x82, 0x2c, 0x4d, 0x67, 0x9d, 0xae, 0x2f, 0x21, 0x77, 0xf7, 0xcb,
-	0x8f, 0xfb, 0x43, 0x00, 0x58, 0xa7, 0x14, 0x97, 0x86, 0x6b, 0xc6, 0x20, 0x27, 0x55, 0xe7, 0x64,
-	0x5e, 0xd9, 0x64, 0x71, 0x49, 0x64, 0xe4, 0x21, 0x8c, 0xee, 0x79, 0x49, 0x09, 0xbd, 0x7f, 0x50,
-	0x55, 0xcb, 0x5b, 0x18, 0x37, 0x65, 0x55, 0xb2, 0xae, 0x08, 0x23, 0x18, 0x15, 0x3a, 0x55, 0x46,
-	0xab, 0xba, 0x60, 0x1d, 0x7a, 0x91, 0x77, 0x7e, 0x90, 0x74, 0x5b, 0x88, 0xe0, 0x2f, 0x39, 0xa3,
-	0x70, 0xcf, 0x8e, 0xec, 0x5d, 0x06, 0x70, 0xf4, 0x40, 0x9f, 0xa6, 0xd0, 0x6f, 0xad, 0xf7, 0x02,
-	0x26, 0x9b, 0x8e, 0x53, 0x87, 0x30, 0x58, 0x34, 0x2d, 0xab, 0x1d, 0x27, 0x6d, 0x29, 0x2f, 0x61,
-	0xf2, 0xac, 0x16, 0x34, 0x5b, 0x91, 0x71, 0xef, 0x51, 0xc0, 0x30, 0x57, 0x3a, 0xe3, 0x15, 0x19,
-	0x47, 0x6f, 0x6a, 0x89, 0x10, 0xfc, 0xe0, 0x8d, 0xfc, 0xea, 0xcb, 0x03, 0x7f, 0xa6, 0x53, 0xc2,
-	0x3b, 0xf0, 0xd7, 0x81, 0xf0, 0x24, 0xde, 0x8e, 0x1e, 0x77, 0x72, 0x8b, 0xd3, 0x5d, 0x63, 0xb7,
-	0xec, 0x23, 0x0c, 0xdc, 0xfe, 0x18, 0xfd, 0x45, 0x7f, 0x87, 0x15, 0x67, 0x3d, 0x84, 0xf3, 0x3d,
-	0xc1, 0xb0, 0xdd, 0x19, 0xff, 0xc1, 0xb7, 0xe2, 0x0b, 0xd9, 0x87, 0x34, 0xca, 0x9b, 0xe3, 0x17,
-	0xd1, 0x81, 0xa6, 0x05, 0x4f, 0xd7, 0x9c, 0x3d, 0xca, 0xf9, 0x7c, 0xdf, 0x7e, 0x80, 0xeb, 0xef,
-	0x00, 0x00, 0x00, 0xff, 0xff, 0x9f, 0x8f, 0xf7, 0xcd, 0x0e, 0x02, 0x00, 0x00,
+	// 319 bytes of a gzipped FileDescriptorProto
+	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x84, 0x92, 0xd1, 0x4a, 0xbc, 0x50,
+	0x10, 0xc6, 0xd9, 0x65, 0xf9, 0xef, 0xfe, 0xc7, 0x2d, 0xe5, 0x5c, 0x89, 0x54, 0xd8, 0xb9, 0x0a,
+	0x22, 0x17, 0xec, 0x09, 0x8a, 0x82, 0x20, 0x68, 0x49, 0xba, 0xa9, 0x3b, 0x57, 0xa7, 0x94, 0xc5,
+	0x33, 0x76, 0x74, 0x17, 0x7a, 0xbe, 0x5e, 0x2c, 0x3c, 0x7a, 0x56, 0x33, 0xdb, 0x6e, 0xe4, 0xcc,
+	0xcc, 0xc7, 0x6f, 0xbe, 0xf9, 0x10, 0x80, 0x44, 0x84, 0x5e, 0x2e, 0xa9, 0x24, 0x66, 0x25, 0x18,
+	0x96, 0x09, 0xca, 0x57, 0x92, 0xb1, 0x97, 0x23, 0x4a, 0x7e, 0x00, 0xc6, 0x1d, 0x65, 0x18, 0xe0,
+	0xfb, 0x06, 0x8b, 0x92, 0xdf, 0xc0, 0xbc, 0x2e, 0x8b, 0x9c, 0x44, 0x81, 0xcc, 0x05, 0x23, 0x15,
+	0x51, 0x28, 0x45, 0x58, 0xa6, 0x24, 0xec, 0x91, 0x3b, 0x3a, 0xfb, 0x1f, 0x74, 0x5b, 0x8c, 0xc1,
+	0x24, 0xa3, 0x18, 0xed, 0xb1, 0x1a, 0xa9, 0x37, 0xb7, 0xe0, 0xf0, 0x1e, 0x3f, 0x64, 0x2a, 0xde,
+	0x34, 0xf7, 0x1c, 0xcc, 0x5d, 0xa7, 0x41, 0xdb, 0x30, 0x5d, 0xd7, 0x2d, 0x85, 0x9d, 0x07, 0xba,
+	0xe4, 0xcf, 0x60, 0x5e, 0x09, 0x41, 0x1b, 0x11, 0x69, 0x5f, 0xd5, 0x96, 0x84, 0x8a, 0xb2, 0x31,
+	0xa0, 0xde, 0xcc, 0xaf, 0x7a, 0x59, 0xbd, 0xd9, 0xf0, 0x4f, 0xbc, 0xfe, 0x6d, 0x5e, 0xf7, 0x92,
+	0x40, 0x69, 0x39, 0x03, 0xab, 0x45, 0xd7, 0x13, 0x7e, 0x01, 0xe6, 0x53, 0xb8, 0xc6, 0xe5, 0x16,
+	0xa5, 0x5e, 0xe7, 0xc0, 0x2c, 0x09, 0x45, 0x4c, 0x5b, 0x94, 0x8d, 0xb9, 0x5d, 0x5d, 0x21, 0x5a,
+	0x79, 0x8d, 0xf0, 0x3f, 0xc7, 0x30, 0x59, 0x8a, 0x08, 0xd9, 0x2d, 0x4c, 0xaa, 0xad, 0xec, 0xf8,
+	0x37, 0x37, 0x8a, 0xef, 0xfc, 0x61, 0x96, 0x3d, 0xc0, 0xb4, 0x89, 0x8b, 0xb9, 0x3f, 0xa5, 0xdf,
+	0xb3, 0x75, 0x4e, 0xf7, 0x28, 0x1a, 0xde, 0x23, 0xcc, 0xf4, 0xd9, 0x6c, 0x40, 0xde, 0x4b, 0xdb,
+	0xe1, 0xfb, 0x24, 0x2d, 0x52, 0xc7, 0x30, 0x84, 0xec, 0x25, 0x3a, 0x84, 0xec, 0xa7, 0x78, 0x7d,
+	0xf4, 0xe2, 0x74, 0x44, 0x8b, 0x94, 0x16, 0x95, 0x4e, 0x7d, 0xf2, 0xd5, 0xea, 0x9f, 0xfa, 0x85,
+	0x2f, 0xbf, 0x02, 0x00, 0x00, 0xff, 0xff, 0x12, 0xb8, 0xfb, 0x02, 0xd0, 0x02, 0x00, 0x00,
 }
