--- a/core/once/once.go
+++ b/core/once/once.go
@@ -23,6 +23,9 @@
 type Options struct {
 	// Self is the name of this host.
 	Self string
+	// Writes is how many of the platform's writes a second all hosts together
+	// use.
+	Writes int
 	// Store is the platform; its fields may be set until Run.
 	Store *store.Store
 	// Snapshot returns the view to decide by.
@@ -34,6 +37,11 @@
 	Ask func(ctx context.Context, h store.Host) (Home, error)
 	// AskKeyring asks another host for the secrets it knows.
 	AskKeyring func(ctx context.Context, h store.Host) (ticket.Keyring, error)
+	// Announce tells another host what its tickets have to say of this one.
+	Announce func(ctx context.Context, h store.Host, x Home) error
+	// PlatformDown reports whether the platform did not answer last, whoever
+	// called it.
+	PlatformDown func() bool
 	// HandOver leaves what this home knows to another host.
 	HandOver func(ctx context.Context, h store.Host, x Handover) error
 	Record   func(e timeline.Event)
