io/peer, core/drain: fewer bytes at rest, and a drain ends once it stays quiet

Cause: at rest a daemon spent 4.6 KB/s on exchanges in a fleet of 40, as every host passed on what the platform's list says anyway; each change was pushed to hosts that had it. A drain counted as ended at a moment without requests in flight, while one that had been let in before was on its way. A host that was cut off took others for dead at the moment of its first contact.

Change: probes every second, without headers that nobody reads; hosts known by the list alone are not passed on; forwarded versions go without their deltas, and not to hosts that have them. A drain ends after 300 ms without requests. After a time without contact, suspicions begin anew, and who knows a host alive corrects those who hold an earlier process of it for dead. Exchanges and other control calls are counted apart.

--- a/cmd/heatherford/print.go
+++ b/cmd/heatherford/print.go
@@ -98,8 +98,8 @@
 		s = append(s, "not serving")
 	}
 	rate := 0.0
-	if d := now.Sub(r.Control.Since).Seconds(); d > 0 {
-		rate = float64(r.Control.SentBytes+r.Control.ReceivedBytes) / d
+	if d := now.Sub(r.Exchange.Since).Seconds(); d > 0 {
+		rate = float64(r.Exchange.Bytes()+r.Other.Bytes()) / d
 	}
 	fmt.Fprintf(w, "  %s %s, %s, version %d, %d requests in flight, %.0f control bytes/s\n", h.Name, r.Zone, strings.Join(s, " "), r.Version, r.InFlight, rate)
 }
--- /dev/null
+++ b/core/drain/drain_test.go
@@ -0,0 +1,88 @@
+package drain_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"heatherford/core/drain"
+	"heatherford/core/timeline"
+)
+
+var subject = drain.Subject{
+	Kind: drain.Endpoint,
+	Name: "desk-1",
+}
+
+func leaving(inFlight int) []drain.Leaving {
+	return []drain.Leaving{
+		{
+			Subject:  subject,
+			Source:   drain.SourceDeclaration,
+			InFlight: inFlight,
+		},
+	}
+}
+
+// A moment without requests in flight is not the end of a drain: a request that
+// was let in before may still come.
+func TestDrainEndsOnceItStaysQuiet(t *testing.T) {
+	c := qt.New(t)
+	x := drain.NewTracker()
+	at := time.Unix(1000, 0)
+	tick := func(n int) (begun, ended int) {
+		at = at.Add(100 * time.Millisecond)
+		b, e := x.Observe(at, leaving(n))
+		return len(b), len(e)
+	}
+	b, e := tick(2)
+	c.Assert([]int{b, e}, qt.DeepEquals, []int{1, 0})
+	tick(0)
+	tick(1)
+	quiet := at.Add(100 * time.Millisecond)
+	for range 3 {
+		_, e = tick(0)
+		c.Assert(e, qt.Equals, 0)
+		c.Assert(x.All()[0].QuietAt.IsZero(), qt.IsTrue)
+	}
+	_, e = tick(0)
+	c.Assert(e, qt.Equals, 1)
+	c.Assert(x.All()[0].QuietAt, qt.Equals, quiet)
+	_, e = tick(0)
+	c.Assert(e, qt.Equals, 0)
+	x.Observe(at, nil)
+	c.Assert(x.All(), qt.HasLen, 0)
+}
+
+// The latest sign of a subject holds, whatever the order in which signs come, and
+// is forgotten unless it is renewed.
+func TestDrainSigns(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	sign := func(wall int64, leaving bool) drain.Sign {
+		return drain.Sign{
+			Subject: subject,
+			Leaving: leaving,
+			At: timeline.Stamp{
+				Wall: wall,
+			},
+		}
+	}
+	s := drain.New()
+	c.Assert(s.Due(now, subject, false), qt.IsFalse)
+	c.Assert(s.Due(now, subject, true), qt.IsTrue)
+	c.Assert(s.Offer(now, sign(1, true)), qt.IsTrue)
+	c.Assert(s.Due(now, subject, true), qt.IsFalse)
+	c.Assert(s.Due(now.Add(5*time.Second), subject, true), qt.IsTrue)
+	c.Assert(s.Offer(now, sign(3, false)), qt.IsTrue)
+	c.Assert(s.Offer(now, sign(2, true)), qt.IsFalse)
+	_, leaving := s.Leaving(subject)
+	c.Assert(leaving, qt.IsFalse)
+	c.Assert(s.Offer(now, sign(4, true)), qt.IsTrue)
+	c.Assert(s.Gossip(3), qt.DeepEquals, []drain.Sign{sign(4, true)})
+	c.Assert(s.Tick(now.Add(29*time.Second)), qt.IsFalse)
+	c.Assert(s.Tick(now.Add(30*time.Second)), qt.IsTrue)
+	_, leaving = s.Leaving(subject)
+	c.Assert(leaving, qt.IsFalse)
+}
--- a/core/drain/progress.go
+++ b/core/drain/progress.go
@@ -18,10 +18,17 @@
 	// InFlight is the number of requests of this host that the subject still
 	// works on.
 	InFlight int `json:"in_flight"`
-	// QuietAt is when InFlight fell to 0. It is zero while the drain goes on.
+	// QuietAt is when InFlight fell to 0, to stay there. It is zero while the
+	// drain goes on.
 	QuietAt time.Time `json:"quiet_at,omitzero"`
+	// quietSince is when InFlight fell to 0, or zero.
+	quietSince time.Time
 }
 
+// quietTime is how long InFlight stays 0 before a drain counts as ended: a request
+// that was let in right before the sign may come late.
+const quietTime = 300 * time.Millisecond
+
 // Tracker follows the drains at one host. It is not safe for concurrent use.
 type Tracker struct {
 	drains map[Subject]Progress
@@ -55,12 +62,7 @@
 			}
 			begun = append(begun, p)
 		}
-		p.InFlight = l.InFlight
-		switch {
-		case l.InFlight > 0:
-			p.QuietAt = time.Time{}
-		case p.QuietAt.IsZero():
-			p.QuietAt = now
+		if p.observe(now, l.InFlight) {
 			ended = append(ended, p)
 		}
 		next[l.Subject] = p
@@ -69,6 +71,23 @@
 	return begun, ended
 }
 
+// observe takes the number of requests in flight at the time now. It reports
+// whether the drain has ended by it.
+func (p *Progress) observe(now time.Time, inFlight int) bool {
+	p.InFlight = inFlight
+	switch {
+	case inFlight > 0:
+		p.quietSince = time.Time{}
+		p.QuietAt = time.Time{}
+	case p.quietSince.IsZero():
+		p.quietSince = now
+	case p.QuietAt.IsZero() && now.Sub(p.quietSince) >= quietTime:
+		p.QuietAt = p.quietSince
+		return true
+	}
+	return false
+}
+
 // All returns the drains, ordered by subject.
 func (t *Tracker) All() []Progress {
 	s := make([]Progress, 0, len(t.drains))
--- a/core/kernel.go
+++ b/core/kernel.go
@@ -63,8 +63,9 @@
 	// Describe asks all other hosts for their reports. Nil stands for no
 	// other hosts.
 	Describe func(ctx context.Context) []Described
-	// Traffic returns what this host spent on control. Nil stands for nothing.
-	Traffic func() Traffic
+	// Traffic returns what this host spent on exchanges with other hosts and
+	// on other calls for control. Nil stands for nothing.
+	Traffic func() (exchange, other Traffic)
 	// Once runs work that may not be repeated; nil stands for a direct call.
 	Once func(ctx context.Context, r *work.Request, run dispatch.Run) (*work.Answer, error)
 	// Issue returns a ticket for work that may not be repeated, whose home is
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -75,6 +75,14 @@
 	sends int
 }
 
+// correct passes what is known on again if u, which it supersedes, holds an alive
+// host for another.
+func (e *entry) correct(u Update, sends int) {
+	if e.State == Alive && u.State != Alive && u.Incarnation < e.Incarnation {
+		e.sends = sends
+	}
+}
+
 // host returns the host as traffic should see it.
 func (e *entry) host() store.Host {
 	h := e.Host
--- a/core/member/view.go
+++ b/core/member/view.go
@@ -153,8 +153,10 @@
 		v.others[u.Host.Name] = e
 	}
 	changed := !ok || u.supersedes(e.Update) || e.State != Alive
+	// All others know the host by the list as well as this one did.
+	expected := ok && e.listed && e.Incarnation == 0 && e.State == Alive && u.Host == e.Host
 	v.set(now, e, u.merge(e.Update))
-	if changed {
+	if changed && !expected {
 		e.sends = v.sends()
 	}
 }
@@ -219,6 +221,7 @@
 			continue
 		}
 		if ok && !u.supersedes(e.Update) {
+			e.correct(u, v.sends())
 			continue
 		}
 		if !ok {
@@ -251,6 +254,9 @@
 			continue
 		}
 		if !v.contactAt.After(e.suspectAt) {
+			// Once there is contact again, the host has time to refute.
+			e.suspectAt = now
+			e.deadAt = now.Add(v.suspectTime())
 			continue
 		}
 		u := e.Update
--- a/core/report.go
+++ b/core/report.go
@@ -28,8 +28,10 @@
 	Loads map[string]float64 `json:"loads,omitempty"`
 	// Drains are all drains as the host sees them.
 	Drains []drain.Progress `json:"drains,omitempty"`
-	// Control is what the host spent on connections to others for control.
-	Control Traffic `json:"control"`
+	// Exchange is what the host spent on the exchanges that it began, of
+	// versions, hosts and drains, and Other on its other calls for control.
+	Exchange Traffic `json:"exchange"`
+	Other    Traffic `json:"other"`
 }
 
 // Traffic is a number of bytes over a time.
@@ -39,6 +41,11 @@
 	Since         time.Time `json:"since"`
 }
 
+// Bytes returns the bytes of both directions.
+func (t Traffic) Bytes() uint64 {
+	return t.SentBytes + t.ReceivedBytes
+}
+
 // Described is another host with its report.
 type Described struct {
 	Host  store.Host
@@ -64,7 +71,7 @@
 		Drains:   k.Drains(),
 	}
 	if k.Seams.Traffic != nil {
-		r.Control = k.Seams.Traffic()
+		r.Exchange, r.Other = k.Seams.Traffic()
 	}
 	return r
 }
--- a/io/peer/exchange.go
+++ b/io/peer/exchange.go
@@ -22,7 +22,7 @@
 
 const (
 	// probeInterval is the time between the probes of one host.
-	probeInterval = 500 * time.Millisecond
+	probeInterval = time.Second
 	// probeTimeout bounds a probe, directly or through another host.
 	probeTimeout = 400 * time.Millisecond
 	// fetchTimeout bounds the fetching of a version's parts.
@@ -47,7 +47,6 @@
 type exchanger struct {
 	kernel    *core.Kernel
 	transport *stamp.Transport
-	meter     *meter
 	budget    *rate.Limiter
 	// probing holds one element for each probe that goes on.
 	probing chan struct{}
@@ -63,18 +62,14 @@
 }
 
 func newExchanger(k *core.Kernel, d *dialer) *exchanger {
-	m := &meter{
-		since: k.Now(),
-	}
 	return &exchanger{
 		kernel: k,
-		meter:  m,
 		transport: &stamp.Transport{
 			Clock: k.Clock,
 			Base: &http.Transport{
 				DisableCompression:  true,
 				MaxIdleConnsPerHost: idleConns,
-				DialContext:         d.metered(m).dial,
+				DialContext:         d.dial,
 			},
 		},
 		budget:   rate.NewLimiter(budgetBytes, budgetBurst),
@@ -286,6 +281,24 @@
 
 func (x *exchanger) peer(h store.Host) peerpb.Peer {
 	return peerpb.NewPeerProtobufClient("http://"+h.PeerAddress.String(), &http.Client{
-		Transport: x.transport,
+		Transport: lean{
+			base: x.transport,
+		},
 	})
 }
+
+// lean leaves out headers that other daemons do not read: they would be a fifth
+// of what daemons exchange at rest.
+type lean struct {
+	base *stamp.Transport
+}
+
+// RoundTrip implements http.RoundTripper.
+func (l lean) RoundTrip(r *http.Request) (*http.Response, error) {
+	q := r.Clone(r.Context())
+	q.Header.Del("Accept")
+	q.Header.Del("Twirp-Version")
+	// An empty value keeps the transport from adding its own.
+	q.Header.Set("User-Agent", "")
+	return l.base.RoundTrip(q)
+}
--- a/io/peer/follow.go
+++ b/io/peer/follow.go
@@ -50,12 +50,16 @@
 // it is in force everywhere. It returns once a few hosts of different zones have
 // it, or have not answered in time.
 func (x *exchanger) push(ctx context.Context, v *intent.Version) {
-	x.tell(pushHosts)
+	t := spreadTask{
+		hosts: pushHosts,
+		push:  true,
+	}
+	x.tell(t)
 	select {
 	case x.followed <- v:
 	default:
 	}
-	x.pushTo(ctx, x.spreadOverZones(witnesses))
+	x.carryOut(ctx, t, x.spreadOverZones(witnesses))
 }
 
 // followLoop follows one version after the other.
--- a/io/peer/plugin.go
+++ b/io/peer/plugin.go
@@ -48,7 +48,13 @@
 		return err
 	}
 	p.dialer = d
-	p.client = newClient(k, d)
+	m := &meter{
+		since: k.Now(),
+	}
+	e := &meter{
+		since: k.Now(),
+	}
+	p.client = newClient(k, d.metered(m))
 	p.carrier = newCarrier(k, d)
 	p.once = newOnce(k, p.client, p.carrier)
 	k.Seams.Carry = p.carrier.carry
@@ -58,10 +64,12 @@
 	k.Seams.Timeline = p.client.timeline
 	k.Seams.Keep = p.client.keep
 	k.Seams.Grants = p.client.grantCalls()
-	p.exchanger = newExchanger(k, d)
+	p.exchanger = newExchanger(k, d.metered(e))
 	k.Seams.Push = p.exchanger.push
 	k.Seams.Describe = p.exchanger.describeAll
-	k.Seams.Traffic = p.exchanger.meter.traffic
+	k.Seams.Traffic = func() (exchange, other core.Traffic) {
+		return e.traffic(), m.traffic()
+	}
 	k.OnPause(p.exchanger.learnNow)
 	k.OnVersion(p.exchanger.spreadVersion)
 	k.OnSign(p.exchanger.spreadSigns)
@@ -74,10 +82,10 @@
 	m.Handle(peerpb.LoadsPathPrefix, peerpb.NewLoadsServer(&loadsServer{
 		kernel: k,
 	}))
-	m.Handle(peerpb.PeerPathPrefix, http.MaxBytesHandler(peerpb.NewPeerServer(&server{
+	m.Handle(peerpb.PeerPathPrefix, http.MaxBytesHandler(dateless(peerpb.NewPeerServer(&server{
 		kernel:    k,
 		exchanger: p.exchanger,
-	}), maxBodyBytes))
+	})), maxBodyBytes))
 	m.Handle(peerpb.TimelinePathPrefix, peerpb.NewTimelineServer(&timelineServer{
 		kernel: k,
 	}))
@@ -114,3 +122,11 @@
 	})
 	return nil
 }
+
+// dateless serves without the Date header, which other daemons do not read.
+func dateless(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header()["Date"] = nil
+		next.ServeHTTP(w, r)
+	})
+}
--- a/io/peer/spread.go
+++ b/io/peer/spread.go
@@ -25,31 +25,49 @@
 type spreadTask struct {
 	// hosts is how many hosts are told.
 	hosts int
+	// push is true if the newest deltas go along. Hosts that hear of a newer
+	// version without them ask for them.
+	push bool
+	// signs is true if hosts that have the version are told as well.
+	signs bool
+}
+
+// and returns a task that does what both do.
+func (t spreadTask) and(o spreadTask) spreadTask {
+	return spreadTask{
+		hosts: max(t.hosts, o.hosts),
+		push:  t.push || o.push,
+		signs: t.signs || o.signs,
+	}
 }
 
 // spreadVersion passes a version on that has come in force here.
 func (x *exchanger) spreadVersion(*config.Bundle) {
-	x.tell(forwardHosts)
+	x.tell(spreadTask{
+		hosts: forwardHosts,
+	})
 }
 
 // spreadSigns tells other hosts that something is leaving.
 func (x *exchanger) spreadSigns() {
-	x.tell(announceHosts)
+	x.tell(spreadTask{
+		hosts: announceHosts,
+		signs: true,
+	})
 }
 
-func (x *exchanger) tell(hosts int) {
+// tell hands a task to the loop and does not wait. A task that waits there
+// already is joined with it.
+func (x *exchanger) tell(t spreadTask) {
 	for {
 		select {
-		case x.spread <- spreadTask{
-			hosts: hosts,
-		}:
+		case x.spread <- t:
 			return
 		default:
 		}
-		// The task that waits is replaced by one that tells as many.
 		select {
-		case t := <-x.spread:
-			hosts = max(hosts, t.hosts)
+		case o := <-x.spread:
+			t = t.and(o)
 		default:
 		}
 	}
@@ -59,35 +77,43 @@
 	for {
 		select {
 		case t := <-x.spread:
-			x.pushTo(ctx, x.kernel.PickHosts(t.hosts))
+			x.carryOut(ctx, t, x.kernel.PickHosts(t.hosts))
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
-// pushTo exchanges with the hosts side by side, with the newest delta as far as
-// the budget goes.
-func (x *exchanger) pushTo(ctx context.Context, hosts []store.Host) {
+// carryOut exchanges with the hosts side by side.
+func (x *exchanger) carryOut(ctx context.Context, t spreadTask, hosts []store.Host) {
 	b := x.kernel.Snapshot().Config
-	push := []*config.Delta(nil)
-	if s, ok := b.Since(b.Number - min(1, b.Number)); ok {
-		push = s
-	}
 	g := errgroup.Group{}
 	g.SetLimit(pushers)
 	for _, h := range hosts {
+		behind := x.versions.of(h.Name) < b.Number
+		if !behind && !t.signs {
+			continue
+		}
 		g.Go(func() error {
-			if !x.affordable(push) {
-				return x.exchange(ctx, h, nil)
-			}
-			return x.exchange(ctx, h, push)
+			return x.exchange(ctx, h, x.pushed(b, t.push && behind))
 		})
 	}
 	// A host that does not answer takes the version by a later exchange.
 	_ = g.Wait()
 }
 
+// pushed returns the newest deltas if they are wanted and the budget bears them.
+func (x *exchanger) pushed(b *config.Bundle, wanted bool) []*config.Delta {
+	if !wanted {
+		return nil
+	}
+	s, ok := b.Since(b.Number - min(1, b.Number))
+	if !ok || !x.affordable(s) {
+		return nil
+	}
+	return s
+}
+
 func (x *exchanger) affordable(s []*config.Delta) bool {
 	n := 0
 	for _, d := range s {
@@ -99,6 +125,8 @@
 // announce tells other hosts that this one is leaving.
 func (x *exchanger) announce(ctx context.Context) error {
 	x.kernel.Leave()
-	x.pushTo(ctx, x.kernel.PickHosts(announceHosts))
+	x.carryOut(ctx, spreadTask{
+		signs: true,
+	}, x.kernel.PickHosts(announceHosts))
 	return nil
 }
