--- a/core/kernel.go
+++ b/core/kernel.go
@@ -130,11 +130,11 @@
 		Dial:     o.Dial,
 		plugins:  o.Plugins,
 		events:   make(chan func(c *control)),
-		loads:    newLoads(),
 	}
 	if k.Now == nil {
 		k.Now = time.Now
 	}
+	k.loads = newLoads(k.Now)
 	if k.Dial == nil {
 		d := net.Dialer{}
 		k.Dial = d.DialContext
@@ -196,6 +196,11 @@
 // Start starts the control goroutine and all plug-ins. It is called once.
 func (k *Kernel) Start() error {
 	k.tomb.Go(k.control)
+	k.tomb.Go(func() error {
+		<-k.tomb.Dying()
+		k.Dispatcher.Close()
+		return nil
+	})
 	k.tomb.Go(k.pulse)
 	for _, p := range k.plugins {
 		if p.Start == nil {
--- a/sessions/sessions_test.go
+++ b/sessions/sessions_test.go
@@ -74,6 +74,10 @@
 			"sent":     cmdSent,
 			"hosts":    cmdHosts,
 			"burst":    cmdBurst,
+			"peak":     cmdPeak,
+			"rise":     cmdRise,
+			"contest":  cmdContest,
+			"goeson":   cmdGoesOn,
 
 			"backinuse": cmdBackInUse,
 		},
