--- a/core/dispatch/result.go
+++ b/core/dispatch/result.go
@@ -63,6 +63,11 @@
 	})
 }
 
+// Refused counts a request that was refused before it reached the dispatcher.
+func (d *Dispatcher) Refused(r *work.Request, err error) {
+	d.record(r, d.options.Now(), err)
+}
+
 // record counts how r ended. Results of a hop are counted where r came in.
 func (d *Dispatcher) record(r *work.Request, started time.Time, err error) {
 	now := d.options.Now()
--- a/io/internal/carry/carry.go
+++ b/io/internal/carry/carry.go
@@ -29,7 +29,9 @@
 	}
 	q, err := read(k, w, r, hop)
 	if err != nil {
-		refuse.Write(w, q.ID, readError(q, err))
+		err = readError(q, err)
+		count(k, q, r, err)
+		refuse.Write(w, q.ID, err)
 		return
 	}
 	a, err := k.Dispatcher.Do(r.Context(), q)
@@ -70,7 +72,7 @@
 		return q, err
 	}
 	v := k.Snapshot().Version
-	name, path, _ := strings.Cut(strings.TrimPrefix(r.URL.EscapedPath(), WorkPrefix), "/")
+	name, path := splitPath(r)
 	kind, ok := v.Declaration.Kind(name)
 	if !ok {
 		return q, code.New(code.KindUnknown, "carry: no kind %q", name)
@@ -97,6 +99,12 @@
 	return q, nil
 }
 
+// splitPath returns the name of the kind and the rest of the path.
+func splitPath(r *http.Request) (kind, rest string) {
+	kind, rest, _ = strings.Cut(strings.TrimPrefix(r.URL.EscapedPath(), WorkPrefix), "/")
+	return kind, rest
+}
+
 func readHeaders(k *core.Kernel, q *work.Request, r *http.Request) error {
 	q.Deadline = k.Now().Add(q.Kind.Deadline.Std())
 	if s := r.Header.Get(work.HeaderDeadline); s != "" {
