io/internal/wire: the deadline of a write is on its progress

Cause: confirming 300,000 blocks failed, since one write of 15 MB had to end within 1 s. A connection that takes bytes is not silent.

Change: requests are written in pieces of 64 KiB with a deadline each. The test sends 30 MiB to a peer that takes 100 ms for each MiB; it failed before after 1 s.

Not mended by this: the confirmation still fails, by the bound of 5 s for a call.

--- a/io/internal/wire/exchange.go
+++ b/io/internal/wire/exchange.go
@@ -11,8 +11,9 @@
 const (
 	// proofSilence is the longest wait for a 100 Continue.
 	proofSilence = 250 * time.Millisecond
-	// writeSilence is the longest time that one write may take.
+	// writeSilence is the longest time that a write of writeChunk bytes may take.
 	writeSilence = time.Second
+	writeChunk   = 64 << 10
 	// maxInterim is the most interim answers before the final one.
 	maxInterim = 8
 )
@@ -153,10 +154,17 @@
 	if !x.proof {
 		b = append(x.message.head[:len(x.message.head):len(x.message.head)], b...)
 	}
-	x.conn.within(x.until(writeSilence))
-	n, err := x.conn.Write(b)
-	x.sent = n > 0
-	return err
+	for len(b) > 0 {
+		// The deadline is on progress: a long body may take its time.
+		x.conn.within(x.until(writeSilence))
+		n, err := x.conn.Write(b[:min(len(b), writeChunk)])
+		x.sent = x.sent || n > 0
+		if err != nil {
+			return err
+		}
+		b = b[n:]
+	}
+	return nil
 }
 
 // head reads the head of the final answer.
--- a/io/internal/wire/pool_test.go
+++ b/io/internal/wire/pool_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -195,3 +196,34 @@
 		})
 	}
 }
+
+// TestSilentIsWithoutProgress sends a long body to a peer that takes it slowly but
+// never pauses for long: the connection is not silent.
+func TestSilentIsWithoutProgress(t *testing.T) {
+	c := qt.New(t)
+	const pause, piece, pieces = 100 * time.Millisecond, 1 << 20, 30
+	p, _ := newPool(t, func(w http.ResponseWriter, r *http.Request) {
+		n := int64(0)
+		for {
+			m, err := io.CopyN(io.Discard, r.Body, piece)
+			n += m
+			if err != nil {
+				break
+			}
+			<-time.After(pause)
+		}
+		w.Header().Set(idHeader, r.Header.Get(idHeader))
+		fmt.Fprint(w, n)
+	}, wire.Options{
+		Connections:    1,
+		DialsPerSecond: 10,
+	})
+	q := newCall(true, false)
+	q.Body = make([]byte, piece*pieces)
+	a, err := p.Do(context.Background(), q)
+	c.Assert(err, qt.IsNil)
+	defer a.Body.Close()
+	b, err := io.ReadAll(a.Body)
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(b), qt.Equals, fmt.Sprint(piece*pieces))
+}
