--- a/core/once/once_test.go
+++ b/core/once/once_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"runtime"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -517,3 +518,27 @@
 	c.Assert(code.Of(err), qt.Equals, code.OutcomeUnrecorded)
 	c.Assert(x.ran.Load(), qt.Equals, int64(1))
 }
+
+// BenchmarkTicketRun runs work with its claim and keeps the answer. The bytes
+// are those that remain of one ticket.
+func BenchmarkTicketRun(b *testing.B) {
+	c := qt.New(b)
+	x := newCluster(c, "h1")
+	before := heap()
+	n := 0
+	for b.Loop() {
+		n++
+		r := request("", "a")
+		r.Ticket = x.issue("h1")
+		_, err := x.do("h1", r)
+		c.Assert(err, qt.IsNil)
+	}
+	b.ReportMetric(float64(heap()-before)/float64(n), "kept-bytes/op")
+}
+
+func heap() uint64 {
+	runtime.GC()
+	m := runtime.MemStats{}
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
