core/report: peaks of samples that all hosts take at the same times

A peak was the sum of the hosts' own peaks in five minutes. An endpoint that moves between two hosts within them counts twice, so that a rolling upgrade under load would show regions above their caps, and the page would cry wolf with every upgrade. Hosts now sample at each full 5 s, and the page adds the samples of one time. TestReportPeakIsOfOneTime moves a whole region's load between two hosts.

Shown by: go test -race ./core/report ./core/rollup ./io/collector go run ./cmd/heatherford-capacity -only rollup

--- a/cmd/heatherford-capacity/record.go
+++ b/cmd/heatherford-capacity/record.go
@@ -137,10 +137,9 @@
 	loads := []rollup.Load{}
 	for r := range regionsSentTo {
 		loads = append(loads, rollup.Load{
-			Bound:    rollup.BoundRegion,
-			Name:     fmt.Sprintf("region-%d", r),
-			Cap:      500,
-			InFlight: 17,
+			Bound: rollup.BoundRegion,
+			Name:  fmt.Sprintf("region-%d", r),
+			Cap:   500,
 		})
 	}
 	for i := range requests {
@@ -159,6 +158,9 @@
 			x.Code, x.Correct = code.RankFull, false
 		}
 		k.Result(x)
+		for r := range loads {
+			loads[r].InFlight = i * (r + 7) % 61
+		}
 		k.Sample(loads)
 	}
 	for v := range versionsPerHour {
--- a/core/report/build.go
+++ b/core/report/build.go
@@ -212,7 +212,7 @@
 			m[r.Name][t] = x
 		}
 		x.Cap = max(x.Cap, r.Cap)
-		x.Peak += r.Peak
+		x.add(r.Samples)
 		x.Mean += r.Seconds / b.slotSeconds(t)
 	}
 }
@@ -310,6 +310,7 @@
 		Name: name,
 	}
 	for _, s := range m {
+		s.findPeak()
 		r.Slots = append(r.Slots, *s)
 	}
 	slices.SortFunc(r.Slots, func(x, y LoadSlot) int {
@@ -320,7 +321,7 @@
 		r.Mean += s.Mean / float64(len(r.Slots))
 		if s.Peak > r.Peak || i == 0 {
 			r.Peak = s.Peak
-			r.PeakAt = s.Start
+			r.PeakAt = s.peakAt
 		}
 		if h := s.Cap - s.Peak; h < r.Headroom || i == 0 {
 			r.Headroom = h
@@ -337,3 +338,23 @@
 func (b *builder) clock(t time.Time) string {
 	return t.In(b.in.Location).Format(time.TimeOnly)
 }
+
+// add adds one host's samples.
+func (s *LoadSlot) add(samples []int) {
+	for len(s.sums) < len(samples) {
+		s.sums = append(s.sums, 0)
+	}
+	for i, n := range samples {
+		s.sums[i] += n
+	}
+}
+
+func (s *LoadSlot) findPeak() {
+	s.peakAt = s.Start
+	for i, n := range s.sums {
+		if n > s.Peak {
+			s.Peak = n
+			s.peakAt = s.Start.Add(time.Duration(i) * rollup.SampleLength)
+		}
+	}
+}
--- a/core/report/report.go
+++ b/core/report/report.go
@@ -114,11 +114,11 @@
 	Name string `json:"name"`
 	// Cap is the cap last in force.
 	Cap int `json:"cap"`
-	// Peak is the largest number of requests in flight in a slot, PeakAt that
-	// slot's start.
+	// Peak is the largest number of requests in flight at all hosts at once, by
+	// samples, and PeakAt when that was.
 	Peak   int       `json:"peak"`
 	PeakAt time.Time `json:"peak_at"`
-	// Headroom is the smallest distance from the peak to the cap in a slot.
+	// Headroom is the smallest distance from a slot's peak to its cap.
 	Headroom int `json:"least_headroom"`
 	// Mean is the mean of the requests in flight over the covered slots.
 	Mean  float64    `json:"mean"`
@@ -129,9 +129,14 @@
 type LoadSlot struct {
 	Start time.Time `json:"start"`
 	Cap   int       `json:"cap"`
-	// Peak is the sum of the hosts' peaks, which need not have been at once.
+	// Peak is the largest sum of the hosts' samples of one time.
 	Peak int     `json:"peak"`
 	Mean float64 `json:"mean"`
+
+	// sums holds the sum of the hosts' samples of each time.
+	sums []int
+	// peakAt is when the peak was.
+	peakAt time.Time
 }
 
 // Slot is the service in five minutes.
--- a/core/report/report_test.go
+++ b/core/report/report_test.go
@@ -160,3 +160,36 @@
 		"Host h3: nothing is known from 12:00:00 to 13:00:00: the platform listed it, but it wrote no roll-up. What it counted then is missing here, not zero.",
 	})
 }
+
+// TestReportPeakIsOfOneTime moves all of a region's load from one host to another
+// within five minutes, as a hand-over does: the peak is no higher than before.
+func TestReportPeakIsOfOneTime(t *testing.T) {
+	c := qt.New(t)
+	d := newDay()
+	d.start("h1", "a")
+	d.start("h2", "b")
+	const limit, steps, half = 9, 20, 10
+	for i := range steps {
+		d.now = d.now.Add(rollup.SampleLength)
+		for h, busy := range map[string]bool{
+			"h1": i < half,
+			"h2": i >= half,
+		} {
+			l := rollup.Load{
+				Bound: rollup.BoundRegion,
+				Name:  "ulaanbaatar",
+				Cap:   limit,
+			}
+			if busy {
+				l.InFlight = limit
+			}
+			d.hosts[h].Sample([]rollup.Load{l})
+		}
+	}
+	d.write("h1")
+	d.write("h2")
+	r := d.report()
+	c.Assert(r.Regions[0].Peak, qt.Equals, limit)
+	c.Assert(r.Regions[0].Headroom, qt.Equals, 0)
+	c.Assert(r.Verdict, qt.Equals, report.WentWell)
+}
--- a/core/report/section.go
+++ b/core/report/section.go
@@ -108,7 +108,7 @@
 func (r *Report) loadSection(title, what, empty string, loads []Load) section {
 	s := section{
 		title:   title,
-		columns: []string{what, "cap", "mean", "peak", "peak from", "least headroom"},
+		columns: []string{what, "cap", "mean", "peak", "peak at", "least headroom"},
 		empty:   empty,
 		charts:  r.loadCharts(what, loads),
 	}
--- a/core/report/verdict.go
+++ b/core/report/verdict.go
@@ -62,7 +62,7 @@
 func (b *builder) judgeLoads(what string, loads []Load) {
 	for _, r := range loads {
 		if r.Headroom < 0 {
-			b.because("%s %s: up to %s in flight in the five minutes from %s, the cap is %d.",
+			b.because("%s %s: up to %s in flight at %s, the cap is %d.",
 				what, r.Name, count(uint64(r.Peak), "request"), b.clock(r.PeakAt), r.Cap)
 		}
 	}
@@ -115,7 +115,7 @@
 		r.Notes = append(r.Notes, "No rank has a target, so the shares of correct answers say nothing of how the day went.")
 	}
 	if len(r.Regions) > 0 {
-		r.Notes = append(r.Notes, "A peak is the sum of the hosts' peaks in five minutes, which need not have been at once.")
+		r.Notes = append(r.Notes, "Peaks are of samples that all hosts take each 5 s, by their own clocks; shorter ones may be missing.")
 	}
 	if len(r.Outages) > 0 {
 		r.Notes = append(r.Notes, "In an outage of the platform the hosts keep their counts and write them afterwards; what is not here is listed as missing.")
--- a/core/rollup/hour.go
+++ b/core/rollup/hour.go
@@ -111,7 +111,9 @@
 	}
 }
 
-func (h *hour) sample(now time.Time, l Load, d time.Duration) {
+// sample takes a load that has lasted for d. With full, it is the first one since
+// a full SampleLength.
+func (h *hour) sample(now time.Time, l Load, d time.Duration, full bool) {
 	key := loadSlot{
 		slot:  h.slot(now),
 		bound: l.Bound,
@@ -125,8 +127,21 @@
 		h.loads[key] = s
 	}
 	s.Cap = l.Cap
-	s.Peak = max(s.Peak, l.InFlight)
 	s.Seconds += float64(l.InFlight) * d.Seconds()
+	if full {
+		s.set(int(now.Sub(h.roll.Hour)%SlotLength/SampleLength), l.InFlight)
+	}
+}
+
+// set makes the i-th sample n.
+func (s *SlotLoad) set(i, n int) {
+	if i < 0 || n == 0 {
+		return
+	}
+	for len(s.Samples) <= i {
+		s.Samples = append(s.Samples, 0)
+	}
+	s.Samples[i] = n
 }
 
 func (h *hour) event(e timeline.Event) {
--- a/core/rollup/keeper.go
+++ b/core/rollup/keeper.go
@@ -124,9 +124,10 @@
 	if !k.sampled.IsZero() {
 		d = now.Sub(k.sampled)
 	}
+	full := !now.Truncate(SampleLength).Equal(k.sampled.Truncate(SampleLength))
 	k.sampled = now
 	for _, l := range loads {
-		k.current.sample(now, l, d)
+		k.current.sample(now, l, d, full)
 	}
 }
 
--- a/core/rollup/roll.go
+++ b/core/rollup/roll.go
@@ -23,6 +23,8 @@
 	HourLength = time.Hour
 	// SlotLength is the resolution of a roll-up's series.
 	SlotLength = 5 * time.Minute
+	// SampleLength is the time between the samples of a load.
+	SampleLength = 5 * time.Second
 	// Slots is the number of slots of a roll-up.
 	Slots = int(HourLength / SlotLength)
 )
@@ -112,8 +114,11 @@
 	Name string `json:"name"`
 	// Cap is the cap in the declaration then in force.
 	Cap int `json:"cap"`
-	// Peak is the largest sample of the host's requests in flight.
-	Peak int `json:"peak"`
+	// Samples are the host's requests in flight at each full SampleLength from
+	// the slot's start on. All hosts sample at the same times, so that the sum
+	// of their samples is what was in flight at once. Those missing at the end
+	// are zero.
+	Samples []int `json:"samples,omitempty"`
 	// Seconds is the sum of the requests' times in flight.
 	Seconds float64 `json:"in_flight_seconds"`
 }
