--- a/core/once/settle.go
+++ b/core/once/settle.go
@@ -29,6 +29,7 @@
 	if !gone {
 		return a, err
 	}
+	o.homes.forget(t.Home)
 	if ctx.Err() != nil {
 		return nil, code.New(code.OutcomeUnknown, "once: the copy was given up before the home answered")
 	}
@@ -74,6 +75,9 @@
 	}
 	row, found, err := o.readRow(ctx, t.RowKey())
 	if err != nil {
+		if a, ok, err := o.askSuccessors(ctx, t, c); ok {
+			return a, err
+		}
 		return nil, code.Wrap(code.OutcomeUnknown, err, "once: the home is gone and the platform does not answer")
 	}
 	if found {
