--- a/core/kernel.go
+++ b/core/kernel.go
@@ -63,8 +63,9 @@
 	// Describe asks all other hosts for their reports. Nil stands for no
 	// other hosts.
 	Describe func(ctx context.Context) []Described
-	// Traffic returns what this host spent on control. Nil stands for nothing.
-	Traffic func() Traffic
+	// Traffic returns what this host spent on exchanges with other hosts and
+	// on other calls for control. Nil stands for nothing.
+	Traffic func() (exchange, other Traffic)
 	// Once runs work that may not be repeated; nil stands for a direct call.
 	Once func(ctx context.Context, r *work.Request, run dispatch.Run) (*work.Answer, error)
 	// Issue returns a ticket for work that may not be repeated, whose home is
@@ -106,6 +107,8 @@
 	tomb    tomb.Tomb
 	events  chan func(c *control)
 	current atomic.Pointer[snapshot.Snapshot]
+	// platformDown is true if the platform did not answer the last call.
+	platformDown atomic.Bool
 	// loads are what hosts told of themselves, this one too.
 	loads *loads
 	// stopping is the state of a planned stop.
