--- a/core/grant/claim.go
+++ b/core/grant/claim.go
@@ -59,7 +59,7 @@
 		m.unowned[e.Name] = now
 		since = now
 	}
-	if chosen != m.options.Self && now.Before(since.Add(m.turn(e, hosts))) {
+	if d, ok := m.turn(e, hosts); chosen != m.options.Self && (!ok || now.Before(since.Add(d))) {
 		return
 	}
 	if s := m.rows[e.Name]; s != nil {
@@ -78,10 +78,11 @@
 	}, 0, now)
 }
 
-// turn returns how long this host leaves an endpoint to those before it.
-func (m *Machine) turn(e intent.Endpoint, hosts []store.Host) time.Duration {
+// turn returns how long this host leaves an endpoint to those before it, and
+// whether it may own one at all.
+func (m *Machine) turn(e intent.Endpoint, hosts []store.Host) (time.Duration, bool) {
 	i := slices.Index(order(m.version.Declaration, e, hosts), m.options.Self)
-	return time.Duration(i+2) * m.options.Timing.Unclaimed
+	return time.Duration(i+2) * m.options.Timing.Unclaimed, i >= 0
 }
 
 // claimLapsed takes an endpoint over whose lease has lapsed. The parts that the owner and the standby may still
@@ -93,7 +94,7 @@
 	}
 	expected := s.row.Standby == m.options.Self || s.row.Owner == m.options.Self
 	orphaned := !m.mayBeListed(s.row.Owner) || s.row.Standby == "" || !m.mayBeListed(s.row.Standby)
-	if !expected && (!orphaned || now.Before(lapsed.Add(m.turn(e, hosts)))) {
+	if d, ok := m.turn(e, hosts); !expected && (!orphaned || !ok || now.Before(lapsed.Add(d))) {
 		return
 	}
 	r := s.row
--- a/core/grant/world_test.go
+++ b/core/grant/world_test.go
@@ -5,8 +5,6 @@
 	"slices"
 	"time"
 
-	"pgregory.net/rapid"
-
 	"heatherford/core/code"
 	"heatherford/core/intent"
 	"heatherford/core/quota"
@@ -18,7 +16,7 @@
 // world runs several machines against one table. Time stands still but for the
 // action that advances it; each process reads it on a clock of its own.
 type world struct {
-	t     *rapid.T
+	t     reporter
 	now   time.Duration
 	table *platform.Table
 	hosts []store.Host
@@ -36,6 +34,12 @@
 	peerCuts map[string]bool
 }
 
+// reporter is a test, with rapid or without.
+type reporter interface {
+	Logf(format string, args ...any)
+	Fatalf(format string, args ...any)
+}
+
 // process is one run of a daemon.
 type process struct {
 	world   *world
@@ -76,7 +80,7 @@
 	worldRegion = "east"
 )
 
-func newWorld(t *rapid.T) *world {
+func newWorld(t reporter) *world {
 	w := &world{
 		t:        t,
 		now:      time.Hour,
