core/grant: look for owners, claims and routes only when rows have changed

Each host planned all owners four times a second, sorted all endpoints twenty times and built the owners' map with every renewal. It now does so after a change of an owner, a version or the hosts; what is free to claim is picked before it is sorted. Not measured at size: the renewals are what does not carry there (docs/design/grants.md).

--- a/core/grant/claim.go
+++ b/core/grant/claim.go
@@ -1,7 +1,6 @@
 package grant
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -17,10 +16,7 @@
 	}
 	hosts := m.answering(now)
 	var chosen map[string]string
-	for _, e := range m.endpoints() {
-		if m.held[e] != nil || m.claims[e].Endpoint != "" {
-			continue
-		}
+	for _, e := range m.claimable(now) {
 		endpoint, _ := m.version.Declaration.Endpoint(e)
 		endpoint.Name = e
 		s := m.rows[e]
@@ -35,20 +31,29 @@
 	}
 }
 
-// endpoints returns the names of all endpoints that are declared and take work,
-// or have a row.
-func (m *Machine) endpoints() []string {
-	s := []string{}
+// claimable returns the names of the endpoints that have no owner, or one whose
+// lease has lapsed, ordered.
+func (m *Machine) claimable(now time.Time) []string {
+	free := []string{}
+	add := func(e string) {
+		if m.held[e] == nil && m.claims[e].Endpoint == "" {
+			free = append(free, e)
+		}
+	}
 	for _, u := range m.version.Declaration.Upstreams {
 		for _, e := range u.Endpoints {
-			if !e.Leaving {
-				s = append(s, e.Name)
+			if !e.Leaving && m.rows[e.Name] == nil {
+				add(e.Name)
 			}
 		}
 	}
-	s = slices.AppendSeq(s, maps.Keys(m.rows))
-	slices.Sort(s)
-	return slices.Compact(s)
+	for e, s := range m.rows {
+		if s.row.Owner == "" || !now.Before(m.lapsed(s)) {
+			add(e)
+		}
+	}
+	slices.Sort(free)
+	return free
 }
 
 // claimUnowned claims an endpoint without a row, or that its owner gave up: the chosen host at once, the
--- a/core/grant/machine.go
+++ b/core/grant/machine.go
@@ -27,6 +27,10 @@
 type Machine struct {
 	options Options
 	effects []Effect
+	// serving is what Serving returns, or nil after that has changed.
+	serving map[string]string
+	// assigned is true if nothing has changed since Assign found nothing to move.
+	assigned bool
 	// revision grows with every change of rights or owners.
 	revision uint64
 
@@ -145,6 +149,7 @@
 	m.limits = quota.Divide(v.Declaration)
 	m.setLongest(v.Declaration)
 	m.nextAll = time.Time{}
+	m.assigned = false
 	for _, h := range m.held {
 		h.bound = h.bound.Min(m.boundOf(h.row))
 		h.changed = true
@@ -167,12 +172,14 @@
 		delete(m.gone, h.Name)
 	}
 	m.hosts = hosts
+	m.assigned = false
 }
 
 // SetAlive tells of the hosts that are not known to be dead. Without it, those
 // are the hosts on the platform's list.
 func (m *Machine) SetAlive(hosts []store.Host) {
 	m.alive = hosts
+	m.assigned = false
 }
 
 // Leave makes the host hand over all that it holds and claim nothing more.
@@ -207,15 +214,22 @@
 }
 
 // Serving returns the owners that may send something to their endpoints, by the
-// endpoint's name.
+// endpoint's name. The map is not changed afterwards.
 func (m *Machine) Serving() map[string]string {
-	o := map[string]string{}
+	if m.serving != nil {
+		return m.serving
+	}
+	m.serving = map[string]string{}
 	for e, s := range m.rows {
-		if s.row.Owner != "" && !s.row.Own().IsZero() {
-			o[e] = s.row.Owner
+		if serves(s) {
+			m.serving[e] = s.row.Owner
 		}
 	}
-	return o
+	return m.serving
+}
+
+func serves(s *seenRow) bool {
+	return s != nil && s.row.Owner != "" && !s.row.Own().IsZero()
 }
 
 // Rights returns what this host may send to each endpoint, by name.
--- a/core/grant/move.go
+++ b/core/grant/move.go
@@ -16,21 +16,39 @@
 		m.leave(now)
 		return
 	}
+	if m.assigned {
+		return
+	}
 	for _, h := range m.held {
 		if h.moving != "" {
 			return
 		}
 	}
+	m.forgive(now)
+	m.assigned = len(m.silent) == 0
 	chosen := Assign(m.version.Declaration, m.answering(now), m.Owners())
 	for _, e := range sortedKeys(m.held) {
 		to := chosen[e]
-		if to != "" && to != m.options.Self && m.movable(m.held[e], now) {
+		if to == "" || to == m.options.Self {
+			continue
+		}
+		m.assigned = false
+		if m.movable(m.held[e], now) {
 			m.offer(e, to)
 			return
 		}
 	}
 }
 
+// forgive forgets the hosts that may get offers again.
+func (m *Machine) forgive(now time.Time) {
+	for h, t := range m.silent {
+		if !now.Before(t) {
+			delete(m.silent, h)
+		}
+	}
+}
+
 // leave begins the hand-over of all endpoints. Those that no other host can take
 // are given up.
 func (m *Machine) leave(now time.Time) {
--- a/core/grant/read.go
+++ b/core/grant/read.go
@@ -174,6 +174,8 @@
 // earlier may still have found it, so they are not heeded.
 func (m *Machine) forget(e string, now time.Time) {
 	m.forgotten = now
+	m.serving = nil
+	m.assigned = false
 	delete(m.rows, e)
 	delete(m.acknowledged, e)
 	m.drop(e)
@@ -186,12 +188,14 @@
 		return
 	}
 	m.revision++
-	m.rows[e] = &seenRow{
+	s := &seenRow{
 		row:     row,
 		version: version,
 		at:      now,
 		renewed: m.rows[e] != nil,
 	}
+	m.compare(m.rows[e], s)
+	m.rows[e] = s
 	if row.Owner != "" {
 		delete(m.unowned, e)
 	}
@@ -212,6 +216,17 @@
 	}
 }
 
+// compare drops what was derived from a row if that differs in the next one. Most
+// differ in the renewal only.
+func (m *Machine) compare(old, next *seenRow) {
+	if old == nil || old.row.Owner != next.row.Owner || old.row.Version != next.row.Version {
+		m.assigned = false
+	}
+	if old == nil || old.row.Owner != next.row.Owner || serves(old) != serves(next) {
+		m.serving = nil
+	}
+}
+
 func lost(row Row) string {
 	if row.Owner == "" {
 		return "given up"
