core/grant: owners are told among hosts too, so that look-ups go on in an outage

Change: hosts tell each other what changes (owner, or who has a ceded part), and one whose survey fails asks another host for all it knows. This gives no right; look-ups follow it, by the row's version. A stop in an outage waits for the answer to its cession.

--- a/core/controlgrant.go
+++ b/core/controlgrant.go
@@ -29,6 +29,7 @@
 	Cede  func(ctx context.Context, h store.Host, c grant.Cede) (grant.Reply, error)
 	Offer func(ctx context.Context, h store.Host, o grant.Offer) (grant.Reply, error)
 	Tell  func(ctx context.Context, h store.Host, t grant.Tell) error
+	Learn func(ctx context.Context, h store.Host) ([]grant.Ownership, error)
 }
 
 func newGrants(k *Kernel) *grant.Machine {
@@ -115,6 +116,8 @@
 		c.callHost(e.Tell.Host, func(ctx context.Context, h store.Host) func(c *control) {
 			return k.tellGrant(ctx, h, *e.Tell)
 		})
+	case e.Learn != nil:
+		c.callHost(e.Learn.Host, k.learnGrants)
 	}
 }
 
@@ -178,7 +181,7 @@
 	if err != nil {
 		level.Warn(k.Log).Log("msg", "grant: rows not read", "err", err)
 		return func(c *control) {
-			c.grants.ReadFailed(r)
+			c.grants.ReadFailed(r, k.Now())
 		}
 	}
 	return func(c *control) {
@@ -211,11 +214,21 @@
 
 func (k *Kernel) tellGrant(ctx context.Context, h store.Host, t grant.Tell) func(c *control) {
 	if err := k.Seams.Grants.Tell(ctx, h, t); err != nil {
-		level.Info(k.Log).Log("msg", "grant: host not told of the owner", "subject", t.Endpoint, "err", err)
+		level.Info(k.Log).Log("msg", "grant: host not told of the owner", "subject", t.Ownership.Endpoint, "err", err)
 	}
 	return func(*control) {}
 }
 
+func (k *Kernel) learnGrants(ctx context.Context, h store.Host) func(c *control) {
+	all, err := k.Seams.Grants.Learn(ctx, h)
+	if err != nil {
+		return func(*control) {}
+	}
+	return func(c *control) {
+		c.grants.Learned(all)
+	}
+}
+
 // GrantAsked answers another host's Ask. It is safe for concurrent use.
 func (k *Kernel) GrantAsked(ctx context.Context, q grant.Ask) (grant.Acknowledgement, error) {
 	return wait(ctx, k, func(c *control) grant.Acknowledgement {
@@ -227,7 +240,7 @@
 // use.
 func (k *Kernel) GrantCeded(ctx context.Context, x grant.Cede) (grant.Reply, error) {
 	return wait(ctx, k, func(c *control) grant.Reply {
-		return c.grants.Ceded(x)
+		return c.grants.Ceded(x, k.Now())
 	})
 }
 
@@ -238,11 +251,19 @@
 	})
 }
 
-// GrantTold tells that an endpoint's owner has changed. It is safe for
-// concurrent use.
-func (k *Kernel) GrantTold() {
+// GrantTold tells what another host has seen of an endpoint's owner. It is safe
+// for concurrent use.
+func (k *Kernel) GrantTold(o grant.Ownership) {
 	k.post(func(c *control) {
-		c.grants.Told(k.Now())
+		c.grants.Told(o, k.Now())
+	})
+}
+
+// GrantOwners returns what this host knows of all owners. It is safe for
+// concurrent use.
+func (k *Kernel) GrantOwners(ctx context.Context) ([]grant.Ownership, error) {
+	return wait(ctx, k, func(c *control) []grant.Ownership {
+		return c.grants.Known()
 	})
 }
 
--- a/core/grant/effect.go
+++ b/core/grant/effect.go
@@ -14,6 +14,7 @@
 	Cede   *Cede
 	Offer  *Offer
 	Tell   *Tell
+	Learn  *Learn
 	Note   *Note
 	// List asks for the platform's list of hosts. It goes to Machine.SetHosts.
 	List bool
@@ -75,10 +76,30 @@
 	Endpoint string
 }
 
-// Tell tells a host that an endpoint's owner has changed. It may get lost.
+// Tell tells a host that an endpoint's owner has changed, or that another host has
+// been ceded a part. It may get lost.
 type Tell struct {
-	Host     string
+	Host string
+	// Ownership is what has changed.
+	Ownership Ownership
+}
+
+// Ownership is what one host tells another of an endpoint's owner. It gives no
+// right; look-ups follow it while the platform does not answer.
+type Ownership struct {
 	Endpoint string
+	Host     string
+	Epoch    uint64
+	// Version is that of the row, by which the newer of two is known.
+	Version uint64
+	// Part is true if the host is not the owner but has been ceded a part.
+	Part bool
+}
+
+// Learn asks a host for what it knows of all owners. Its result goes to
+// Machine.Learned.
+type Learn struct {
+	Host string
 }
 
 // Reply answers a Cede or an Offer.
--- a/core/grant/live_test.go
+++ b/core/grant/live_test.go
@@ -1,6 +1,7 @@
 package grant
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -109,3 +110,28 @@
 	took = w.until(5*time.Second, func() bool { return w.may("e0") == 6 && w.may("e1") == 6 })
 	c.Assert(took < time.Second, qt.IsTrue, qt.Commentf("%v", took))
 }
+
+// TestGrantLearn checks that a host that starts while the platform is down learns
+// the owners from the others, and that all learn which host goes on after an
+// owner's death.
+func TestGrantLearn(t *testing.T) {
+	c := qt.New(t)
+	w := newCalm(c)
+	owner := w.owner("e0")
+	standby := owner.machine.held["e0"].row.Standby
+	third := slices.DeleteFunc(slices.Clone(w.names), func(n string) bool {
+		return n == owner.name || n == standby
+	})[0]
+	w.down = true
+	w.procs[third].dead = true
+	w.start(third)
+	p := w.procs[third]
+	p.machine.SetHosts(nil, p.clock())
+	p.machine.SetAlive(w.hosts)
+	took := w.until(10*time.Second, func() bool { return p.machine.Serving()["e0"] == owner.name })
+	c.Assert(took < 2*time.Second, qt.IsTrue, qt.Commentf("%v", took))
+	w.until(4*time.Second, func() bool { return false })
+	owner.dead = true
+	p.machine.SetAlive(without(w.hosts, owner.name))
+	c.Assert(p.machine.Serving()["e0"], qt.Equals, standby)
+}
--- a/core/grant/machine.go
+++ b/core/grant/machine.go
@@ -27,6 +27,12 @@
 type Machine struct {
 	options Options
 	effects []Effect
+	// told and parts hold what other hosts tell of owners, and of hosts that have
+	// been ceded a part, by the endpoint's name.
+	told  map[string]Ownership
+	parts map[string]Ownership
+	// teacher is the host that was asked last for what it knows.
+	teacher string
 	// serving is what Serving returns, or nil after that has changed.
 	serving map[string]string
 	// assigned is true if nothing has changed since Assign found nothing to move.
@@ -130,6 +136,8 @@
 		doubts:       map[string][]Row{},
 		sent:         map[uint64]time.Time{},
 		unowned:      map[string]time.Time{},
+		told:         map[string]Ownership{},
+		parts:        map[string]Ownership{},
 	}
 }
 
@@ -179,6 +187,8 @@
 // are the hosts on the platform's list.
 func (m *Machine) SetAlive(hosts []store.Host) {
 	m.alive = hosts
+	m.serving = nil
+	m.revision++
 	m.assigned = false
 }
 
@@ -213,25 +223,6 @@
 	return o
 }
 
-// Serving returns the owners that may send something to their endpoints, by the
-// endpoint's name. The map is not changed afterwards.
-func (m *Machine) Serving() map[string]string {
-	if m.serving != nil {
-		return m.serving
-	}
-	m.serving = map[string]string{}
-	for e, s := range m.rows {
-		if serves(s) {
-			m.serving[e] = s.row.Owner
-		}
-	}
-	return m.serving
-}
-
-func serves(s *seenRow) bool {
-	return s != nil && s.row.Owner != "" && !s.row.Own().IsZero()
-}
-
 // Rights returns what this host may send to each endpoint, by name.
 func (m *Machine) Rights() map[string]quota.Right {
 	s := map[string]quota.Right{}
--- a/core/grant/move.go
+++ b/core/grant/move.go
@@ -118,16 +118,11 @@
 	}
 }
 
-// Told tells that an endpoint's owner has changed.
-func (m *Machine) Told(now time.Time) {
-	m.nextAll = now
-}
-
-// Left reports whether a host that leaves has nothing more to hand over, or has
-// lost the leases that it would need for that.
+// Left reports whether a host that leaves has nothing more to hand over. Without
+// the leases that it would need for that, it cedes what it can.
 func (m *Machine) Left(now time.Time) bool {
 	for e, h := range m.held {
-		if now.Before(h.until) || !m.options.Ledger(e).Drained(now) {
+		if now.Before(h.until) || !m.options.Ledger(e).Drained(now) || h.ceding > 0 || m.cedes(e, h, now) {
 			return false
 		}
 	}
--- a/core/grant/read.go
+++ b/core/grant/read.go
@@ -105,7 +105,14 @@
 }
 
 // ReadFailed tells that a read got no answer.
-func (m *Machine) ReadFailed(r Read) {
+func (m *Machine) ReadFailed(r Read, now time.Time) {
+	m.readEnded(r)
+	if r.All {
+		m.learn(now)
+	}
+}
+
+func (m *Machine) readEnded(r Read) {
 	if r.All {
 		m.surveying = false
 	} else {
@@ -119,7 +126,7 @@
 	if r.All {
 		sent = m.surveySent
 	}
-	m.ReadFailed(r)
+	m.readEnded(r)
 	if !sent.After(m.forgotten) {
 		return
 	}
@@ -196,6 +203,7 @@
 	}
 	m.compare(m.rows[e], s)
 	m.rows[e] = s
+	m.outdate(e, row.Epoch, version)
 	if row.Owner != "" {
 		delete(m.unowned, e)
 	}
@@ -253,22 +261,7 @@
 	m.apply(e)
 	m.note(e, "owned")
 	if row.Renewal != 0 && row.Epoch > 1 {
-		m.tellAll(e, now)
-	}
-}
-
-// tellAll tells the other hosts that the endpoint's owner has changed, so that
-// they need not wait for their next survey.
-func (m *Machine) tellAll(e string, now time.Time) {
-	for _, h := range m.answering(now) {
-		if h.Name != m.options.Self {
-			m.emit(Effect{
-				Tell: &Tell{
-					Host:     h.Name,
-					Endpoint: e,
-				},
-			})
-		}
+		m.tellAll(m.ownership(e), now)
 	}
 }
 
--- a/core/grant/renew.go
+++ b/core/grant/renew.go
@@ -200,7 +200,7 @@
 			} else {
 				m.see(a.row, version, now)
 				if a.row.Owner != m.options.Self {
-					m.tellAll(e, now)
+					m.tellAll(m.ownership(e), now)
 				}
 			}
 			break
--- a/core/grant/reserve.go
+++ b/core/grant/reserve.go
@@ -182,7 +182,7 @@
 }
 
 // Ceded takes the part that an owner cedes, unless it was given up meanwhile.
-func (m *Machine) Ceded(c Cede) Reply {
+func (m *Machine) Ceded(c Cede, now time.Time) Reply {
 	e := c.Endpoint
 	k := m.acknowledged[e]
 	if c.Epoch < k.epoch || (c.Epoch == k.epoch && c.Serial <= k.serial) {
@@ -198,5 +198,11 @@
 	m.received[e] = c
 	m.apply(e)
 	m.note(e, "part taken from its owner")
+	m.tellAll(Ownership{
+		Endpoint: e,
+		Host:     m.options.Self,
+		Epoch:    c.Epoch,
+		Part:     true,
+	}, now)
 	return m.reply(true)
 }
--- a/core/grant/world_test.go
+++ b/core/grant/world_test.go
@@ -259,6 +259,19 @@
 		if !w.down && !p.cut {
 			p.machine.SetHosts(w.hosts, p.clock())
 		}
+	case e.Learn != nil:
+		w.call(p, e.Learn.Host, fault(), func(to *process) func() {
+			all := to.machine.Known()
+			return func() {
+				p.machine.Learned(all)
+			}
+		}, func() {})
+	case e.Tell != nil:
+		o := e.Tell.Ownership
+		w.call(p, e.Tell.Host, fault(), func(to *process) func() {
+			to.machine.Told(o, to.clock())
+			return func() {}
+		}, func() {})
 	case e.Ask != nil:
 		q := *e.Ask
 		w.call(p, q.Host, fault(), func(to *process) func() {
@@ -272,7 +285,7 @@
 	case e.Cede != nil:
 		c := *e.Cede
 		w.call(p, c.Host, fault(), func(to *process) func() {
-			a := to.machine.Ceded(c)
+			a := to.machine.Ceded(c, to.clock())
 			return func() {
 				p.machine.CedeEnded(c, a.Incarnation, !a.OK)
 			}
@@ -320,7 +333,7 @@
 
 func (w *world) read(p *process, r Read, fault int) {
 	if w.down || p.cut || fault == faultLost {
-		p.machine.ReadFailed(r)
+		p.machine.ReadFailed(r, p.clock())
 		return
 	}
 	rows := w.table.Read(r.Query)
--- a/io/peer/grants.go
+++ b/io/peer/grants.go
@@ -23,6 +23,7 @@
 		Cede:  c.cedeGrant,
 		Offer: c.offerGrant,
 		Tell:  c.tellGrant,
+		Learn: c.learnGrants,
 	}
 }
 
@@ -89,12 +90,43 @@
 	if err != nil {
 		return err
 	}
-	_, err = p.Tell(ctx, &peerpb.TellRequest{
-		Endpoint: t.Endpoint,
-	})
+	_, err = p.Tell(ctx, ownershipMessage(t.Ownership))
 	return grantError(h, err)
 }
 
+func (c *client) learnGrants(ctx context.Context, h store.Host) ([]grant.Ownership, error) {
+	p, err := c.grants(h)
+	if err != nil {
+		return nil, err
+	}
+	a, err := p.Learn(ctx, &peerpb.LearnRequest{})
+	all := []grant.Ownership{}
+	for _, o := range a.GetOwners() {
+		all = append(all, ownership(o))
+	}
+	return all, grantError(h, err)
+}
+
+func ownershipMessage(o grant.Ownership) *peerpb.Ownership {
+	return &peerpb.Ownership{
+		Endpoint: o.Endpoint,
+		Host:     o.Host,
+		Epoch:    o.Epoch,
+		Version:  o.Version,
+		Part:     o.Part,
+	}
+}
+
+func ownership(o *peerpb.Ownership) grant.Ownership {
+	return grant.Ownership{
+		Endpoint: o.Endpoint,
+		Host:     o.Host,
+		Epoch:    o.Epoch,
+		Version:  o.Version,
+		Part:     o.Part,
+	}
+}
+
 // grantReply returns a function that converts the host's answer.
 func grantReply(h store.Host) func(a *peerpb.GrantReply, err error) (grant.Reply, error) {
 	return func(a *peerpb.GrantReply, err error) (grant.Reply, error) {
@@ -162,11 +194,24 @@
 }
 
 // Tell implements peerpb.Grants.
-func (s *grantsServer) Tell(_ context.Context, _ *peerpb.TellRequest) (*peerpb.GrantReply, error) {
-	s.kernel.GrantTold()
+func (s *grantsServer) Tell(_ context.Context, r *peerpb.Ownership) (*peerpb.GrantReply, error) {
+	s.kernel.GrantTold(ownership(r))
 	return &peerpb.GrantReply{}, nil
 }
 
+// Learn implements peerpb.Grants.
+func (s *grantsServer) Learn(ctx context.Context, _ *peerpb.LearnRequest) (*peerpb.LearnResponse, error) {
+	all, err := s.kernel.GrantOwners(ctx)
+	if err != nil {
+		return nil, err
+	}
+	a := &peerpb.LearnResponse{}
+	for _, o := range all {
+		a.Owners = append(a.Owners, ownershipMessage(o))
+	}
+	return a, nil
+}
+
 func reply(a grant.Reply, err error) (*peerpb.GrantReply, error) {
 	if err != nil {
 		return nil, err
--- a/io/peer/peerpb/grants.twirp.go
+++ b/io/peer/peerpb/grants.twirp.go
@@ -46,7 +46,10 @@
 	Offer(context.Context, *OfferRequest) (*GrantReply, error)
 
 	// Tell tells the receiver that an endpoint's owner has changed.
-	Tell(context.Context, *TellRequest) (*GrantReply, error)
+	Tell(context.Context, *Ownership) (*GrantReply, error)
+
+	// Learn returns what the receiver knows of all owners.
+	Learn(context.Context, *LearnRequest) (*LearnResponse, error)
 }
 
 // ======================
@@ -55,7 +58,7 @@
 
 type grantsProtobufClient struct {
 	client      HTTPClient
-	urls        [4]string
+	urls        [5]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -83,11 +86,12 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "heatherford.peer", "Grants")
-	urls := [4]string{
+	urls := [5]string{
 		serviceURL + "Ask",
 		serviceURL + "Cede",
 		serviceURL + "Offer",
 		serviceURL + "Tell",
+		serviceURL + "Learn",
 	}
 
 	return &grantsProtobufClient{
@@ -236,18 +240,18 @@
 	return out, nil
 }
 
-func (c *grantsProtobufClient) Tell(ctx context.Context, in *TellRequest) (*GrantReply, error) {
+func (c *grantsProtobufClient) Tell(ctx context.Context, in *Ownership) (*GrantReply, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "heatherford.peer")
 	ctx = ctxsetters.WithServiceName(ctx, "Grants")
 	ctx = ctxsetters.WithMethodName(ctx, "Tell")
 	caller := c.callTell
 	if c.interceptor != nil {
-		caller = func(ctx context.Context, req *TellRequest) (*GrantReply, error) {
+		caller = func(ctx context.Context, req *Ownership) (*GrantReply, error) {
 			resp, err := c.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*TellRequest)
+					typedReq, ok := req.(*Ownership)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*TellRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*Ownership) when calling interceptor")
 					}
 					return c.callTell(ctx, typedReq)
 				},
@@ -265,7 +269,7 @@
 	return caller(ctx, in)
 }
 
-func (c *grantsProtobufClient) callTell(ctx context.Context, in *TellRequest) (*GrantReply, error) {
+func (c *grantsProtobufClient) callTell(ctx context.Context, in *Ownership) (*GrantReply, error) {
 	out := new(GrantReply)
 	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[3], in, out)
 	if err != nil {
@@ -282,13 +286,59 @@
 	return out, nil
 }
 
+func (c *grantsProtobufClient) Learn(ctx context.Context, in *LearnRequest) (*LearnResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "heatherford.peer")
+	ctx = ctxsetters.WithServiceName(ctx, "Grants")
+	ctx = ctxsetters.WithMethodName(ctx, "Learn")
+	caller := c.callLearn
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *LearnRequest) (*LearnResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*LearnRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*LearnRequest) when calling interceptor")
+					}
+					return c.callLearn(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*LearnResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*LearnResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *grantsProtobufClient) callLearn(ctx context.Context, in *LearnRequest) (*LearnResponse, error) {
+	out := new(LearnResponse)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[4], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 // ==================
 // Grants JSON Client
 // ==================
 
 type grantsJSONClient struct {
 	client      HTTPClient
-	urls        [4]string
+	urls        [5]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -316,11 +366,12 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "heatherford.peer", "Grants")
-	urls := [4]string{
+	urls := [5]string{
 		serviceURL + "Ask",
 		serviceURL + "Cede",
 		serviceURL + "Offer",
 		serviceURL + "Tell",
+		serviceURL + "Learn",
 	}
 
 	return &grantsJSONClient{
@@ -469,18 +520,18 @@
 	return out, nil
 }
 
-func (c *grantsJSONClient) Tell(ctx context.Context, in *TellRequest) (*GrantReply, error) {
+func (c *grantsJSONClient) Tell(ctx context.Context, in *Ownership) (*GrantReply, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "heatherford.peer")
 	ctx = ctxsetters.WithServiceName(ctx, "Grants")
 	ctx = ctxsetters.WithMethodName(ctx, "Tell")
 	caller := c.callTell
 	if c.interceptor != nil {
-		caller = func(ctx context.Context, req *TellRequest) (*GrantReply, error) {
+		caller = func(ctx context.Context, req *Ownership) (*GrantReply, error) {
 			resp, err := c.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*TellRequest)
+					typedReq, ok := req.(*Ownership)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*TellRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*Ownership) when calling interceptor")
 					}
 					return c.callTell(ctx, typedReq)
 				},
@@ -498,7 +549,7 @@
 	return caller(ctx, in)
 }
 
-func (c *grantsJSONClient) callTell(ctx context.Context, in *TellRequest) (*GrantReply, error) {
+func (c *grantsJSONClient) callTell(ctx context.Context, in *Ownership) (*GrantReply, error) {
 	out := new(GrantReply)
 	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[3], in, out)
 	if err != nil {
@@ -515,6 +566,52 @@
 	return out, nil
 }
 
+func (c *grantsJSONClient) Learn(ctx context.Context, in *LearnRequest) (*LearnResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "heatherford.peer")
+	ctx = ctxsetters.WithServiceName(ctx, "Grants")
+	ctx = ctxsetters.WithMethodName(ctx, "Learn")
+	caller := c.callLearn
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *LearnRequest) (*LearnResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*LearnRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*LearnRequest) when calling interceptor")
+					}
+					return c.callLearn(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*LearnResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*LearnResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *grantsJSONClient) callLearn(ctx context.Context, in *LearnRequest) (*LearnResponse, error) {
+	out := new(LearnResponse)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[4], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 // =====================
 // Grants Server Handler
 // =====================
@@ -624,6 +721,9 @@
 	case "Tell":
 		s.serveTell(ctx, resp, req)
 		return
+	case "Learn":
+		s.serveLearn(ctx, resp, req)
+		return
 	default:
 		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
 		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
@@ -1204,7 +1304,7 @@
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
-	reqContent := new(TellRequest)
+	reqContent := new(Ownership)
 	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
 	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
@@ -1213,12 +1313,12 @@
 
 	handler := s.Grants.Tell
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *TellRequest) (*GrantReply, error) {
+		handler = func(ctx context.Context, req *Ownership) (*GrantReply, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*TellRequest)
+					typedReq, ok := req.(*Ownership)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*TellRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*Ownership) when calling interceptor")
 					}
 					return s.Grants.Tell(ctx, typedReq)
 				},
@@ -1286,7 +1386,7 @@
 		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
 		return
 	}
-	reqContent := new(TellRequest)
+	reqContent := new(Ownership)
 	if err = proto.Unmarshal(buf, reqContent); err != nil {
 		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
 		return
@@ -1294,12 +1394,12 @@
 
 	handler := s.Grants.Tell
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *TellRequest) (*GrantReply, error) {
+		handler = func(ctx context.Context, req *Ownership) (*GrantReply, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*TellRequest)
+					typedReq, ok := req.(*Ownership)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*TellRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*Ownership) when calling interceptor")
 					}
 					return s.Grants.Tell(ctx, typedReq)
 				},
@@ -1351,6 +1451,186 @@
 	callResponseSent(ctx, s.hooks)
 }
 
+func (s *grantsServer) serveLearn(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveLearnJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveLearnProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *grantsServer) serveLearnJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Learn")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(LearnRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Grants.Learn
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *LearnRequest) (*LearnResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*LearnRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*LearnRequest) when calling interceptor")
+					}
+					return s.Grants.Learn(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*LearnResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*LearnResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *LearnResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *LearnResponse and nil error while calling Learn. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *grantsServer) serveLearnProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Learn")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(LearnRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Grants.Learn
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *LearnRequest) (*LearnResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*LearnRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*LearnRequest) when calling interceptor")
+					}
+					return s.Grants.Learn(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*LearnResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*LearnResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *LearnResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *LearnResponse and nil error while calling Learn. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
 func (s *grantsServer) ServiceDescriptor() ([]byte, int) {
 	return twirpFileDescriptor0, 0
 }
@@ -1932,30 +2212,35 @@
 }
 
 var twirpFileDescriptor0 = []byte{
-	// 398 bytes of a gzipped FileDescriptorProto
-	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x9c, 0x53, 0x5d, 0x8b, 0xd4, 0x30,
-	0x14, 0xa5, 0x9f, 0xee, 0xde, 0xee, 0x8a, 0x04, 0x91, 0x52, 0x47, 0x29, 0x7d, 0xaa, 0x3e, 0x74,
-	0x71, 0xc5, 0x57, 0x61, 0xa7, 0x88, 0x8f, 0x4a, 0xf0, 0xc9, 0xb7, 0xcc, 0xf4, 0x8e, 0x53, 0xda,
-	0x49, 0x62, 0x12, 0x45, 0x7f, 0x8c, 0x7f, 0xc4, 0x5f, 0x27, 0x49, 0xeb, 0x4c, 0x99, 0x0f, 0x1d,
-	0xf6, 0xa5, 0xe4, 0x24, 0x37, 0xe7, 0x9e, 0x7b, 0x4e, 0x0a, 0x57, 0x5f, 0x14, 0xe3, 0x46, 0x57,
-	0x52, 0x09, 0x23, 0xc8, 0xa3, 0x35, 0x32, 0xb3, 0x46, 0xb5, 0x12, 0xaa, 0xa9, 0x24, 0xa2, 0x2a,
-	0x7e, 0x00, 0xdc, 0xe9, 0x8e, 0xe2, 0xd7, 0x6f, 0xa8, 0x0d, 0xc9, 0xe0, 0x02, 0x79, 0x23, 0x45,
-	0xcb, 0x4d, 0xea, 0xe5, 0x5e, 0x79, 0x49, 0xb7, 0x98, 0x3c, 0x86, 0x08, 0xa5, 0x58, 0xae, 0x53,
-	0x3f, 0xf7, 0xca, 0x90, 0x0e, 0x80, 0xe4, 0x90, 0xb4, 0x7c, 0xc9, 0x14, 0x67, 0xa6, 0x15, 0x3c,
-	0x0d, 0xdc, 0xa5, 0xe9, 0x16, 0x79, 0x02, 0xb1, 0x46, 0xd5, 0xb2, 0x3e, 0x0d, 0xdd, 0xc5, 0x11,
-	0x15, 0x35, 0x24, 0xae, 0xb3, 0x96, 0x82, 0x6b, 0xdc, 0x27, 0xf2, 0x0e, 0x89, 0x08, 0x84, 0x8d,
-	0xe0, 0xe8, 0xfa, 0x5f, 0x50, 0xb7, 0x2e, 0x7e, 0x7b, 0x90, 0xd4, 0xd8, 0xe0, 0xfd, 0x07, 0xd8,
-	0xc9, 0x0b, 0xa6, 0xf2, 0x48, 0x0a, 0x0f, 0xbe, 0xa3, 0xd2, 0x56, 0xcb, 0xa0, 0xfb, 0x2f, 0xb4,
-	0x3c, 0xba, 0x17, 0x46, 0xa7, 0x51, 0xee, 0x95, 0xd7, 0x74, 0x00, 0xe4, 0x15, 0x44, 0x92, 0x29,
-	0xa3, 0xd3, 0x38, 0x0f, 0xca, 0xe4, 0xf6, 0x69, 0xb5, 0x6f, 0x75, 0xf5, 0xde, 0x26, 0xf1, 0x91,
-	0x29, 0x43, 0x87, 0xca, 0xe2, 0x0d, 0x5c, 0x6e, 0xf7, 0xec, 0x74, 0x9c, 0x6d, 0x70, 0x54, 0xed,
-	0xd6, 0xb6, 0x53, 0xdf, 0x6e, 0x5a, 0xe3, 0x14, 0x5f, 0xd3, 0x01, 0x14, 0x2f, 0xe1, 0xea, 0xc3,
-	0x6a, 0x85, 0xea, 0x8c, 0x99, 0x8b, 0x17, 0x90, 0x7c, 0xc2, 0xbe, 0x3f, 0xa7, 0xf4, 0x2d, 0x80,
-	0x53, 0x43, 0x51, 0xf6, 0x3f, 0xcf, 0x88, 0xe3, 0x21, 0xf8, 0xa2, 0x1b, 0xc3, 0xf0, 0x45, 0x77,
-	0xfb, 0xcb, 0x87, 0xd8, 0x11, 0x68, 0x32, 0x87, 0xe0, 0x4e, 0x77, 0x64, 0x76, 0xe8, 0xc1, 0xee,
-	0xad, 0x65, 0xcf, 0x4e, 0x9c, 0x8e, 0xef, 0xa1, 0x86, 0xd0, 0x06, 0x4b, 0x8e, 0x94, 0x4d, 0x02,
-	0xcf, 0x66, 0x27, 0x7c, 0x1e, 0xa6, 0x78, 0x07, 0x91, 0xb3, 0x8a, 0x3c, 0x3f, 0x2c, 0x9b, 0x7a,
-	0xf8, 0x1f, 0x9a, 0x1a, 0x42, 0xeb, 0xe2, 0x31, 0x2d, 0x13, 0x77, 0xff, 0x4d, 0x32, 0x9f, 0x7d,
-	0xce, 0x26, 0xc7, 0x37, 0xad, 0xb8, 0xb1, 0x15, 0xee, 0x23, 0x17, 0x8b, 0xd8, 0xfd, 0xa0, 0xaf,
-	0xff, 0x04, 0x00, 0x00, 0xff, 0xff, 0xef, 0x01, 0xa0, 0x82, 0xb0, 0x03, 0x00, 0x00,
+	// 479 bytes of a gzipped FileDescriptorProto
+	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x9c, 0x54, 0x4f, 0x6f, 0xd3, 0x4e,
+	0x10, 0x95, 0xe3, 0x3f, 0xbf, 0x64, 0x92, 0x54, 0x3f, 0xad, 0x10, 0xb2, 0x4c, 0x00, 0x6b, 0x4f,
+	0x11, 0x87, 0x54, 0xb4, 0xe2, 0x8a, 0x94, 0x06, 0x04, 0x07, 0xa4, 0xa2, 0x15, 0x27, 0x6e, 0xdb,
+	0x66, 0x82, 0xad, 0xb8, 0xbb, 0xcb, 0xee, 0xf2, 0xef, 0xc4, 0xf7, 0xe2, 0xfb, 0xf0, 0x3d, 0x90,
+	0xc7, 0x26, 0xb1, 0xda, 0xb8, 0xad, 0xb8, 0x44, 0xf3, 0x76, 0x67, 0x67, 0xde, 0x7b, 0x33, 0x31,
+	0x4c, 0x3e, 0x59, 0xa9, 0xbc, 0x5b, 0x18, 0xab, 0xbd, 0x66, 0xff, 0x17, 0x28, 0x7d, 0x81, 0x76,
+	0xa3, 0xed, 0x7a, 0x61, 0x10, 0x2d, 0xff, 0x0e, 0xb0, 0x74, 0x5b, 0x81, 0x9f, 0xbf, 0xa0, 0xf3,
+	0x2c, 0x83, 0x21, 0xaa, 0xb5, 0xd1, 0xa5, 0xf2, 0x69, 0x90, 0x07, 0xf3, 0x91, 0xd8, 0x61, 0xf6,
+	0x00, 0x62, 0x34, 0xfa, 0xb2, 0x48, 0x07, 0x79, 0x30, 0x8f, 0x44, 0x03, 0x58, 0x0e, 0xe3, 0x52,
+	0x5d, 0x4a, 0xab, 0xa4, 0x2f, 0xb5, 0x4a, 0x43, 0x7a, 0xd4, 0x3d, 0x62, 0x0f, 0x21, 0x71, 0x68,
+	0x4b, 0x59, 0xa5, 0x11, 0x3d, 0x6c, 0x11, 0x5f, 0xc1, 0x98, 0x3a, 0x3b, 0xa3, 0x95, 0xc3, 0xeb,
+	0x85, 0x82, 0x9b, 0x85, 0x18, 0x44, 0x6b, 0xad, 0x90, 0xfa, 0x0f, 0x05, 0xc5, 0xfc, 0x57, 0x00,
+	0xe3, 0x15, 0xae, 0xf1, 0xdf, 0x05, 0xec, 0xe9, 0x85, 0x5d, 0x7a, 0x2c, 0x85, 0xff, 0xbe, 0xa2,
+	0x75, 0x35, 0x97, 0x86, 0xf7, 0x5f, 0x58, 0xd7, 0x71, 0x95, 0xf6, 0x2e, 0x8d, 0xf3, 0x60, 0x3e,
+	0x15, 0x0d, 0x60, 0xcf, 0x21, 0x36, 0xd2, 0x7a, 0x97, 0x26, 0x79, 0x38, 0x1f, 0x9f, 0x3c, 0x5a,
+	0x5c, 0xb7, 0x7a, 0xf1, 0xa6, 0x9e, 0xc4, 0x7b, 0x69, 0xbd, 0x68, 0x32, 0xf9, 0x0b, 0x18, 0xed,
+	0xce, 0x6a, 0x75, 0x4a, 0x5e, 0x61, 0xcb, 0x9a, 0xe2, 0xba, 0x53, 0x55, 0x5e, 0x95, 0x9e, 0x18,
+	0x4f, 0x45, 0x03, 0xf8, 0x33, 0x98, 0x9c, 0x6f, 0x36, 0x68, 0xef, 0xa1, 0x99, 0xff, 0x84, 0xd1,
+	0xf9, 0x37, 0x85, 0xd6, 0x15, 0xa5, 0xb9, 0xd5, 0x1c, 0x06, 0x51, 0xa1, 0x5d, 0xd3, 0x69, 0x24,
+	0x28, 0xde, 0x1b, 0x16, 0x76, 0x0d, 0xeb, 0x37, 0x86, 0x41, 0x54, 0x0b, 0x23, 0x5f, 0x86, 0x82,
+	0x62, 0x7e, 0x04, 0x93, 0x77, 0x28, 0xad, 0x6a, 0xc9, 0xf2, 0x57, 0x30, 0x6d, 0x71, 0x3b, 0xf7,
+	0x53, 0x48, 0x34, 0x31, 0x4c, 0x83, 0x3e, 0xe3, 0x76, 0x0a, 0x44, 0x9b, 0xca, 0x5f, 0x02, 0x90,
+	0x73, 0x02, 0x4d, 0xf5, 0xe3, 0x1e, 0xab, 0x73, 0x04, 0x03, 0xbd, 0x6d, 0x17, 0x67, 0xa0, 0xb7,
+	0x27, 0xbf, 0x07, 0x90, 0x50, 0x01, 0xc7, 0xce, 0x20, 0x5c, 0xba, 0x2d, 0x9b, 0xdd, 0x6c, 0xbb,
+	0xff, 0x5f, 0x64, 0x8f, 0x7b, 0x6e, 0x5b, 0x0d, 0x2b, 0x88, 0xea, 0x25, 0x64, 0x07, 0xd2, 0x3a,
+	0xcb, 0x99, 0xcd, 0x7a, 0x76, 0xa2, 0x51, 0xf1, 0x1a, 0x62, 0x1a, 0x2b, 0x7b, 0x72, 0xc0, 0x81,
+	0xce, 0xbc, 0xef, 0x28, 0xb3, 0x84, 0xe8, 0x03, 0x56, 0x15, 0xbb, 0xcd, 0xc7, 0x3b, 0x4a, 0xbc,
+	0x85, 0x98, 0x66, 0x74, 0x88, 0x49, 0x77, 0x98, 0xd9, 0xd3, 0xde, 0xfb, 0xc6, 0x98, 0xb3, 0xd9,
+	0xc7, 0xac, 0x93, 0x71, 0x5c, 0xea, 0xe3, 0x3a, 0x89, 0x7e, 0xcc, 0xc5, 0x45, 0x42, 0x1f, 0xa5,
+	0xd3, 0x3f, 0x01, 0x00, 0x00, 0xff, 0xff, 0x80, 0x03, 0xb8, 0x20, 0xa4, 0x04, 0x00, 0x00,
 }
