core/dispatch: repeatable work ends with the lease and may use every slot

A request whose deadline is later than the lease may use only the part of the slots that outlasts it: all but one of six. In a flood of work with deadlines of 3 s, two endpoints of six slots were used to 85%. Repeatable work now carries the lease's end as its deadline if that leaves four times its usual time; a later try has the request's own deadline again.

A rank within its planned share gets every slot that comes free; its expected wait counted half of them, and refused in time what could be answered.

--- a/cmd/heatherford-load/main.go
+++ b/cmd/heatherford-load/main.go
@@ -65,7 +65,15 @@
 		return err
 	}
 	r := b.report(w)
-	r.print(os.Stdout)
+	r.print(os.Stderr)
+	if err := r.write(out); err != nil {
+		return err
+	}
+	return r.expect(os.Stdout, s)
+}
+
+// write writes the report as JSON, unless there is no name of a file.
+func (r *Report) write(out string) error {
 	if out == "" {
 		return nil
 	}
--- a/cmd/heatherford-load/report.go
+++ b/cmd/heatherford-load/report.go
@@ -132,6 +132,7 @@
 	return n
 }
 
+// print prints the report as tables.
 func (r *Report) print(out io.Writer) {
 	fmt.Fprintf(out, "%s, seed %d, %.0f s: score %.4f, hops %d\n", r.Scenario, r.Seed, r.Seconds, r.Score, r.Hops)
 	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
--- a/cmd/heatherford-load/scenario.go
+++ b/cmd/heatherford-load/scenario.go
@@ -26,6 +26,8 @@
 	Network Network `json:"network"`
 	// Upstreams give the capacity that goodput is held against.
 	Upstreams []Upstream `json:"upstreams"`
+	// Expect are the bounds that the run is held to.
+	Expect []Expectation `json:"expect,omitempty"`
 }
 
 // Host is an entry host.
--- a/core/admission/gate.go
+++ b/core/admission/gate.go
@@ -257,6 +257,15 @@
 	g.admit(own, now)
 }
 
+// Usual returns the mean time that the rank's requests hold a slot, 0 if it is
+// not known.
+func (g *Gate) Usual(rank int) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.grow(rank + 1)
+	return g.ranks.serviceOf(rank)
+}
+
 // Hold keeps the slot of a permit, which is yet to be released, until the time
 // end: an endpoint that does not answer may be at work until the deadline.
 func (p Permit) Hold(end time.Time) {
--- a/core/admission/share.go
+++ b/core/admission/share.go
@@ -134,8 +134,13 @@
 	return none
 }
 
-// available returns the share of the slots that rank i can count on.
+// available returns the share of the slots that come free that rank i can count
+// on.
 func (s shares) available(i, slots int) float64 {
+	if i == 0 && s[0].use < s[0].planned*float64(slots) {
+		// Within its planned share the rank gets every slot that comes free.
+		return 1
+	}
 	others := 0.0
 	for j := range s {
 		if j != i {
--- a/core/dispatch/fence.go
+++ b/core/dispatch/fence.go
@@ -53,18 +53,37 @@
 	return deadline
 }
 
-// room returns how the ledgers of the endpoints see r: whether they have room
-// for it, and the flight that counts it.
-func (d *Dispatcher) room(r *work.Request) admission.Room {
+// leaseFactor is the number of usual times that a request gets at least if its
+// deadline is shortened to the lease's.
+const leaseFactor = 4
+
+// within returns r's deadline at the endpoint. Repeatable work ends with the
+// lease if that leaves much more time than it usually takes: then it may use all
+// slots, and not only those for requests that may outlast the lease.
+func (d *Dispatcher) within(now time.Time, o *snapshot.Own, r *work.Request, usual time.Duration) time.Time {
+	t := bounded(now, r.Deadline, o.Longest)
+	if !r.Kind.Repeatable || usual == 0 {
+		return t
+	}
+	u := d.Ledger(o.Endpoint.Name).Right().Until
+	if t.After(u) && u.Sub(now) >= leaseFactor*usual {
+		return u
+	}
+	return t
+}
+
+// room returns how the ledgers of the endpoints see r, whose like usually takes
+// the time usual: whether they have room for it, and the flight that counts it.
+func (d *Dispatcher) room(r *work.Request, usual time.Duration) admission.Room {
 	return admission.Room{
 		Fits: func(o *snapshot.Own) bool {
 			now := d.options.Now()
-			deadline := bounded(now, r.Deadline, o.Longest)
+			deadline := d.within(now, o, r, usual)
 			return d.Ledger(o.Endpoint.Name).Allows(now, deadline, d.caps(o, r)) == quota.Allowed
 		},
 		Enter: func(o *snapshot.Own) *quota.Flight {
 			now := d.options.Now()
-			deadline := bounded(now, r.Deadline, o.Longest)
+			deadline := d.within(now, o, r, usual)
 			f, refusal := d.Ledger(o.Endpoint.Name).Enter(now, deadline, d.caps(o, r))
 			if refusal != quota.Allowed {
 				return nil
--- a/core/dispatch/retry.go
+++ b/core/dispatch/retry.go
@@ -14,7 +14,10 @@
 	b := d.budget(r.Kind.Upstream)
 	r.Again = b.Take
 	unknown := error(nil)
+	deadline := r.Deadline
 	for {
+		// A try may have had less time than the request has.
+		r.Deadline = deadline
 		a, err := route(ctx, r)
 		if err == nil {
 			b.Succeed()
--- a/core/dispatch/route.go
+++ b/core/dispatch/route.go
@@ -44,7 +44,7 @@
 		Deadline: r.Deadline,
 		Weight:   r.Kind.Weight,
 		Avoid:    r.Tried,
-		Room:     d.room(r),
+		Room:     d.room(r, d.gate(r.Kind.Upstream).Usual(r.Rank)),
 	}
 }
 
