io/caller: assemble answers to look-ups from what the table fixes

The handler parsed the query into a map, went through the mux, and encoded and formatted everything anew.

--- a/core/lookup/table.go
+++ b/core/lookup/table.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sort"
 
 	"heatherford/core/intent"
@@ -15,6 +16,7 @@
 	// home is the zone of callers that no block covers.
 	home  int32
 	kinds map[string]*kindRoutes
+	hosts []store.Host
 }
 
 type kindRoutes struct {
@@ -56,8 +58,9 @@
 		blocks: o.Blocks,
 		home:   o.Blocks.zones[o.Zone],
 		kinds:  map[string]*kindRoutes{},
+		hosts:  slices.Clone(o.Hosts),
 	}
-	hosts := append([]store.Host{}, o.Hosts...)
+	hosts := t.hosts
 	sort.Slice(hosts, func(i, j int) bool {
 		return hosts[i].Name < hosts[j].Name
 	})
@@ -196,6 +199,24 @@
 	Others [alternates]*store.Host
 }
 
+// Hosts returns the hosts that the table's decisions name.
+func (t *Table) Hosts() []*store.Host {
+	s := make([]*store.Host, 0, len(t.hosts))
+	for i := range t.hosts {
+		s = append(s, &t.hosts[i])
+	}
+	return s
+}
+
+// Kinds returns the kinds that the table's decisions name.
+func (t *Table) Kinds() []*intent.Kind {
+	s := make([]*intent.Kind, 0, len(t.kinds))
+	for _, k := range t.kinds {
+		s = append(s, &k.kind)
+	}
+	return s
+}
+
 // Zones returns the number of availability zones of the declaration.
 func (t *Table) Zones() int {
 	return len(t.blocks.names)
--- a/io/caller/lookup.go
+++ b/io/caller/lookup.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"net/http"
 	"net/netip"
 	"time"
@@ -37,8 +36,8 @@
 }
 
 func (s *Server) serveLookup(w http.ResponseWriter, r *http.Request) {
-	q := r.URL.Query()
-	a, err := callerAddress(r, q.Get("caller"))
+	kind, caller := query(r)
+	a, err := callerAddress(r, caller)
 	if err != nil {
 		refuse.Write(w, "", err)
 		return
@@ -51,10 +50,10 @@
 		return
 	}
 	v := s.kernel.Snapshot()
-	d, ok := v.Table.Decide(q.Get("kind"), a)
+	d, ok := v.Table.Decide(kind, a)
 	switch {
 	case !ok:
-		refuse.Write(w, "", code.New(code.KindUnknown, "caller: no kind %q", q.Get("kind")))
+		refuse.Write(w, "", code.New(code.KindUnknown, "caller: no kind %q", kind))
 	case d.Host == nil:
 		refuse.Write(w, "", code.New(code.NoEndpoint, "caller: no host owns an endpoint of %q", d.Kind.Upstream))
 	default:
@@ -63,31 +62,28 @@
 			refuse.Write(w, "", err)
 			return
 		}
-		s.writeLookup(w, now, v.Version.Number, d, t)
+		if t.Token == "" {
+			s.writer.write(w, now, v.Version.Number, v.Table, d)
+			return
+		}
+		s.writeTicket(w, now, v.Version.Number, d, t)
 	}
 }
 
-func (s *Server) writeLookup(w http.ResponseWriter, now time.Time, version uint64, d lookup.Decision, t once.Issued) {
-	ttl := s.kernel.Settings.Limits.LookupTTL.Std()
-	e := now.Add(ttl)
+// writeTicket answers with d and a ticket, which is good for one request.
+func (s *Server) writeTicket(w http.ResponseWriter, now time.Time, version uint64, d lookup.Decision, t once.Issued) {
 	h := w.Header()
 	h.Set("Content-Type", "application/json")
-	h.Set("Cache-Control", fmt.Sprintf("private, max-age=%d", int(ttl.Seconds())))
-	h.Set("Expires", e.UTC().Format(http.TimeFormat))
-	if t.Token != "" {
-		// A ticket is good for one request.
-		h.Set("Cache-Control", "no-store")
-		h.Del("Expires")
-	}
+	h.Set("Cache-Control", "no-store")
 	json.NewEncoder(w).Encode(Lookup{
 		Kind:      d.Kind.Name,
 		Rank:      d.Kind.Rank,
 		Version:   version,
 		Hosts:     lookupHosts(d),
-		ExpiresAt: e.UTC(),
+		ExpiresAt: now.Add(s.writer.ttl).UTC(),
 
 		Ticket:          t.Token,
-		TicketExpiresAt: expiry(t),
+		TicketExpiresAt: &t.ExpiresAt,
 	})
 }
 
@@ -112,14 +108,6 @@
 	}
 }
 
-// expiry returns when t expires, or nil without a ticket.
-func expiry(t once.Issued) *time.Time {
-	if t.Token == "" {
-		return nil
-	}
-	return &t.ExpiresAt
-}
-
 // callerAddress returns the address that the caller states, else that of its
 // connection.
 func callerAddress(r *http.Request, stated string) (netip.Addr, error) {
