--- a/core/once/entry.go
+++ b/core/once/entry.go
@@ -1,10 +1,8 @@
 package once
 
 import (
-	"bytes"
 	"context"
 	"errors"
-	"io"
 	"sync"
 	"time"
 
@@ -190,116 +188,6 @@
 	}
 }
 
-// claimShare is the part of the time left that a claim may take, as a divisor.
-const claimShare = 2
-
-func (e *entry) claim(r *work.Request) ticket.Action {
-	o := e.once
-	now := o.now()
-	expires := e.ticket.RowExpiresAt()
-	if e.ticket.ID == "" {
-		expires = now.Add(ticket.OwnKeep)
-	}
-	e.mu.Lock()
-	row := e.run.Claim(o.options.Self, o.incarnation, expires)
-	e.mu.Unlock()
-	w := o.claims.put(e.key, row, now.Add(r.Deadline.Sub(now)/claimShare))
-	now = o.now()
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	next, a := e.run.Claimed(now, w.result, w.row)
-	e.run = next
-	if w.result == ticket.Won {
-		e.row = row
-		e.version = w.version
-	}
-	return a
-}
-
-// dispatch runs the request. Without any copy left it goes on once it has left
-// this host, since a copy may come back for the answer.
-func (e *entry) dispatch(ctx context.Context, r *work.Request, run dispatch.Run) ticket.Action {
-	if !e.ticket.ExpiresAt.IsZero() && e.ticket.ExpiresAt.Before(r.Deadline) {
-		r.Deadline = e.ticket.ExpiresAt
-	}
-	ctx, cancel := context.WithDeadline(work.WithStart(ctx, e.start), r.Deadline)
-	e.mu.Lock()
-	e.cancel = cancel
-	if e.run.Abandoned {
-		cancel()
-	}
-	e.mu.Unlock()
-	a, err := run(ctx, r)
-	u := e.outcome(a, err, cancel)
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	next, action := e.run.Dispatched(u)
-	e.run = next
-	return action
-}
-
-// start is called when the request is about to leave this host.
-func (e *entry) start() bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.run.Abandoned {
-		return false
-	}
-	e.started = true
-	return true
-}
-
-// outcome turns the result of a dispatch into the run's outcome.
-func (e *entry) outcome(a *work.Answer, err error, cancel context.CancelFunc) ticket.Outcome {
-	if err != nil {
-		cancel()
-		n := code.Of(err)
-		if n.Outcome() != code.NotRun && n.Outcome() != code.Unknown {
-			n = code.OutcomeUnknown
-		}
-		return ticket.Failed(n, code.Text(err))
-	}
-	if a.Length < 0 || a.Length > maxKeptAnswer {
-		e.mu.Lock()
-		defer e.mu.Unlock()
-		e.stream = a
-		a.Body = &cancelling{
-			ReadCloser: a.Body,
-			cancel:     cancel,
-		}
-		return ticket.Outcome{
-			Code: code.Answered,
-		}
-	}
-	defer cancel()
-	defer a.Body.Close()
-	b, err := io.ReadAll(a.Body)
-	if err != nil {
-		return ticket.Failed(code.AnswerIncomplete, code.Text(err))
-	}
-	return e.once.keep(ticket.Outcome{
-		Code:     code.Answered,
-		Kept:     true,
-		Status:   a.Status,
-		Header:   a.Header,
-		Body:     b,
-		Host:     a.Host,
-		Endpoint: a.Endpoint,
-	})
-}
-
-// cancelling is a body that ends its dispatch when it is closed.
-type cancelling struct {
-	io.ReadCloser
-	cancel context.CancelFunc
-}
-
-// Close implements io.Closer.
-func (c *cancelling) Close() error {
-	defer c.cancel()
-	return c.ReadCloser.Close()
-}
-
 // record writes the outcome into the claimed row. The entry is locked.
 func (e *entry) record() {
 	if e.run.State != ticket.Ended {
@@ -383,25 +271,3 @@
 		e.stream = nil
 	}
 }
-
-// answer returns an outcome as the dispatcher gives it to a copy.
-func answer(u ticket.Outcome) (*work.Answer, error) {
-	if u.Code != code.Answered {
-		return nil, failure(u)
-	}
-	if !u.Kept {
-		return nil, code.New(code.OutcomeUnrecorded, "once: the work was run, but its answer is not kept")
-	}
-	return &work.Answer{
-		Status:   u.Status,
-		Header:   u.Header.Clone(),
-		Body:     io.NopCloser(bytes.NewReader(u.Body)),
-		Length:   int64(len(u.Body)),
-		Host:     u.Host,
-		Endpoint: u.Endpoint,
-	}, nil
-}
-
-func failure(u ticket.Outcome) error {
-	return code.New(u.Code, "%s", u.Reason)
-}
