--- a/core/once/claims.go
+++ b/core/once/claims.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/uber-go/tally/v4"
 	"golang.org/x/time/rate"
 
 	"heatherford/core/code"
@@ -51,10 +52,11 @@
 // claims writes rows: all that wait go into one transaction. It is safe for
 // concurrent use.
 type claims struct {
-	store  *store.Store
-	health *health
-	now    func() time.Time
-	hosts  func() int
+	store   *store.Store
+	health  *health
+	now     func() time.Time
+	hosts   func() int
+	metrics tally.Scope
 	// writes is how many writes a second all hosts together use.
 	writes  int
 	limiter *rate.Limiter
@@ -68,14 +70,6 @@
 	// urgent writes have somebody waiting; the others go along.
 	urgent []*write
 	others []*write
-	counts Counts
-}
-
-// Counts are what claims have cost.
-type Counts struct {
-	Commits uint64 `json:"commits"`
-	Rows    uint64 `json:"rows"`
-	Reads   uint64 `json:"reads"`
 }
 
 func newClaims(o Options, h *health) *claims {
@@ -87,6 +81,7 @@
 			return max(1, len(o.Snapshot().Hosts))
 		},
 		writes:  o.Writes,
+		metrics: o.Metrics,
 		limiter: rate.NewLimiter(rate.Limit(o.Writes), writeBurst),
 		slots:   make(chan struct{}, maxCommits),
 		ready:   make(chan struct{}, 1),
@@ -345,10 +340,9 @@
 	})
 }
 
+// count counts what claims cost the platform.
 func (c *claims) count(commits, rows, reads int) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.counts.Commits += uint64(commits)
-	c.counts.Rows += uint64(rows)
-	c.counts.Reads += uint64(reads)
+	c.metrics.Counter("once_commits").Inc(int64(commits))
+	c.metrics.Counter("once_rows").Inc(int64(rows))
+	c.metrics.Counter("once_reads").Inc(int64(reads))
 }
--- a/core/once/cluster_test.go
+++ b/core/once/cluster_test.go
@@ -10,6 +10,7 @@
 
 	qt "github.com/frankban/quicktest"
 	"github.com/go-kit/log"
+	"github.com/uber-go/tally/v4"
 	"gopkg.in/tomb.v2"
 
 	"heatherford/core/code"
@@ -157,9 +158,10 @@
 			x.host(h.Name).TakeOver(l)
 			return nil
 		},
-		Record: func(timeline.Event) {},
-		Log:    log.NewNopLogger(),
-		Now:    time.Now,
+		Record:  func(timeline.Event) {},
+		Log:     log.NewNopLogger(),
+		Metrics: tally.NoopScope,
+		Now:     time.Now,
 	})
 	x.mu.Lock()
 	x.hosts[name] = o
--- a/core/once/entry.go
+++ b/core/once/entry.go
@@ -32,6 +32,8 @@
 type entry struct {
 	once *Once
 	key  string
+	// request identifies the copy that began the last round.
+	request string
 	// ticket is the zero value for a caller's own key.
 	ticket ticket.Ticket
 	// forgetAt is when the entry may be dropped.
@@ -129,6 +131,7 @@
 	e.round = &round{
 		ended: make(chan struct{}),
 	}
+	e.request = c.request.ID
 	q := *c.request
 	q.Hop = false
 	q.Dispatched = true
@@ -196,6 +199,7 @@
 	o := e.once.options
 	o.Record(timeline.Event{
 		Kind:    timeline.KindTicket,
+		Request: e.request,
 		Subject: e.key,
 		Text:    "ended with " + e.run.Outcome.Describe(),
 	})
--- a/core/once/once.go
+++ b/core/once/once.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/go-kit/log"
+	"github.com/uber-go/tally/v4"
 	"golang.org/x/sync/singleflight"
 	"gopkg.in/tomb.v2"
 
@@ -46,6 +47,7 @@
 	HandOver func(ctx context.Context, h store.Host, x Handover) error
 	Record   func(e timeline.Event)
 	Log      log.Logger
+	Metrics  tally.Scope
 	Now      func() time.Time
 }
 
@@ -107,13 +109,6 @@
 	return nil
 }
 
-// Counts returns what claims have cost.
-func (o *Once) Counts() Counts {
-	o.claims.mu.Lock()
-	defer o.claims.mu.Unlock()
-	return o.claims.counts
-}
-
 // now returns the time, which never goes back.
 func (o *Once) now() time.Time {
 	t := o.options.Now()
--- a/core/once/sweep_test.go
+++ b/core/once/sweep_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/uber-go/tally/v4"
 
 	"heatherford/core/snapshot"
 	"heatherford/core/store"
@@ -28,9 +29,10 @@
 		},
 	}
 	o := New(Options{
-		Self:   "h1",
-		Writes: 250,
-		Store:  &s,
+		Self:    "h1",
+		Writes:  250,
+		Metrics: tally.NoopScope,
+		Store:   &s,
 		Snapshot: func() *snapshot.Snapshot {
 			return &snapshot.Snapshot{}
 		},
--- a/io/internal/carry/carry.go
+++ b/io/internal/carry/carry.go
@@ -91,7 +91,7 @@
 	if hop {
 		readHop(q, r)
 	}
-	b, err := readBody(w, r, k.Settings.Limits.RequestBytes)
+	b, err := readBody(w, r, k.Settings.Limits.RequestBytes, silence)
 	if err != nil {
 		return q, err
 	}
@@ -229,6 +229,7 @@
 	p := &pacedWriter{
 		Writer:     w,
 		controller: http.NewResponseController(w),
+		silence:    silence,
 	}
 	if _, err := io.Copy(p, a.Body); err != nil {
 		level.Warn(k.Log).Log("msg", "caller: answer cut off", "request", q.ID, "err", err)
--- a/io/internal/carry/progress.go
+++ b/io/internal/carry/progress.go
@@ -13,12 +13,14 @@
 // connection.
 const silence = 5 * time.Second
 
-// readBody reads a body of at most limit bytes that keeps coming.
-func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+// readBody reads a body of at most limit bytes that keeps coming: no pause is
+// longer than silence.
+func readBody(w http.ResponseWriter, r *http.Request, limit int64, silence time.Duration) ([]byte, error) {
 	c := http.NewResponseController(w)
 	b, err := io.ReadAll(&pacedReader{
 		Reader:     http.MaxBytesReader(w, r.Body, limit),
 		controller: c,
+		silence:    silence,
 	})
 	// The server goes on reading to learn that the caller has left. A writer
 	// without deadlines belongs to a test.
@@ -35,11 +37,12 @@
 type pacedReader struct {
 	io.Reader
 	controller *http.ResponseController
+	silence    time.Duration
 }
 
 // Read implements io.Reader.
 func (p *pacedReader) Read(b []byte) (int, error) {
-	_ = p.controller.SetReadDeadline(time.Now().Add(silence))
+	_ = p.controller.SetReadDeadline(time.Now().Add(p.silence))
 	return p.Reader.Read(b)
 }
 
@@ -47,10 +50,11 @@
 type pacedWriter struct {
 	io.Writer
 	controller *http.ResponseController
+	silence    time.Duration
 }
 
 // Write implements io.Writer.
 func (p *pacedWriter) Write(b []byte) (int, error) {
-	_ = p.controller.SetWriteDeadline(time.Now().Add(silence))
+	_ = p.controller.SetWriteDeadline(time.Now().Add(p.silence))
 	return p.Writer.Write(b)
 }
--- a/io/peer/once.go
+++ b/io/peer/once.go
@@ -33,9 +33,10 @@
 
 		PlatformDown: k.PlatformDown,
 
-		Record: k.Record,
-		Log:    k.Log,
-		Now:    k.Now,
+		Record:  k.Record,
+		Log:     k.Log,
+		Metrics: k.Metrics,
+		Now:     k.Now,
 	})
 }
 
