core/once: an announcement says who, not how the platform is; sessions: cancellation

once_pause and once_kill got memory-only tickets: a process announced itself, and was asked, before its first call to the platform, and the answer was kept for 10 s. An announcement now leaves the mode to the issuer, and the answer that the platform is down is kept for 2 s.

The probers of /health and /load came to the hostile endpoint as requests, and to the ledger as runs of nothing; both now know them.

--- a/core/once/issue.go
+++ b/core/once/issue.go
@@ -16,6 +16,9 @@
 const (
 	// homeFresh is how long another host's answer is used without asking again.
 	homeFresh = 10 * time.Second
+	// memoryFresh is the same if the answer was that the platform is down or
+	// slow there.
+	memoryFresh = 2 * time.Second
 	// homeUsable is how long it is used at all.
 	homeUsable = time.Minute
 	askTimeout = 300 * time.Millisecond
@@ -26,7 +29,8 @@
 // Home is what tickets say of their home.
 type Home struct {
 	Incarnation string
-	// Mode is the mode for tickets that are issued now.
+	// Mode is the mode for tickets that are issued now. It is empty in an
+	// announcement.
 	Mode ticket.Mode
 }
 
@@ -93,7 +97,9 @@
 			ctx, cancel := context.WithTimeout(ctx, askTimeout)
 			defer cancel()
 			// A host that does not hear of it asks within homeFresh.
-			_ = o.options.Announce(ctx, h, o.Self())
+			_ = o.options.Announce(ctx, h, Home{
+				Incarnation: o.incarnation,
+			})
 			return nil
 		})
 	}
@@ -139,8 +145,8 @@
 		home = s
 		h = o.Self()
 	}
-	if o.mode() == ticket.MemoryOnly {
-		h.Mode = ticket.MemoryOnly
+	if own := o.mode(); own == ticket.MemoryOnly || h.Mode == "" {
+		h.Mode = own
 	}
 	now := o.options.Now()
 	t := ticket.Ticket{
@@ -162,6 +168,14 @@
 	}, nil
 }
 
+// fresh returns how long what h says is used without asking again.
+func fresh(h Home) time.Duration {
+	if h.Mode == ticket.MemoryOnly {
+		return memoryFresh
+	}
+	return homeFresh
+}
+
 // ask returns what the host says of itself, from memory if that is fresh.
 func (o *Once) ask(ctx context.Context, h store.Host) (Home, bool) {
 	if h.Name == o.options.Self {
@@ -169,7 +183,7 @@
 	}
 	k, ok := o.homes.get(h.Name)
 	age := o.options.Now().Sub(k.at)
-	if ok && age < homeFresh {
+	if ok && age < fresh(k.home) {
 		return k.home, true
 	}
 	c := o.asks.DoChan(h.Name, func() (any, error) {
--- a/io/peer/once.go
+++ b/io/peer/once.go
@@ -75,11 +75,8 @@
 // announce tells h of this process.
 func (c *client) announce(ctx context.Context, h store.Host, x once.Home) error {
 	_, err := c.once(h).Announce(ctx, &peerpb.AnnounceRequest{
-		Host: c.kernel.Settings.Host,
-		Home: &peerpb.HomeResponse{
-			Incarnation: x.Incarnation,
-			Mode:        string(x.Mode),
-		},
+		Host:        c.kernel.Settings.Host,
+		Incarnation: x.Incarnation,
 	})
 	if err != nil {
 		return code.Wrap(code.PeerUnreachable, err, "peer: host %q was not told of this process", h.Name)
@@ -132,8 +129,7 @@
 		return nil, err
 	}
 	s.once.Heard(r.Host, once.Home{
-		Incarnation: r.GetHome().GetIncarnation(),
-		Mode:        ticket.Mode(r.GetHome().GetMode()),
+		Incarnation: r.Incarnation,
 	})
 	return &peerpb.AnnounceResponse{}, nil
 }
--- a/sessions/commands_test.go
+++ b/sessions/commands_test.go
@@ -93,6 +93,21 @@
 }
 
 func call(ts *testscript.TestScript, args []string) (string, error) {
+	a, err := http.DefaultClient.Do(newRequest(ts, args))
+	if err != nil {
+		return "", err
+	}
+	defer a.Body.Close()
+	b, err := io.ReadAll(a.Body)
+	if err != nil {
+		return "", err
+	}
+	return fmt.Sprintf("%s%s\n%s", a.Status, shownHeaders(a.Header), b), nil
+}
+
+// newRequest returns the request that METHOD URL [Header:Value]... [@FILE]
+// stands for.
+func newRequest(ts *testscript.TestScript, args []string) *http.Request {
 	if len(args) < 2 {
 		ts.Fatalf("usage: http METHOD URL [Header:Value]... [@FILE]")
 	}
@@ -111,16 +126,7 @@
 	r, err := http.NewRequest(args[0], args[1], body)
 	ts.Check(err)
 	r.Header = header
-	a, err := http.DefaultClient.Do(r)
-	if err != nil {
-		return "", err
-	}
-	defer a.Body.Close()
-	b, err := io.ReadAll(a.Body)
-	if err != nil {
-		return "", err
-	}
-	return fmt.Sprintf("%s%s\n%s", a.Status, shownHeaders(a.Header), b), nil
+	return r
 }
 
 // shownHeaders are printed in a fixed order.
--- a/sessions/oncecmd_test.go
+++ b/sessions/oncecmd_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"context"
+	"encoding/base64"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -16,12 +18,16 @@
 	"heatherford/core/work"
 )
 
-// cmdTicket looks up and sets a variable to the ticket: ticket VAR URL. It
-// repeats the look-up until there is one.
+// cmdTicket looks up and sets a variable to the ticket: ticket VAR URL [MODE]. It
+// repeats the look-up until there is one of the mode, claimed if left out.
 func cmdTicket(ts *testscript.TestScript, neg bool, args []string) {
 	refuseNegation(ts, neg, "ticket")
-	if len(args) != 2 {
-		ts.Fatalf("usage: ticket VAR URL")
+	if len(args) < 2 {
+		ts.Fatalf("usage: ticket VAR URL [MODE]")
+	}
+	mode := ticket.Claimed
+	if len(args) > 2 {
+		mode = ticket.Mode(args[2])
 	}
 	a := struct {
 		Ticket string `json:"ticket"`
@@ -29,7 +35,7 @@
 	out := ""
 	for end := time.Now().Add(untilDeadline); time.Now().Before(end); {
 		out = body(ts, args[1])
-		if json.Unmarshal([]byte(out), &a) == nil && a.Ticket != "" {
+		if json.Unmarshal([]byte(out), &a) == nil && modeOf(a.Ticket) == mode {
 			ts.Setenv(args[0], a.Ticket)
 			return
 		}
@@ -38,6 +44,21 @@
 	ts.Fatalf("ticket: no ticket in %s", out)
 }
 
+// modeOf returns the mode of a ticket, or nothing if it is none.
+func modeOf(token string) ticket.Mode {
+	t := ticket.Ticket{}
+	p := strings.Split(token, ".")
+	const parts, payload = 4, 2
+	if len(p) != parts {
+		return ""
+	}
+	b, err := base64.RawURLEncoding.DecodeString(p[payload])
+	if err != nil || json.Unmarshal(b, &t) != nil {
+		return ""
+	}
+	return t.Mode
+}
+
 func body(ts *testscript.TestScript, url string) string {
 	s, err := call(ts, []string{"GET", url})
 	if err != nil {
@@ -68,6 +89,25 @@
 	ts.Fatalf("fresh: not run, last output:\n%s", out)
 }
 
+// cmdLeave makes a call and leaves after a while without its answer:
+// leave DURATION METHOD URL....
+func cmdLeave(ts *testscript.TestScript, neg bool, args []string) {
+	refuseNegation(ts, neg, "leave")
+	if len(args) < 3 {
+		ts.Fatalf("usage: leave DURATION METHOD URL [Header:Value]... [@FILE]")
+	}
+	d, err := time.ParseDuration(args[0])
+	ts.Check(err)
+	r := newRequest(ts, args[1:])
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	defer cancel()
+	a, err := http.DefaultClient.Do(r.WithContext(ctx))
+	if err == nil {
+		a.Body.Close()
+		ts.Fatalf("leave: answered %s", a.Status)
+	}
+}
+
 const sentKey = "sent"
 
 // sent are the calls in progress, by name.
--- a/sessions/sessions_test.go
+++ b/sessions/sessions_test.go
@@ -69,6 +69,7 @@
 			"deadline": cmdDeadline,
 			"rows":     cmdRows,
 			"ticket":   cmdTicket,
+			"leave":    cmdLeave,
 			"fresh":    cmdFresh,
 			"send":     cmdSend,
 			"sent":     cmdSent,
--- a/standin/upstream/hostile.go
+++ b/standin/upstream/hostile.go
@@ -88,7 +88,8 @@
 }
 
 // NewHostile listens on the address. The request heads are counted from 0; behave
-// chooses what is done with each.
+// chooses what is done with each. Calls of /health and /load are answered well
+// and not counted.
 func NewHostile(address string, behave func(n int) Behavior) (*Hostile, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
@@ -161,6 +162,10 @@
 		if err != nil {
 			return
 		}
+		if q.URL.Path == "/health" || q.URL.Path == "/load" {
+			fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+			continue
+		}
 		h.mu.Lock()
 		b := h.behave(h.heads)
 		h.heads++
--- a/standin/upstream/ledger.go
+++ b/standin/upstream/ledger.go
@@ -33,6 +33,11 @@
 // ServeHTTP implements http.Handler. A request counts as run once it was read
 // whole and has a slot, whether or not its sender waits for the answer.
 func (l *Ledger) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Method == http.MethodGet {
+		// A probe; /health and /load are not offered.
+		http.NotFound(w, r)
+		return
+	}
 	w.Header().Set(headerRequestID, r.Header.Get(headerRequestID))
 	b, err := io.ReadAll(r.Body)
 	if err != nil {
