core/dispatch: the check of the version stands before a request is run

Cause: a copy of a ticket's request at its home right after a pause was told that its outcome is unknown, since the home refused it before it looked at the ticket.

Change: the check that the version may be served by stands in route, behind the ticket's outcome.

--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -23,6 +23,9 @@
 	Self string
 	// Snapshot returns the view to decide by.
 	Snapshot func() *snapshot.Snapshot
+	// Serving returns an error while no request may be run by the view. Nil
+	// stands for a view that always serves.
+	Serving func() error
 	// Send sends a request to an endpoint that this host owns.
 	Send func(ctx context.Context, e intent.Endpoint, r *work.Request) (*work.Answer, error)
 	// Carry passes a request on to another host.
--- a/core/dispatch/route.go
+++ b/core/dispatch/route.go
@@ -17,6 +17,11 @@
 // route sends r to an endpoint of this host if a slot is free, else over one
 // hop to a host that has one, else to where it waits for one.
 func (d *Dispatcher) route(ctx context.Context, r *work.Request) (*work.Answer, error) {
+	if d.options.Serving != nil {
+		if err := d.options.Serving(); err != nil {
+			return nil, err
+		}
+	}
 	s := d.options.Snapshot()
 	owns := len(s.Owned[r.Kind.Upstream]) > 0
 	if owns {
--- a/core/kernel.go
+++ b/core/kernel.go
@@ -167,6 +167,7 @@
 	k.Dispatcher = dispatch.New(dispatch.Options{
 		Self:     o.Settings.Host,
 		Snapshot: k.Snapshot,
+		Serving:  k.Serving,
 		Send:     k.counted(k.Seams.Send),
 		Carry:    k.Seams.Carry,
 		Once:     k.Seams.Once,
--- a/io/internal/carry/carry.go
+++ b/io/internal/carry/carry.go
@@ -66,10 +66,10 @@
 		Dispatched: hop && r.Header.Get(work.HeaderDispatched) != "",
 	}
 	q.Header.Add("Via", "1.1 "+k.Settings.Host)
-	if err := k.Serving(); err != nil {
-		return q, err
-	}
 	v := k.Snapshot().Version
+	if v == nil {
+		return q, code.New(code.HostBehind, "carry: this host knows no declaration yet")
+	}
 	name, path, _ := strings.Cut(strings.TrimPrefix(r.URL.EscapedPath(), WorkPrefix), "/")
 	kind, ok := v.Declaration.Kind(name)
 	if !ok {
