core/dispatch: what a cap keeps out goes back to the caller's region

A declared share may ask for more than the shift's cap bears. It now takes the one hop to an owner in the caller's region; without one, as when the region is lost, it is refused as before.

--- a/core/dispatch/route.go
+++ b/core/dispatch/route.go
@@ -37,9 +37,28 @@
 		return a, err
 	}
 	if owns {
-		return d.wait(ctx, s, r)
+		a, err = d.wait(ctx, s, r)
+	} else {
+		a, err = d.passOn(ctx, s, r)
+	}
+	if code.Of(err) == code.CapReached {
+		return d.passBack(ctx, s, r, err)
+	}
+	return a, err
+}
+
+// passBack passes r, which a cap keeps out with err, to an owner in the caller's
+// region, if there is one.
+func (d *Dispatcher) passBack(ctx context.Context, s *snapshot.Snapshot, r *work.Request, err error) (*work.Answer, error) {
+	h := s.Table.Near(r.Kind.Name, r.Caller)
+	if h == nil || h.Name == d.options.Self {
+		return nil, err
+	}
+	a, hopErr := d.carry(ctx, *h, r)
+	if refused(hopErr) {
+		return nil, err
 	}
-	return d.passOn(ctx, s, r)
+	return a, hopErr
 }
 
 func (d *Dispatcher) ask(s *snapshot.Snapshot, r *work.Request) admission.Ask {
--- a/core/lookup/share.go
+++ b/core/lookup/share.go
@@ -3,6 +3,9 @@
 import (
 	"math"
 	"math/rand/v2"
+	"net/netip"
+
+	"heatherford/core/store"
 )
 
 // Share moves a part of one upstream's work from the callers of one region to
@@ -51,6 +54,20 @@
 	}
 }
 
+// Near returns an owner in the caller's region, drawn evenly, or nil if there is
+// none.
+func (t *Table) Near(kind string, caller netip.Addr) *store.Host {
+	k, ok := t.kinds[kind]
+	if !ok {
+		return nil
+	}
+	r := &k.routes[t.blocks.zoneOf(caller, t.home)]
+	if r.regional == 0 {
+		return nil
+	}
+	return r.backups[rand.IntN(r.regional)]
+}
+
 // next returns the route that answers one look-up: that of a share, as often as
 // its part says, or d.
 func (d *draw) next() *draw {
--- a/core/lookup/share_test.go
+++ b/core/lookup/share_test.go
@@ -46,6 +46,8 @@
 				away++
 			}
 		}
+		near := table.Near("look", netip.MustParseAddr(x.caller))
+		c.Assert(near.Region == "r1", qt.Equals, x.caller == "10.3.0.1")
 		got := float64(away) / lookups
 		c.Assert(got >= x.moved*0.9 && got <= x.moved*1.1, qt.IsTrue, qt.Commentf("%s: %v moved", x.caller, got))
 	}
