--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -63,6 +63,9 @@
 	budgets map[string]*budget.Budget
 	// ledgers holds a *quota.Ledger for every endpoint's name that was asked for.
 	ledgers sync.Map
+	// mute holds until when nothing is passed back to a host, by name, as a
+	// time.Time.
+	mute sync.Map
 }
 
 // New returns a dispatcher with the options.
--- a/core/dispatch/route.go
+++ b/core/dispatch/route.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"heatherford/core/admission"
 	"heatherford/core/code"
@@ -51,16 +52,26 @@
 // region, if there is one.
 func (d *Dispatcher) passBack(ctx context.Context, s *snapshot.Snapshot, r *work.Request, err error) (*work.Answer, error) {
 	h := s.Table.Near(r.Kind.Name, r.Caller)
-	if h == nil || h.Name == d.options.Self {
+	if h == nil || h.Name == d.options.Self || !d.answers(h.Name) {
 		return nil, err
 	}
 	a, hopErr := d.carry(ctx, *h, r)
 	if refused(hopErr) {
+		d.mute.Store(h.Name, d.options.Now().Add(muteTime))
 		return nil, err
 	}
 	return a, hopErr
 }
 
+// muteTime is how long nothing is passed back to a host that took no part of
+// what was. A region may be lost, and refusals are to be quick.
+const muteTime = 2 * time.Second
+
+func (d *Dispatcher) answers(host string) bool {
+	t, ok := d.mute.Load(host)
+	return !ok || !d.options.Now().Before(t.(time.Time))
+}
+
 func (d *Dispatcher) ask(s *snapshot.Snapshot, r *work.Request) admission.Ask {
 	return admission.Ask{
 		Rank:     r.Rank,
@@ -79,6 +90,8 @@
 	case !owns:
 		return nil, code.New(code.HopRefused, "dispatch: this host owns no endpoint of %q", r.Kind.Upstream)
 	case r.Immediate:
+		// Caps remember what they kept out.
+		d.capped(s, r)
 		return nil, code.New(code.HopRefused, "dispatch: no slot is free")
 	default:
 		return d.wait(ctx, s, r)
