--- a/tools/knownred/main.go
+++ b/tools/knownred/main.go
@@ -165,7 +165,7 @@
 func (r *results) explained(n string, known map[string]bool) bool {
 	below := 0
 	for m := range r.failed {
-		if !strings.HasPrefix(m, n+"/") && !(strings.HasPrefix(m, n+".") && !strings.Contains(n, ".Test")) {
+		if !isBelow(m, n) {
 			continue
 		}
 		below++
@@ -176,6 +176,14 @@
 	return below > 0
 }
 
+// isBelow reports whether m is a test of the package n, or a subtest of n.
+func isBelow(m, n string) bool {
+	if strings.Contains(n, ".Test") {
+		return strings.HasPrefix(m, n+"/")
+	}
+	return strings.HasPrefix(m, n+".")
+}
+
 func sorted(m map[string]bool) []string {
 	s := make([]string, 0, len(m))
 	for k := range m {
