--- a/core/once/claims.go
+++ b/core/once/claims.go
@@ -127,11 +127,14 @@
 	}
 }
 
-func (c *claims) enqueue(w *write) {
+// enqueue adds writes, which go into one transaction if there is room.
+func (c *claims) enqueue(s ...*write) {
 	c.mu.Lock()
-	if w.version == 0 {
-		c.urgent = append(c.urgent, w)
-	} else {
+	for _, w := range s {
+		if w.version == 0 {
+			c.urgent = append(c.urgent, w)
+			continue
+		}
 		c.others = append(c.others, w)
 	}
 	c.mu.Unlock()
@@ -296,8 +299,8 @@
 			again = append(again, w)
 		}
 	}
-	for _, w := range again {
-		c.enqueue(w)
+	if len(again) > 0 {
+		c.enqueue(again...)
 	}
 }
 
@@ -334,9 +337,7 @@
 // later tries again after a pause.
 func (c *claims) later(s []*write) {
 	time.AfterFunc(retryDelay, func() {
-		for _, w := range s {
-			c.enqueue(w)
-		}
+		c.enqueue(s...)
 	})
 }
 
