--- a/io/internal/wire/exchange.go
+++ b/io/internal/wire/exchange.go
@@ -52,7 +52,7 @@
 func (p *Pool) Do(ctx context.Context, c *Call) (*Reply, error) {
 	// Without a body there is nothing to hold back, so that only the handshake
 	// of a new connection can prove it alive.
-	fresh := c.Fresh || (c.Once && len(c.Body) == 0)
+	fresh := c.Fresh || (c.Once && (len(c.Body) == 0 || p.proofless()))
 	for {
 		x, err := p.begin(ctx, c, fresh)
 		if err != nil {
@@ -60,7 +60,7 @@
 		}
 		r, err := x.run()
 		if f := (*Failure)(nil); errors.As(err, &f) && x.proof && !f.Sent && !x.sent && ctx.Err() == nil {
-			p.count(func(c *Counts) { c.Unproved++ })
+			p.proved(false)
 			fresh = true
 			continue
 		}
@@ -108,6 +108,7 @@
 		if err != nil {
 			return nil, x.fail(StepProof, err)
 		}
+		x.pool.proved(true)
 		if a != nil {
 			// The peer answered without the body.
 			return x.reply(a, false)
--- a/io/internal/wire/pool.go
+++ b/io/internal/wire/pool.go
@@ -72,7 +72,9 @@
 	// idle is ordered by idleSince; the newest goes first out.
 	idle   []*conn
 	counts Counts
-	closed bool
+	// unproved is the number of proofs in a row that did not come.
+	unproved int
+	closed   bool
 	// freed is closed and replaced when a connection becomes idle or is closed.
 	freed chan struct{}
 }
--- a/io/upstream/sender_test.go
+++ b/io/upstream/sender_test.go
@@ -223,6 +223,23 @@
 	c.Assert(b.hostile.Connections(), qt.Equals, 2)
 }
 
+// TestSilentNoProof meets an endpoint that sends no 100 Continue: work that may
+// not be repeated runs once each, and soon does not wait for it any more.
+func TestSilentNoProof(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(c, standin.NoContinue)
+	const requests = 30
+	start := time.Now()
+	for range requests {
+		s, err := b.send(b.request("/", false))
+		c.Assert(err, qt.IsNil)
+		c.Assert(s, qt.Equals, "answer to /")
+	}
+	c.Assert(b.hostile.Seen(), qt.HasLen, requests)
+	// Without that it would take 250 ms for each.
+	c.Assert(time.Since(start) < 5*time.Second, qt.IsTrue)
+}
+
 // TestSilentSiblings lets one of several idle connections fall silent: the
 // others are closed unused and repeatable work goes on within a second.
 func TestSilentSiblings(t *testing.T) {
--- a/standin/upstream/hostile.go
+++ b/standin/upstream/hostile.go
@@ -58,6 +58,8 @@
 	SilentBody Behavior = "silent_body"
 	// Deaf reads no request and stays open.
 	Deaf Behavior = "deaf"
+	// NoContinue answers whole, but never sends 100 Continue.
+	NoContinue Behavior = "no_continue"
 	// Endless never stops sending chunks.
 	Endless Behavior = "endless"
 )
@@ -174,7 +176,7 @@
 			_, _ = io.Copy(io.Discard, c)
 			return
 		}
-		if q.Header.Get("Expect") != "" {
+		if q.Header.Get("Expect") != "" && b != NoContinue {
 			fmt.Fprint(c, "HTTP/1.1 100 Continue\r\n\r\n")
 		}
 		body, err := io.ReadAll(q.Body)
@@ -203,7 +205,7 @@
 	whole := head(s.ID, len(text)) + text
 	half := head(s.ID, len(text)) + text[:len(text)/2]
 	switch b {
-	case Honest:
+	case Honest, NoContinue:
 		fmt.Fprint(c, whole)
 		return true
 	case Chunked:
