--- a/core/once/cluster_test.go
+++ b/core/once/cluster_test.go
@@ -138,7 +138,11 @@
 			return x.host(h.Name).Do(ctx, &q, x.run)
 		},
 		Ask: func(_ context.Context, h store.Host) (once.Home, error) {
-			return x.host(h.Name).Self(), nil
+			o := x.host(h.Name)
+			if o == nil {
+				return once.Home{}, code.New(code.PeerUnreachable, "test: no host %q", h.Name)
+			}
+			return o.Self(), nil
 		},
 		AskKeyring: func(_ context.Context, h store.Host) (ticket.Keyring, error) {
 			return x.host(h.Name).Keyring(), nil
--- a/core/once/issue.go
+++ b/core/once/issue.go
@@ -19,6 +19,8 @@
 	// memoryFresh is the same if the answer was that the platform is down or
 	// slow there.
 	memoryFresh = 2 * time.Second
+	// silentFresh is the same if there was no answer.
+	silentFresh = time.Second
 	// homeUsable is how long it is used at all.
 	homeUsable = time.Minute
 	askTimeout = 300 * time.Millisecond
@@ -42,7 +44,9 @@
 	Home store.Host
 }
 
+// knownHome is what a host said of itself, or that it said nothing.
 type knownHome struct {
+	// home is the zero value if the host did not answer.
 	home Home
 	at   time.Time
 }
@@ -170,10 +174,14 @@
 
 // fresh returns how long what h says is used without asking again.
 func fresh(h Home) time.Duration {
-	if h.Mode == ticket.MemoryOnly {
+	switch {
+	case h.Incarnation == "":
+		return silentFresh
+	case h.Mode == ticket.MemoryOnly:
 		return memoryFresh
+	default:
+		return homeFresh
 	}
-	return homeFresh
 }
 
 // ask returns what the host says of itself, from memory if that is fresh.
@@ -184,24 +192,25 @@
 	k, ok := o.homes.get(h.Name)
 	age := o.options.Now().Sub(k.at)
 	if ok && age < fresh(k.home) {
-		return k.home, true
+		return k.home, k.home.Incarnation != ""
 	}
 	c := o.asks.DoChan(h.Name, func() (any, error) {
 		x, cancel := context.WithTimeout(context.Background(), askTimeout)
 		defer cancel()
 		a, err := o.options.Ask(x, h)
-		if err == nil {
-			o.Heard(h.Name, a)
+		if err != nil {
+			a = Home{}
 		}
+		o.Heard(h.Name, a)
 		return a, err
 	})
-	if ok && age < homeUsable {
+	if ok && k.home.Incarnation != "" && age < homeUsable {
 		return k.home, true
 	}
 	select {
 	case r := <-c:
 		a, is := r.Val.(Home)
-		return a, is && r.Err == nil
+		return a, is && a.Incarnation != ""
 	case <-ctx.Done():
 		return Home{}, false
 	}
--- a/core/once/once_test.go
+++ b/core/once/once_test.go
@@ -12,6 +12,7 @@
 	"go.uber.org/goleak"
 
 	"heatherford/core/code"
+	"heatherford/core/store"
 	"heatherford/core/work"
 )
 
@@ -61,6 +62,21 @@
 	c.Assert(x.ran.Load(), qt.Equals, int64(1))
 }
 
+// TestTicketNoHome looks up work whose owner does not say who it is: the host
+// that is asked becomes the home.
+func TestTicketNoHome(t *testing.T) {
+	c := qt.New(t)
+	x := newCluster(c, "h1", "h2")
+	i, err := x.host("h2").Issue(context.Background(), deposit, store.Host{
+		Name: "dead",
+	})
+	c.Assert(err, qt.IsNil)
+	c.Assert(i.Home.Name, qt.Equals, "h2")
+	s, err := x.do("h1", request(i.Token, "a"))
+	c.Assert(err, qt.IsNil)
+	c.Assert(s, qt.Equals, "done a")
+}
+
 // TestTicketCutOff gives up a ticket for a home that is cut off: the home does
 // not run it when its copy comes.
 func TestTicketCutOff(t *testing.T) {
