--- a/core/dispatch/fence.go
+++ b/core/dispatch/fence.go
@@ -27,8 +27,8 @@
 	now := d.options.Now()
 	o := p.Own
 	r.Deadline = bounded(now, r.Deadline, o.Longest)
-	if d := p.Flight.Deadline(); r.Deadline.After(d) {
-		r.Deadline = d
+	if p.Flight.Deadline.Before(r.Deadline) {
+		r.Deadline = p.Flight.Deadline
 	}
 	if !now.Before(r.Deadline) {
 		return code.New(code.DeadlinePassed, "dispatch: the deadline passed in the queue")
@@ -53,19 +53,36 @@
 	return deadline
 }
 
-// room returns how the ledgers of the endpoints see r: whether they have room
-// for it, and the flight that counts it.
-func (d *Dispatcher) room(r *work.Request) admission.Room {
+// leaseFactor is the number of usual times that a request gets at least if its
+// deadline is shortened to the lease's.
+const leaseFactor = 4
+
+// within returns r's deadline at the endpoint. Repeatable work ends with the
+// lease if that leaves much more time than it usually takes: then it may use all
+// slots, and not only those for requests that may outlast the lease.
+func (d *Dispatcher) within(now time.Time, o *snapshot.Own, r *work.Request, usual time.Duration) time.Time {
+	t := bounded(now, r.Deadline, o.Longest)
+	if !r.Kind.Repeatable || usual == 0 {
+		return t
+	}
+	u := d.Ledger(o.Endpoint.Name).Right().Until
+	if t.After(u) && u.Sub(now) >= leaseFactor*usual {
+		return u
+	}
+	return t
+}
+
+// room returns how the ledgers of the endpoints see r, whose like usually takes
+// the time usual: whether they have room for it, and the flight that counts it.
+func (d *Dispatcher) room(r *work.Request, usual time.Duration) admission.Room {
 	return admission.Room{
 		Fits: func(o *snapshot.Own) bool {
 			now := d.options.Now()
-			deadline := bounded(now, r.Deadline, o.Longest)
-			return d.Ledger(o.Endpoint.Name).Allows(now, deadline, d.caps(o, r)) == quota.Allowed
+			return d.Ledger(o.Endpoint.Name).Allows(now, d.counted(now, o, r, usual)) == quota.Allowed
 		},
 		Enter: func(o *snapshot.Own) *quota.Flight {
 			now := d.options.Now()
-			deadline := bounded(now, r.Deadline, o.Longest)
-			f, refusal := d.Ledger(o.Endpoint.Name).Enter(now, deadline, d.caps(o, r))
+			f, refusal := d.Ledger(o.Endpoint.Name).Enter(now, d.counted(now, o, r, usual))
 			if refusal != quota.Allowed {
 				return nil
 			}
@@ -74,12 +91,26 @@
 	}
 }
 
+// counted returns what the ledger of the endpoint has to know of r, whose like
+// usually takes the time usual.
+func (d *Dispatcher) counted(now time.Time, o *snapshot.Own, r *work.Request, usual time.Duration) quota.Request {
+	q := quota.Request{
+		Deadline: d.within(now, o, r, usual),
+		Caps:     d.caps(o, r),
+		Rank:     r.Rank,
+	}
+	if s := d.options.Snapshot(); s.Version != nil && r.Rank < len(s.Version.Declaration.Ranks) {
+		q.Floor = s.Version.Declaration.Ranks[r.Rank].Floor
+	}
+	return q
+}
+
 // capped reports whether caps keep r out of all endpoints of this host.
 func (d *Dispatcher) capped(s *snapshot.Snapshot, r *work.Request) bool {
 	now := d.options.Now()
 	own := s.Owned[r.Kind.Upstream]
 	for i := range own {
-		if !d.Ledger(own[i].Endpoint.Name).Capped(now, d.caps(&own[i], r)) {
+		if !d.Ledger(own[i].Endpoint.Name).Capped(now, d.counted(now, &own[i], r, 0)) {
 			return false
 		}
 	}
--- a/core/grant/claim.go
+++ b/core/grant/claim.go
@@ -1,7 +1,6 @@
 package grant
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -17,10 +16,7 @@
 	}
 	hosts := m.answering(now)
 	var chosen map[string]string
-	for _, e := range m.endpoints() {
-		if m.held[e] != nil || m.claims[e].Endpoint != "" {
-			continue
-		}
+	for _, e := range m.claimable(now) {
 		endpoint, _ := m.version.Declaration.Endpoint(e)
 		endpoint.Name = e
 		s := m.rows[e]
@@ -35,20 +31,29 @@
 	}
 }
 
-// endpoints returns the names of all endpoints that are declared and take work,
-// or have a row.
-func (m *Machine) endpoints() []string {
-	s := []string{}
+// claimable returns the names of the endpoints that have no owner, or one whose
+// lease has lapsed, ordered.
+func (m *Machine) claimable(now time.Time) []string {
+	free := []string{}
+	add := func(e string) {
+		if m.held[e] == nil && m.claims[e].Endpoint == "" {
+			free = append(free, e)
+		}
+	}
 	for _, u := range m.version.Declaration.Upstreams {
 		for _, e := range u.Endpoints {
-			if !e.Leaving {
-				s = append(s, e.Name)
+			if !e.Leaving && m.rows[e.Name] == nil {
+				add(e.Name)
 			}
 		}
 	}
-	s = slices.AppendSeq(s, maps.Keys(m.rows))
-	slices.Sort(s)
-	return slices.Compact(s)
+	for e, s := range m.rows {
+		if s.row.Owner == "" || !now.Before(m.lapsed(s)) {
+			add(e)
+		}
+	}
+	slices.Sort(free)
+	return free
 }
 
 // claimUnowned claims an endpoint without a row, or that its owner gave up: the chosen host at once, the
@@ -59,7 +64,7 @@
 		m.unowned[e.Name] = now
 		since = now
 	}
-	if chosen != m.options.Self && now.Before(since.Add(m.turn(e, hosts))) {
+	if d, ok := m.turn(e, hosts); chosen != m.options.Self && (!ok || now.Before(since.Add(d))) {
 		return
 	}
 	if s := m.rows[e.Name]; s != nil {
@@ -78,10 +83,11 @@
 	}, 0, now)
 }
 
-// turn returns how long this host leaves an endpoint to those before it.
-func (m *Machine) turn(e intent.Endpoint, hosts []store.Host) time.Duration {
+// turn returns how long this host leaves an endpoint to those before it, and
+// whether it may own one at all.
+func (m *Machine) turn(e intent.Endpoint, hosts []store.Host) (time.Duration, bool) {
 	i := slices.Index(order(m.version.Declaration, e, hosts), m.options.Self)
-	return time.Duration(i+2) * m.options.Timing.Unclaimed
+	return time.Duration(i+2) * m.options.Timing.Unclaimed, i >= 0
 }
 
 // claimLapsed takes an endpoint over whose lease has lapsed. The parts that the owner and the standby may still
@@ -93,7 +99,7 @@
 	}
 	expected := s.row.Standby == m.options.Self || s.row.Owner == m.options.Self
 	orphaned := !m.mayBeListed(s.row.Owner) || s.row.Standby == "" || !m.mayBeListed(s.row.Standby)
-	if !expected && (!orphaned || now.Before(lapsed.Add(m.turn(e, hosts)))) {
+	if d, ok := m.turn(e, hosts); !expected && (!orphaned || !ok || now.Before(lapsed.Add(d))) {
 		return
 	}
 	r := s.row
--- a/core/grant/world_test.go
+++ b/core/grant/world_test.go
@@ -5,8 +5,6 @@
 	"slices"
 	"time"
 
-	"pgregory.net/rapid"
-
 	"heatherford/core/code"
 	"heatherford/core/intent"
 	"heatherford/core/quota"
@@ -18,7 +16,7 @@
 // world runs several machines against one table. Time stands still but for the
 // action that advances it; each process reads it on a clock of its own.
 type world struct {
-	t     *rapid.T
+	t     reporter
 	now   time.Duration
 	table *platform.Table
 	hosts []store.Host
@@ -36,6 +34,12 @@
 	peerCuts map[string]bool
 }
 
+// reporter is a test, with rapid or without.
+type reporter interface {
+	Logf(format string, args ...any)
+	Fatalf(format string, args ...any)
+}
+
 // process is one run of a daemon.
 type process struct {
 	world   *world
@@ -76,7 +80,7 @@
 	worldRegion = "east"
 )
 
-func newWorld(t *rapid.T) *world {
+func newWorld(t reporter) *world {
 	w := &world{
 		t:        t,
 		now:      time.Hour,
@@ -404,7 +408,11 @@
 		caps = []quota.Name{worldLink}
 	}
 	deadline := p.clock().Add(min(d, p.machine.Longest(endpoint)))
-	f, refusal := p.ledger(endpoint).Enter(p.clock(), deadline, caps)
+	f, refusal := p.ledger(endpoint).Enter(p.clock(), quota.Request{
+		Deadline: deadline,
+		Caps:     caps,
+		Rank:     n % 2,
+	})
 	if refusal != quota.Allowed {
 		return
 	}
@@ -474,7 +482,14 @@
 // fail tells what is in flight and ends the test.
 func (w *world) fail(format string, args ...any) {
 	for _, f := range w.flights {
-		w.t.Logf("%v in flight at %s from %s until %v", w.now, f.endpoint, f.sender.id, f.ends)
+		w.t.Logf("%v in flight at %s from %s at version %d until %v", w.now, f.endpoint, f.sender.id, f.version, f.ends)
+	}
+	for _, n := range w.names {
+		p := w.procs[n]
+		w.t.Logf("%s at version %d, dead %v, paused %v: %+v", p.id, p.machine.version.Number, p.dead, p.paused, p.machine.Rights())
+	}
+	for _, r := range w.table.Read(store.Query{Prefixes: []string{Prefix}}) {
+		w.t.Logf("%s", r.Value)
 	}
 	w.t.Fatalf(format, args...)
 }
