core/lookup: learn owners in an outage in one way

Cause: two ways to learn owners while the platform is down came in at the same time: by the loads that hosts tell, and by what the grants tell among hosts.

Change: the first is reverted. The second goes by the version of an endpoint's row, so that an owner is not named after it has handed over, and knows who has a ceded part; a load says neither.

--- a/core/dispatch/load.go
+++ b/core/dispatch/load.go
@@ -60,8 +60,7 @@
 	}
 }
 
-// Loads returns the loads of what this host owns, by upstream. It tells of no
-// slots where this host owned endpoints before.
+// Loads returns the loads of what this host owns, by upstream.
 func (d *Dispatcher) Loads() map[string]lookup.Load {
 	m := map[string]lookup.Load{}
 	s := d.options.Snapshot()
@@ -71,11 +70,6 @@
 	for u := range s.Owned {
 		m[u] = d.gate(u).Load(s.Table.Zones())
 	}
-	for u, g := range d.allGates() {
-		if _, ok := m[u]; !ok {
-			m[u] = g.Load(s.Table.Zones())
-		}
-	}
 	return m
 }
 
--- a/core/lookup/table.go
+++ b/core/lookup/table.go
@@ -161,9 +161,7 @@
 	return s
 }
 
-// slots returns the slots that each host may use of the upstream: as the owner of
-// endpoints, or as far as it tells itself. A host learns nothing of owners while
-// the platform is down, and a standby uses what an owner has ceded to it.
+// slots returns the slots that each host owns of the upstream.
 func (b *builder) slots(upstream string) map[string]int {
 	m := map[string]int{}
 	if b.options.Everyone {
@@ -182,11 +180,6 @@
 			}
 		}
 	}
-	for s, l := range b.options.Loads {
-		if s.Upstream == upstream && m[s.Host] == 0 {
-			m[s.Host] = l.Slots
-		}
-	}
 	return m
 }
 
