--- a/core/dispatch/fence.go
+++ b/core/dispatch/fence.go
@@ -53,20 +53,26 @@
 	return deadline
 }
 
-// leaseFactor is the number of usual times that a request gets at least if its
-// deadline is shortened to the lease's.
-const leaseFactor = 4
+const (
+	// leaseFactor is the number of usual times that repeatable work gets at
+	// least if its deadline is shortened to the lease's.
+	leaseFactor = 4
+	// onceLeaseFactor is that for other work, whose outcome would be unknown
+	// after the deadline.
+	onceLeaseFactor = 8
+)
 
-// within returns r's deadline at the endpoint. Repeatable work ends with the
-// lease if that leaves much more time than it usually takes: then it may use all
-// slots, and not only those for requests that may outlast the lease.
+// within returns r's deadline at the endpoint. Work ends with the lease if that
+// leaves much more time than it usually takes: then it may use all slots, and
+// not only those for requests that may outlast the lease.
 func (d *Dispatcher) within(now time.Time, o *snapshot.Own, r *work.Request, usual time.Duration) time.Time {
 	t := bounded(now, r.Deadline, o.Longest)
-	if !r.Kind.Repeatable || usual == 0 {
-		return t
+	least := onceLeaseFactor * usual
+	if r.Kind.Repeatable {
+		least = leaseFactor * usual
 	}
 	u := d.Ledger(o.Endpoint.Name).Right().Until
-	if t.After(u) && u.Sub(now) >= leaseFactor*usual {
+	if usual > 0 && t.After(u) && u.Sub(now) >= least {
 		return u
 	}
 	return t
