--- a/core/lookup/table_test.go
+++ b/core/lookup/table_test.go
@@ -355,3 +355,44 @@
 	}
 	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/1e6, "MB")
 }
+
+// BenchmarkTable measures the building of a table, which new loads cause, at
+// today's size and at multiples of it.
+func BenchmarkTable(b *testing.B) {
+	for _, n := range []int{20, 80, 320} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			o := fleet(n)
+			b.ReportAllocs()
+			for b.Loop() {
+				New(o)
+			}
+		})
+	}
+}
+
+// fleet has n hosts, each of which owns two endpoints, in four zones.
+func fleet(n int) Options {
+	o := options(Loads{})
+	o.Hosts = nil
+	o.Declaration.Upstreams[0].Endpoints = nil
+	for i := range n {
+		h := store.Host{
+			Name:   fmt.Sprintf("h%d", i),
+			Zone:   fmt.Sprintf("z%d", i%4),
+			Region: fmt.Sprintf("r%d", i%4/2),
+		}
+		o.Hosts = append(o.Hosts, h)
+		for j := range 2 {
+			e := fmt.Sprintf("e%d-%d", i, j)
+			o.Owners[e] = h.Name
+			o.Declaration.Upstreams[0].Endpoints = append(o.Declaration.Upstreams[0].Endpoints, intent.Endpoint{
+				Name:  e,
+				Zone:  h.Zone,
+				Slots: 6,
+			})
+		}
+		o.Loads[source(i)] = loadOf(12, 9, 3)
+	}
+	o.Blocks = NewBlocks(o.Declaration)
+	return o
+}
