--- a/core/grant/machine.go
+++ b/core/grant/machine.go
@@ -27,6 +27,16 @@
 type Machine struct {
 	options Options
 	effects []Effect
+	// told and parts hold what other hosts tell of owners, and of hosts that have
+	// been ceded a part, by the endpoint's name.
+	told  map[string]Ownership
+	parts map[string]Ownership
+	// teacher is the host that was asked last for what it knows.
+	teacher string
+	// serving is what Serving returns, or nil after that has changed.
+	serving map[string]string
+	// assigned is true if nothing has changed since Assign found nothing to move.
+	assigned bool
 	// revision grows with every change of rights or owners.
 	revision uint64
 
@@ -126,6 +136,8 @@
 		doubts:       map[string][]Row{},
 		sent:         map[uint64]time.Time{},
 		unowned:      map[string]time.Time{},
+		told:         map[string]Ownership{},
+		parts:        map[string]Ownership{},
 	}
 }
 
@@ -144,10 +156,16 @@
 	m.version = v
 	m.limits = quota.Divide(v.Declaration)
 	m.setLongest(v.Declaration)
+	m.nextAll = time.Time{}
+	m.assigned = false
 	for _, h := range m.held {
 		h.bound = h.bound.Min(m.boundOf(h.row))
 		h.changed = true
 	}
+	for e, c := range m.received {
+		c.bound = c.bound.Min(m.boundOf(c.row()))
+		m.received[e] = c
+	}
 	m.applyAll()
 }
 
@@ -162,12 +180,16 @@
 		delete(m.gone, h.Name)
 	}
 	m.hosts = hosts
+	m.assigned = false
 }
 
 // SetAlive tells of the hosts that are not known to be dead. Without it, those
 // are the hosts on the platform's list.
 func (m *Machine) SetAlive(hosts []store.Host) {
 	m.alive = hosts
+	m.serving = nil
+	m.revision++
+	m.assigned = false
 }
 
 // Leave makes the host hand over all that it holds and claim nothing more.
@@ -201,18 +223,6 @@
 	return o
 }
 
-// Serving returns the owners that may send something to their endpoints, by the
-// endpoint's name.
-func (m *Machine) Serving() map[string]string {
-	o := map[string]string{}
-	for e, s := range m.rows {
-		if s.row.Owner != "" && !s.row.Own().IsZero() {
-			o[e] = s.row.Owner
-		}
-	}
-	return o
-}
-
 // Rights returns what this host may send to each endpoint, by name.
 func (m *Machine) Rights() map[string]quota.Right {
 	s := map[string]quota.Right{}
--- a/core/grant/world_test.go
+++ b/core/grant/world_test.go
@@ -5,9 +5,6 @@
 	"slices"
 	"time"
 
-	"pgregory.net/rapid"
-
-	"heatherford/core/code"
 	"heatherford/core/intent"
 	"heatherford/core/quota"
 	"heatherford/core/store"
@@ -18,7 +15,7 @@
 // world runs several machines against one table. Time stands still but for the
 // action that advances it; each process reads it on a clock of its own.
 type world struct {
-	t     *rapid.T
+	t     reporter
 	now   time.Duration
 	table *platform.Table
 	hosts []store.Host
@@ -36,6 +33,12 @@
 	peerCuts map[string]bool
 }
 
+// reporter is a test, with rapid or without.
+type reporter interface {
+	Logf(format string, args ...any)
+	Fatalf(format string, args ...any)
+}
+
 // process is one run of a daemon.
 type process struct {
 	world   *world
@@ -76,7 +79,7 @@
 	worldRegion = "east"
 )
 
-func newWorld(t *rapid.T) *world {
+func newWorld(t reporter) *world {
 	w := &world{
 		t:        t,
 		now:      time.Hour,
@@ -234,120 +237,6 @@
 	}
 }
 
-// The faults of one call.
-const (
-	faultNone = iota
-	// faultLost lets the call take effect and loses the answer.
-	faultLost
-	// faultLate loses the answer and lets the call take effect later.
-	faultLate
-	// faultSlow delays the answer.
-	faultSlow
-)
-
-func (w *world) carryOut(p *process, e Effect, fault func() int) {
-	switch {
-	case e.Commit != nil:
-		w.commit(p, e.Commit, fault())
-	case e.Read != nil:
-		w.read(p, *e.Read, fault())
-	case e.List:
-		if !w.down && !p.cut {
-			p.machine.SetHosts(w.hosts, p.clock())
-		}
-	case e.Ask != nil:
-		q := *e.Ask
-		w.call(p, q.Host, fault(), func(to *process) func() {
-			a := to.machine.Asked(q, to.clock())
-			return func() {
-				if a.Done {
-					p.machine.Acknowledged(q)
-				}
-			}
-		}, func() {})
-	case e.Cede != nil:
-		c := *e.Cede
-		w.call(p, c.Host, fault(), func(to *process) func() {
-			a := to.machine.Ceded(c)
-			return func() {
-				p.machine.CedeEnded(c, a.Incarnation, !a.OK)
-			}
-		}, func() {
-			p.machine.CedeEnded(c, "", false)
-		})
-	case e.Offer != nil:
-		o := *e.Offer
-		w.call(p, o.Host, fault(), func(to *process) func() {
-			a := to.machine.Accepts()
-			return func() {
-				p.machine.Offered(o, a.Incarnation, a.OK, p.clock())
-			}
-		}, func() {
-			p.machine.Offered(o, "", false, p.clock())
-		})
-	}
-}
-
-func (w *world) commit(p *process, c *Commit, fault int) {
-	m := p.machine
-	if w.down || p.cut {
-		p.deliver(fault == faultSlow, func() {
-			m.CommitFailed(c.Attempt, code.New(code.PlatformDown, "down"), p.clock())
-		})
-		return
-	}
-	if fault == faultLate {
-		w.late = append(w.late, c)
-		m.CommitFailed(c.Attempt, code.New(code.PlatformUnknown, "lost"), p.clock())
-		return
-	}
-	a, ok := w.table.Commit(c.Transaction)
-	p.deliver(fault == faultSlow, func() {
-		switch {
-		case fault == faultLost:
-			m.CommitFailed(c.Attempt, code.New(code.PlatformUnknown, "lost"), p.clock())
-		case !ok:
-			m.CommitFailed(c.Attempt, code.New(code.PlatformConflict, "conflict"), p.clock())
-		default:
-			m.Committed(c.Attempt, a.Version, p.clock())
-		}
-	})
-}
-
-func (w *world) read(p *process, r Read, fault int) {
-	if w.down || p.cut || fault == faultLost {
-		p.machine.ReadFailed(r)
-		return
-	}
-	rows := w.table.Read(r.Query)
-	p.deliver(fault == faultSlow, func() {
-		p.machine.RowsRead(r, rows, p.clock())
-	})
-}
-
-// call runs f at the host's process and its result at p, or lost at p if p gets
-// no answer.
-func (w *world) call(p *process, host string, fault int, f func(to *process) func(), lost func()) {
-	to := w.procs[host]
-	if to.dead || w.peerCuts[p.name+host] || w.peerCuts[host+p.name] {
-		lost()
-		return
-	}
-	if to.paused || fault == faultLate {
-		to.inbox = append(to.inbox, func() {
-			f(to)
-		})
-		lost()
-		return
-	}
-	answer := f(to)
-	if fault == faultLost {
-		lost()
-		return
-	}
-	p.deliver(fault == faultSlow, answer)
-}
-
 // advance moves the time and lets every process do what is due.
 func (w *world) advance(d time.Duration, fault func() int) {
 	w.now += d
@@ -404,7 +293,11 @@
 		caps = []quota.Name{worldLink}
 	}
 	deadline := p.clock().Add(min(d, p.machine.Longest(endpoint)))
-	f, refusal := p.ledger(endpoint).Enter(p.clock(), deadline, caps)
+	f, refusal := p.ledger(endpoint).Enter(p.clock(), quota.Request{
+		Deadline: deadline,
+		Caps:     caps,
+		Rank:     n % 2,
+	})
 	if refusal != quota.Allowed {
 		return
 	}
@@ -474,7 +367,14 @@
 // fail tells what is in flight and ends the test.
 func (w *world) fail(format string, args ...any) {
 	for _, f := range w.flights {
-		w.t.Logf("%v in flight at %s from %s until %v", w.now, f.endpoint, f.sender.id, f.ends)
+		w.t.Logf("%v in flight at %s from %s at version %d until %v", w.now, f.endpoint, f.sender.id, f.version, f.ends)
+	}
+	for _, n := range w.names {
+		p := w.procs[n]
+		w.t.Logf("%s at version %d, dead %v, paused %v: %+v", p.id, p.machine.version.Number, p.dead, p.paused, p.machine.Rights())
+	}
+	for _, r := range w.table.Read(store.Query{Prefixes: []string{Prefix}}) {
+		w.t.Logf("%s", r.Value)
 	}
 	w.t.Fatalf(format, args...)
 }
--- a/core/once/claims.go
+++ b/core/once/claims.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/uber-go/tally/v4"
 	"golang.org/x/time/rate"
 
 	"heatherford/core/code"
@@ -51,10 +52,11 @@
 // claims writes rows: all that wait go into one transaction. It is safe for
 // concurrent use.
 type claims struct {
-	store  *store.Store
-	health *health
-	now    func() time.Time
-	hosts  func() int
+	store   *store.Store
+	health  *health
+	now     func() time.Time
+	hosts   func() int
+	metrics tally.Scope
 	// writes is how many writes a second all hosts together use.
 	writes  int
 	limiter *rate.Limiter
@@ -68,14 +70,6 @@
 	// urgent writes have somebody waiting; the others go along.
 	urgent []*write
 	others []*write
-	counts Counts
-}
-
-// Counts are what claims have cost.
-type Counts struct {
-	Commits uint64 `json:"commits"`
-	Rows    uint64 `json:"rows"`
-	Reads   uint64 `json:"reads"`
 }
 
 func newClaims(o Options, h *health) *claims {
@@ -87,6 +81,7 @@
 			return max(1, len(o.Snapshot().Hosts))
 		},
 		writes:  o.Writes,
+		metrics: o.Metrics,
 		limiter: rate.NewLimiter(rate.Limit(o.Writes), writeBurst),
 		slots:   make(chan struct{}, maxCommits),
 		ready:   make(chan struct{}, 1),
@@ -132,11 +127,14 @@
 	}
 }
 
-func (c *claims) enqueue(w *write) {
+// enqueue adds writes, which go into one transaction if there is room.
+func (c *claims) enqueue(s ...*write) {
 	c.mu.Lock()
-	if w.version == 0 {
-		c.urgent = append(c.urgent, w)
-	} else {
+	for _, w := range s {
+		if w.version == 0 {
+			c.urgent = append(c.urgent, w)
+			continue
+		}
 		c.others = append(c.others, w)
 	}
 	c.mu.Unlock()
@@ -301,8 +299,8 @@
 			again = append(again, w)
 		}
 	}
-	for _, w := range again {
-		c.enqueue(w)
+	if len(again) > 0 {
+		c.enqueue(again...)
 	}
 }
 
@@ -339,16 +337,13 @@
 // later tries again after a pause.
 func (c *claims) later(s []*write) {
 	time.AfterFunc(retryDelay, func() {
-		for _, w := range s {
-			c.enqueue(w)
-		}
+		c.enqueue(s...)
 	})
 }
 
+// count counts what claims cost the platform.
 func (c *claims) count(commits, rows, reads int) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.counts.Commits += uint64(commits)
-	c.counts.Rows += uint64(rows)
-	c.counts.Reads += uint64(reads)
+	c.metrics.Counter("once_commits").Inc(int64(commits))
+	c.metrics.Counter("once_rows").Inc(int64(rows))
+	c.metrics.Counter("once_reads").Inc(int64(reads))
 }
--- a/core/once/issue.go
+++ b/core/once/issue.go
@@ -16,6 +16,11 @@
 const (
 	// homeFresh is how long another host's answer is used without asking again.
 	homeFresh = 10 * time.Second
+	// memoryFresh is the same if the answer was that the platform is down or
+	// slow there.
+	memoryFresh = 2 * time.Second
+	// silentFresh is the same if there was no answer.
+	silentFresh = time.Second
 	// homeUsable is how long it is used at all.
 	homeUsable = time.Minute
 	askTimeout = 300 * time.Millisecond
@@ -26,7 +31,8 @@
 // Home is what tickets say of their home.
 type Home struct {
 	Incarnation string
-	// Mode is the mode for tickets that are issued now.
+	// Mode is the mode for tickets that are issued now. It is empty in an
+	// announcement.
 	Mode ticket.Mode
 }
 
@@ -38,7 +44,9 @@
 	Home store.Host
 }
 
+// knownHome is what a host said of itself, or that it said nothing.
 type knownHome struct {
+	// home is the zero value if the host did not answer.
 	home Home
 	at   time.Time
 }
@@ -93,7 +101,9 @@
 			ctx, cancel := context.WithTimeout(ctx, askTimeout)
 			defer cancel()
 			// A host that does not hear of it asks within homeFresh.
-			_ = o.options.Announce(ctx, h, o.Self())
+			_ = o.options.Announce(ctx, h, Home{
+				Incarnation: o.incarnation,
+			})
 			return nil
 		})
 	}
@@ -139,8 +149,8 @@
 		home = s
 		h = o.Self()
 	}
-	if o.mode() == ticket.MemoryOnly {
-		h.Mode = ticket.MemoryOnly
+	if own := o.mode(); own == ticket.MemoryOnly || h.Mode == "" {
+		h.Mode = own
 	}
 	now := o.options.Now()
 	t := ticket.Ticket{
@@ -162,6 +172,18 @@
 	}, nil
 }
 
+// fresh returns how long what h says is used without asking again.
+func fresh(h Home) time.Duration {
+	switch {
+	case h.Incarnation == "":
+		return silentFresh
+	case h.Mode == ticket.MemoryOnly:
+		return memoryFresh
+	default:
+		return homeFresh
+	}
+}
+
 // ask returns what the host says of itself, from memory if that is fresh.
 func (o *Once) ask(ctx context.Context, h store.Host) (Home, bool) {
 	if h.Name == o.options.Self {
@@ -169,25 +191,26 @@
 	}
 	k, ok := o.homes.get(h.Name)
 	age := o.options.Now().Sub(k.at)
-	if ok && age < homeFresh {
-		return k.home, true
+	if ok && age < fresh(k.home) {
+		return k.home, k.home.Incarnation != ""
 	}
 	c := o.asks.DoChan(h.Name, func() (any, error) {
 		x, cancel := context.WithTimeout(context.Background(), askTimeout)
 		defer cancel()
 		a, err := o.options.Ask(x, h)
-		if err == nil {
-			o.Heard(h.Name, a)
+		if err != nil {
+			a = Home{}
 		}
+		o.Heard(h.Name, a)
 		return a, err
 	})
-	if ok && age < homeUsable {
+	if ok && k.home.Incarnation != "" && age < homeUsable {
 		return k.home, true
 	}
 	select {
 	case r := <-c:
 		a, is := r.Val.(Home)
-		return a, is && r.Err == nil
+		return a, is && a.Incarnation != ""
 	case <-ctx.Done():
 		return Home{}, false
 	}
