--- a/cmd/heatherford-load/profile.go
+++ b/cmd/heatherford-load/profile.go
@@ -80,6 +80,7 @@
 const (
 	warmup     = 8 * time.Second
 	floodLoad  = 3
+	quietShare = 1.0 / 7
 	faultAfter = 5 * time.Second
 )
 
@@ -87,6 +88,10 @@
 // kills are killed by the lab's script.
 func (l *lab) scenarios(control netip.AddrPort) []Scenario {
 	day := l.scenario(control, "day", nil)
+	quiet := l.scenario(control, "quiet", nil)
+	for i := range quiet.Flows {
+		quiet.Flows[i].Rate *= quietShare
+	}
 	frozen := l.scenario(control, "frozen_measurements", nil)
 	frozen.Faults = append(frozen.Faults, Fault{
 		Method: http.MethodPut,
@@ -108,6 +113,7 @@
 	})
 	return []Scenario{
 		day,
+		quiet,
 		l.scenario(control, "flood_low", l.profile.low),
 		l.scenario(control, "flood_urgent", l.profile.urgent),
 		l.scenario(control, "owner_death", nil),
