--- a/sessions/fleet_test.go
+++ b/sessions/fleet_test.go
@@ -12,6 +12,7 @@
 	"heatherford/core/settings"
 	"heatherford/core/store"
 	"heatherford/core/strict"
+	"heatherford/standin/authority"
 )
 
 // fleetOptions describe a fleet of hosts with endpoints.
@@ -24,6 +25,8 @@
 	lookupTTL time.Duration
 	// keys makes operators show a key.
 	keys bool
+	// tls makes peers and operators speak TLS.
+	tls bool
 }
 
 // fleetHost is one host's addresses.
@@ -153,8 +156,20 @@
 		},
 		"declaration.json": f.declaration(),
 	}
+	ca := (*authority.Authority)(nil)
+	if f.options.tls {
+		a, err := authority.New(dir)
+		if err != nil {
+			return err
+		}
+		ca = a
+	}
 	for _, h := range f.hosts {
-		files[h.Name+".json"] = f.settings(h)
+		s := f.settings(h)
+		if err := secure(&s, ca); err != nil {
+			return err
+		}
+		files[h.Name+".json"] = s
 	}
 	for n, v := range files {
 		b, err := json.MarshalIndent(v, "", "  ")
@@ -169,6 +184,24 @@
 	return nil
 }
 
+// secure makes a host speak TLS by certificates of the authority, if there is one.
+func secure(s *settings.Settings, a *authority.Authority) error {
+	if a == nil {
+		return nil
+	}
+	t, err := a.Sign(s.Host)
+	if err != nil {
+		return err
+	}
+	s.Peers.Open = false
+	s.Peers.TLS = t
+	s.Operators.TLS = settings.TLS{
+		CertificateFile: t.CertificateFile,
+		KeyFile:         t.KeyFile,
+	}
+	return nil
+}
+
 // list returns the platform's list of hosts.
 func (f *fleet) list() []store.Host {
 	s := []store.Host{}
--- a/sessions/fleetcmd_test.go
+++ b/sessions/fleetcmd_test.go
@@ -16,7 +16,7 @@
 // cmdFleet writes the settings of a fleet and sets the variables PLATFORM, and
 // C1, P1, O1 and so on for the hosts' addresses for callers, peers and operators,
 // and E1 and so on for the endpoints':
-// fleet [-hosts N] [-endpoints N] [-service D] [-ttl D] [-keys].
+// fleet [-hosts N] [-endpoints N] [-service D] [-ttl D] [-keys] [-tls].
 func cmdFleet(ts *testscript.TestScript, neg bool, args []string) {
 	refuseNegation(ts, neg, "fleet")
 	o := fleetOptions{}
@@ -25,6 +25,7 @@
 	f.IntVar(&o.endpoints, "endpoints", 3, "endpoints")
 	f.DurationVar(&o.service, "service", 5*time.Millisecond, "service time")
 	f.DurationVar(&o.lookupTTL, "ttl", 500*time.Millisecond, "time to live of look-ups")
+	f.BoolVar(&o.tls, "tls", false, "peers and operators speak TLS")
 	f.BoolVar(&o.keys, "keys", false, "operators have keys")
 	ts.Check(f.Parse(args))
 	x := newFleet(o, func() netip.AddrPort {
