core/config: a large declaration is written before its head

Cause: the first confirmation of 300,000 blocks was one transaction with 16,406 writes and 15 MB, which did not end in the 5 s of a call to the platform; the message named the wrong step.

Ruled out: rows named by their digests, which need a list of them in the head that every poll would read.

Change: a change over 256 KB or 400 rows is written beforehand as a new set of rows, in transactions of at most that size, and the head names the set in a small last one. A set that has ended stays as it was: it is what a rollback goes back to. A confirmation may take two minutes, its last commit with the settling of a lost answer 4 s. Old sets are not deleted yet.

Shown: TestConfigLargeChanges; go test ./sessions -run XXX -bench LookupsPerCore, which confirms 300,000 blocks first, failed before and passes.

--- a/cmd/heatherford/client.go
+++ b/cmd/heatherford/client.go
@@ -19,8 +19,9 @@
 )
 
 const (
-	// callTimeout bounds a call.
-	callTimeout = 30 * time.Second
+	// callTimeout bounds a call. The planning and confirming of a large
+	// declaration takes longest.
+	callTimeout = 3 * time.Minute
 	// maxAnswerBytes bounds what is read of an answer.
 	maxAnswerBytes = 128 << 20
 	// defaultHost is the operators' interface of a host on this machine.
--- a/core/config/config_test.go
+++ b/core/config/config_test.go
@@ -208,3 +208,48 @@
 	c.Assert(h[0].Operator, qt.Equals, "ann")
 	c.Assert(h[0].ConfirmedAt.Equal(at), qt.IsTrue)
 }
+
+// A declaration that is too large for one transaction is written beforehand. Until
+// the head names it, readers have the version before.
+func TestConfigLargeChanges(t *testing.T) {
+	c := qt.New(t)
+	f := newFake()
+	load := func(have *config.Bundle) *config.Bundle {
+		b, err := config.Load(context.Background(), f.store(), have)
+		c.Assert(err, qt.IsNil)
+		return b
+	}
+	a, err := confirm(f, config.Empty(), confirmation(0, declaration(10, 2), "one"))
+	c.Assert(err, qt.IsNil)
+	first := a.Newest
+
+	// A platform that goes down on the way leaves the version before.
+	const blocks = 20000
+	large := confirmation(1, declaration(blocks, 2), "two")
+	f.commits = []fault{0, 0, down}
+	_, err = confirm(f, first, large)
+	c.Assert(code.Of(err), qt.Equals, code.ConfirmRefused)
+	c.Assert(load(config.Empty()).Root, qt.Equals, first.Root)
+	f.commits = nil
+
+	b, err := confirm(f, first, large)
+	c.Assert(err, qt.IsNil)
+	c.Assert(b.Number, qt.Equals, uint64(2))
+	const bound = 300 << 10
+	c.Assert(f.largest < bound, qt.IsTrue, qt.Commentf("%d bytes", f.largest))
+	c.Assert(f.mostRows <= 400, qt.IsTrue, qt.Commentf("%d rows", f.mostRows))
+	c.Assert(load(first).Root, qt.Equals, b.Newest.Root)
+
+	// The next change is small again, and so is the way back from it.
+	f.written = 0
+	d, err := confirm(f, b.Newest, confirmation(2, declaration(blocks, 3), "three"))
+	c.Assert(err, qt.IsNil)
+	c.Assert(f.written < 20<<10, qt.IsTrue, qt.Commentf("%d bytes", f.written))
+	c.Assert(load(b.Newest).Root, qt.Equals, d.Newest.Root)
+	c.Assert(load(first).Root, qt.Equals, d.Newest.Root)
+	for n, want := range []*intent.Declaration{declaration(10, 2), declaration(blocks, 2), declaration(blocks, 3)} {
+		got, err := config.At(context.Background(), f.store(), d.Newest, uint64(n+1))
+		c.Assert(err, qt.IsNil)
+		c.Assert(intent.Diff(got, want), qt.HasLen, 0)
+	}
+}
--- a/core/config/confirm.go
+++ b/core/config/confirm.go
@@ -6,6 +6,8 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"heatherford/core/code"
 	"heatherford/core/intent"
 	"heatherford/core/store"
@@ -35,6 +37,9 @@
 }
 
 const (
+	// commitTimeout bounds the commit of a version and the settling of its
+	// answer if that is lost.
+	commitTimeout = 4 * time.Second
 	// settleInterval is the time between tries to settle a lost answer.
 	settleInterval = 100 * time.Millisecond
 	// shownChanges bounds the changes that the history keeps of a version.
@@ -65,16 +70,21 @@
 	if state.head.Number != c.Base {
 		return nil, stale(ctx, s, c.Base)
 	}
-	b, t, err := prepare(have, c, state)
+	n, err := prepare(have, c, state)
 	if err != nil {
 		return nil, err
 	}
-	_, err = s.Commit(ctx, t)
+	if err := stage(ctx, s, n.staged); err != nil {
+		return nil, code.Wrap(code.ConfirmRefused, err, "config: the parts cannot be written, nothing is in force")
+	}
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	_, err = s.Commit(ctx, n.transaction)
 	switch code.Of(err) {
 	case 0:
 		return &Confirmed{
-			Number: b.Number,
-			Newest: b,
+			Number: n.bundle.Number,
+			Newest: n.bundle,
 		}, nil
 	case code.PlatformDown:
 		return nil, code.Wrap(code.ConfirmRefused, err, "config: nothing was written")
@@ -127,20 +137,19 @@
 	return x, nil
 }
 
-// prepare returns the next version and the transaction that makes it.
-func prepare(have *Bundle, c Confirmation, x readState) (*Bundle, store.Transaction, error) {
-	t := store.Transaction{
-		Conditions: []store.Condition{
-			{
-				Key:     headKey,
-				Version: x.headRow,
-			},
-			{
-				Key: operationPrefix + c.Operation,
-			},
-		},
-	}
-	next, err := New(&intent.Version{
+// next is a version that is to be confirmed.
+type next struct {
+	bundle *Bundle
+	// staged are the writes that go before the transaction and harm nobody
+	// without it.
+	staged []store.Write
+	// transaction makes the version.
+	transaction store.Transaction
+}
+
+// prepare returns the next version and what is to be written for it.
+func prepare(have *Bundle, c Confirmation, x readState) (*next, error) {
+	b, err := New(&intent.Version{
 		Number:      c.Base + 1,
 		Declaration: c.Declaration,
 		Operation:   c.Operation,
@@ -148,56 +157,102 @@
 		ConfirmedAt: c.At,
 	})
 	if err != nil {
-		return nil, t, err
+		return nil, err
 	}
-	d, err := next.DeltaFor(c.Base, have.digests)
+	d, err := b.DeltaFor(c.Base, have.digests)
 	if err != nil {
-		return nil, t, err
+		return nil, err
+	}
+	n := &next{}
+	if n.bundle, err = have.Apply(d); err != nil {
+		return nil, err
+	}
+	e := entry(have, n.bundle, d, c)
+	e.Generation = x.head.Generation
+	u := undo{}
+	if d.large() {
+		e.begin()
+		u.Whole = true
+		u.Generation = x.head.Generation
+		n.staged, err = b.partRows(e.Generation)
+	} else {
+		u, err = undoOf(have, b)
 	}
-	b, err := have.Apply(d)
 	if err != nil {
-		return nil, t, err
+		return nil, err
+	}
+	n.transaction, err = transaction(c, x, e, u)
+	if !e.Whole {
+		n.transaction.Writes = append(n.transaction.Writes, partWrites(d, e.Generation)...)
 	}
-	back, err := have.DeltaFor(0, next.digests)
+	return n, err
+}
+
+// undoOf returns what leads from b back to have.
+func undoOf(have, b *Bundle) (undo, error) {
+	d, err := have.DeltaFor(0, b.digests)
 	if err != nil {
-		return nil, t, err
+		return undo{}, err
 	}
-	e := entry(have, b, d, c)
-	u := undo{
-		Parts: back.Parts,
-		Added: back.Removed,
+	return undo{
+		Parts: d.Parts,
+		Added: d.Removed,
+	}, nil
+}
+
+// begin makes the entry's version begin a generation of its own.
+func (e *Entry) begin() {
+	e.Generation = fmt.Sprintf("%d-%016x", e.Number, xxhash.Sum64String(e.Operation))
+	e.Whole = true
+	e.Changed = nil
+	e.Removed = nil
+}
+
+// transaction returns the rows of a version besides its parts, with the
+// conditions under which they are written.
+func transaction(c Confirmation, x readState, e Entry, u undo) (store.Transaction, error) {
+	t := store.Transaction{
+		Conditions: []store.Condition{
+			{
+				Key:     headKey,
+				Version: x.headRow,
+			},
+			{
+				Key: operationPrefix + c.Operation,
+			},
+		},
 	}
 	o := operation{
-		Number: b.Number,
+		Number: e.Number,
 	}
 	for key, v := range map[string]any{
 		headKey:                       e,
-		historyKey(b.Number):          e,
-		undoKey(b.Number):             u,
+		historyKey(e.Number):          e,
+		undoKey(e.Number):             u,
 		operationPrefix + c.Operation: o,
 	} {
 		w, err := write(key, v)
 		if err != nil {
-			return nil, t, err
+			return t, err
 		}
 		t.Writes = append(t.Writes, w)
 	}
-	t.Writes = append(t.Writes, partWrites(d)...)
-	t.Writes = append(t.Writes, expire(b.Number, x.expired)...)
-	return b, t, nil
+	t.Writes = append(t.Writes, expire(e.Number, x.expired)...)
+	return t, nil
 }
 
-func partWrites(d *Delta) []store.Write {
+func partWrites(d *Delta, generation string) []store.Write {
+	prefix := partsPrefix(generation)
 	s := []store.Write{}
 	for _, p := range d.Parts {
 		s = append(s, store.Write{
-			Key:   partPrefix + p.Name,
+			Key:   prefix + p.Name,
 			Value: p.Data,
 		})
 	}
 	for _, n := range d.Removed {
 		s = append(s, store.Write{
-			Key:    partPrefix + n,
+			Key:    prefix + n,
 			Delete: true,
 		})
 	}
--- a/core/config/doc.go
+++ b/core/config/doc.go
@@ -9,8 +9,11 @@
 // Rows of the table:
 //
 //	config/head            the newest version, without its declaration
-//	config/part/NAME       the parts of the newest version
+//	config/part/SET/NAME   the parts of the newest version, by the head's set
 //	config/history/NUMBER  who confirmed the version when, and what it changed
 //	config/undo/NUMBER     the parts before the version, for a rollback
 //	config/operation/ID    how the confirmation with the operation ended
+//
+// A version that changes too much for one write has its parts written beforehand
+// as a new set of rows, which nobody reads until the head names it.
 package config
--- a/core/config/load.go
+++ b/core/config/load.go
@@ -28,7 +28,7 @@
 		if head.Number <= have.Number {
 			return have, nil
 		}
-		b, err := catchUp(ctx, s, have, head.Number)
+		b, err := catchUp(ctx, s, have, head.Number, head.Generation)
 		if err != nil || b != nil {
 			return b, err
 		}
@@ -49,7 +49,7 @@
 }
 
 // catchUp returns the version number, or nil if the table has gone on since.
-func catchUp(ctx context.Context, s *store.Store, have *Bundle, number uint64) (*Bundle, error) {
+func catchUp(ctx context.Context, s *store.Store, have *Bundle, number uint64, generation string) (*Bundle, error) {
 	changed, ok, err := changedSince(ctx, s, have.Number, number)
 	if err != nil {
 		return nil, err
@@ -57,11 +57,12 @@
 	if have.Number == 0 || !ok {
 		return loadWhole(ctx, s)
 	}
+	prefix := partsPrefix(generation)
 	q := store.Query{
 		Keys: []string{headKey},
 	}
 	for _, n := range changed {
-		q.Keys = append(q.Keys, partPrefix+n)
+		q.Keys = append(q.Keys, prefix+n)
 	}
 	rows, err := s.Read(ctx, q)
 	if err != nil {
@@ -77,7 +78,7 @@
 		Base: have.Number,
 	}
 	for _, n := range changed {
-		r, ok := m[partPrefix+n]
+		r, ok := m[prefix+n]
 		if !ok {
 			d.Removed = append(d.Removed, n)
 			continue
@@ -112,7 +113,7 @@
 	set := map[string]bool{}
 	for _, k := range q.Keys {
 		e := Entry{}
-		if ok, err := m.decode(k, &e); !ok || err != nil {
+		if ok, err := m.decode(k, &e); !ok || err != nil || e.Whole {
 			return nil, false, err
 		}
 		for _, n := range append(e.Changed, e.Removed...) {
@@ -122,30 +123,28 @@
 	return names(set), true, nil
 }
 
-// loadWhole returns the newest version without what the caller has.
+// loadWhole returns the newest version without what the caller has, or nil if the
+// table has gone on meanwhile.
 func loadWhole(ctx context.Context, s *store.Store) (*Bundle, error) {
+	head, err := readHead(ctx, s)
+	if err != nil {
+		return nil, err
+	}
 	rows, err := s.Read(ctx, store.Query{
 		Keys:     []string{headKey},
-		Prefixes: []string{partPrefix},
+		Prefixes: []string{partsPrefix(head.Generation)},
 	})
 	if err != nil {
 		return nil, err
 	}
-	d := &Delta{}
-	for _, r := range rows {
-		if n, ok := strings.CutPrefix(r.Key, partPrefix); ok {
-			d.Parts = append(d.Parts, Part{
-				Name: n,
-				Data: r.Value,
-			})
-		}
-	}
-	head := Entry{}
-	if _, err := newRowSet(rows).decode(headKey, &head); err != nil {
+	now := Entry{}
+	if _, err := newRowSet(rows).decode(headKey, &now); err != nil || now.Generation != head.Generation {
 		return nil, err
 	}
-	d.Meta = head.Meta
-	b, err := Empty().Apply(d)
+	b, err := Empty().Apply(&Delta{
+		Meta:  now.Meta,
+		Parts: parts(rows, now.Generation),
+	})
 	if err != nil {
 		return nil, err
 	}
@@ -154,6 +153,20 @@
 	return b, nil
 }
 
+// parts returns the parts of the generation among the rows.
+func parts(rows []store.Row, generation string) []Part {
+	s := []Part{}
+	for _, r := range rows {
+		if n, ok := strings.CutPrefix(r.Key, partsPrefix(generation)); ok {
+			s = append(s, Part{
+				Name: n,
+				Data: r.Value,
+			})
+		}
+	}
+	return s
+}
+
 // History returns the entries of the newest versions, the newest first.
 func History(ctx context.Context, s *store.Store, count int) ([]Entry, error) {
 	head, err := readHead(ctx, s)
--- a/core/config/rollback.go
+++ b/core/config/rollback.go
@@ -36,7 +36,12 @@
 		if !ok {
 			return nil, code.New(code.OperatorInput, "config: version %d is not kept any more", number)
 		}
-		if err := u.apply(pieces); err != nil {
+		if u.Whole {
+			pieces, err = generationPieces(ctx, s, u.Generation)
+		} else {
+			err = u.apply(pieces)
+		}
+		if err != nil {
 			return nil, err
 		}
 	}
@@ -61,3 +66,21 @@
 	}
 	return nil
 }
+
+// generationPieces returns the pieces of a generation that has ended, which are
+// those of its last version.
+func generationPieces(ctx context.Context, s *store.Store, generation string) (map[string]*piece, error) {
+	rows, err := s.Read(ctx, store.Query{
+		Prefixes: []string{partsPrefix(generation)},
+	})
+	if err != nil {
+		return nil, err
+	}
+	m := map[string]*piece{}
+	for _, p := range parts(rows, generation) {
+		if m[p.Name], err = decode(p); err != nil {
+			return nil, err
+		}
+	}
+	return m, nil
+}
--- a/core/config/rows.go
+++ b/core/config/rows.go
@@ -24,6 +24,12 @@
 // Entry is the history of one version. It is also the value of the head.
 type Entry struct {
 	Meta
+	// Generation names the set of rows that holds the version's parts. It is
+	// empty for the first.
+	Generation string `json:"generation,omitempty"`
+	// Whole is true if the version began its generation: all its parts were
+	// written beforehand, and Changed and Removed are empty.
+	Whole bool `json:"whole,omitempty"`
 	// Reason says why the version was made, such as "drain of endpoint desk-1".
 	Reason string `json:"reason"`
 	// Changes are the first changes from the version before.
@@ -41,6 +47,10 @@
 	Parts []Part `json:"parts"`
 	// Added names the parts that the version added.
 	Added []string `json:"added,omitempty"`
+	// Whole is true if the version began a generation. The version before is
+	// that which Generation still holds.
+	Whole      bool   `json:"whole,omitempty"`
+	Generation string `json:"generation,omitempty"`
 }
 
 // operation is how a confirmation ended.
@@ -49,6 +59,11 @@
 	Number uint64 `json:"version"`
 }
 
+// partsPrefix starts the keys of the parts of a generation.
+func partsPrefix(generation string) string {
+	return partPrefix + generation + "/"
+}
+
 func historyKey(number uint64) string {
 	return fmt.Sprintf("%s%012d", historyPrefix, number)
 }
--- a/io/operator/confirm.go
+++ b/io/operator/confirm.go
@@ -12,8 +12,9 @@
 	"heatherford/io/internal/refuse"
 )
 
-// confirmTimeout bounds a confirmation, the settling of a lost answer included.
-const confirmTimeout = 4 * time.Second
+// confirmTimeout bounds a confirmation, the writing of a large declaration's parts
+// included.
+const confirmTimeout = 2 * time.Minute
 
 // maxOperationBytes bounds the identifier of a confirmation.
 const maxOperationBytes = 128
