--- a/core/config/confirm.go
+++ b/core/config/confirm.go
@@ -40,8 +40,6 @@
 	// commitTimeout bounds the commit of a version and the settling of its
 	// answer if that is lost.
 	commitTimeout = 4 * time.Second
-	// settleInterval is the time between tries to settle a lost answer.
-	settleInterval = 100 * time.Millisecond
 	// shownChanges bounds the changes that the history keeps of a version.
 	shownChanges = 50
 )
@@ -77,11 +75,14 @@
 	if err := stage(ctx, s, n.staged); err != nil {
 		return nil, code.Wrap(code.ConfirmRefused, err, "config: the parts cannot be written, nothing is in force")
 	}
-	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	last, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
-	_, err = s.Commit(ctx, n.transaction)
+	_, err = s.Commit(last, n.transaction)
 	switch code.Of(err) {
 	case 0:
+		if n.staged != nil {
+			collect(ctx, s, state.head)
+		}
 		return &Confirmed{
 			Number: n.bundle.Number,
 			Newest: n.bundle,
@@ -89,9 +90,9 @@
 	case code.PlatformDown:
 		return nil, code.Wrap(code.ConfirmRefused, err, "config: nothing was written")
 	case code.PlatformConflict:
-		return afterConflict(ctx, s, have, c)
+		return afterConflict(last, s, have, c)
 	default:
-		return settle(ctx, s, have, c, err)
+		return settle(last, s, have, c, err)
 	}
 }
 
@@ -169,6 +170,8 @@
 	}
 	e := entry(have, n.bundle, d, c)
 	e.Generation = x.head.Generation
+	e.Generations = x.head.Generations
+	e.Previous = x.head.Previous
 	u := undo{}
 	if d.large() {
 		e.begin()
@@ -202,6 +205,8 @@
 
 // begin makes the entry's version begin a generation of its own.
 func (e *Entry) begin() {
+	e.Generations++
+	e.Previous = e.Generation
 	e.Generation = fmt.Sprintf("%d-%016x", e.Number, xxhash.Sum64String(e.Operation))
 	e.Whole = true
 	e.Changed = nil
@@ -295,75 +300,6 @@
 	return e
 }
 
-// afterConflict tells a confirmation that had taken effect before from one that
-// lost a race.
-func afterConflict(ctx context.Context, s *store.Store, have *Bundle, c Confirmation) (*Confirmed, error) {
-	x, err := read(ctx, s, c)
-	if err != nil {
-		return nil, code.Wrap(code.ConfirmRefused, err, "config: another confirmation was first")
-	}
-	if x.ended {
-		return settled(ctx, s, have, c, x)
-	}
-	return nil, stale(ctx, s, c.Base)
-}
-
-// settled returns the result of a confirmation that has ended.
-func settled(ctx context.Context, s *store.Store, have *Bundle, c Confirmation, x readState) (*Confirmed, error) {
-	if x.operation.Number == 0 {
-		return nil, code.New(code.ConfirmRefused, "config: operation %q was given up before it took effect and never will", c.Operation)
-	}
-	a := &Confirmed{
-		Number: x.operation.Number,
-		Newest: have,
-	}
-	if b, err := Load(ctx, s, have); err == nil {
-		a.Newest = b
-	}
-	return a, nil
-}
-
-// settle finds out how a commit whose answer was lost has ended. If the
-// operation has no row, it writes one that keeps a late commit from taking
-// effect.
-func settle(ctx context.Context, s *store.Store, have *Bundle, c Confirmation, cause error) (*Confirmed, error) {
-	t := time.NewTicker(settleInterval)
-	defer t.Stop()
-	for {
-		x, err := read(ctx, s, c)
-		if err == nil && x.ended {
-			return settled(ctx, s, have, c, x)
-		}
-		if err == nil && giveUp(ctx, s, c) == nil {
-			return nil, code.Wrap(code.ConfirmRefused, cause, "config: the confirmation took no effect and never will")
-		}
-		select {
-		case <-t.C:
-		case <-ctx.Done():
-			return nil, code.Wrap(code.ConfirmUnknown, cause, "config: it is not known whether version %d was confirmed; confirm again with operation %q or look at the history", c.Base+1, c.Operation)
-		}
-	}
-}
-
-// giveUp ends the operation without effect. It returns PlatformConflict if it
-// has ended before.
-func giveUp(ctx context.Context, s *store.Store, c Confirmation) error {
-	key := operationPrefix + c.Operation
-	w, err := write(key, operation{})
-	if err != nil {
-		return err
-	}
-	_, err = s.Commit(ctx, store.Transaction{
-		Conditions: []store.Condition{
-			{
-				Key: key,
-			},
-		},
-		Writes: []store.Write{w},
-	})
-	return err
-}
-
 // stale returns the refusal of a plan against base, which says who confirmed
 // what since.
 func stale(ctx context.Context, s *store.Store, base uint64) error {
--- a/core/config/rollback.go
+++ b/core/config/rollback.go
@@ -76,6 +76,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if len(rows) == 0 {
+		return nil, code.New(code.OperatorInput, "config: the versions before that many changes are not kept any more")
+	}
 	m := map[string]*piece{}
 	for _, p := range parts(rows, generation) {
 		if m[p.Name], err = decode(p); err != nil {
--- a/core/config/rows.go
+++ b/core/config/rows.go
@@ -27,6 +27,10 @@
 	// Generation names the set of rows that holds the version's parts. It is
 	// empty for the first.
 	Generation string `json:"generation,omitempty"`
+	// Generations is the number of generations before, and Previous the last of
+	// them.
+	Generations int    `json:"generations,omitempty"`
+	Previous    string `json:"previous,omitempty"`
 	// Whole is true if the version began its generation: all its parts were
 	// written beforehand, and Changed and Removed are empty.
 	Whole bool `json:"whole,omitempty"`
--- a/core/config/stage.go
+++ b/core/config/stage.go
@@ -64,3 +64,27 @@
 	}
 	return min(batchRows, len(writes))
 }
+
+// collect deletes the rows of the generation before the one that head, which has
+// just been replaced by a newer generation, replaced. A row that stays harms
+// nobody.
+func collect(ctx context.Context, s *store.Store, head Entry) {
+	if head.Generations == 0 {
+		return
+	}
+	rows, err := s.Read(ctx, store.Query{
+		Prefixes: []string{partsPrefix(head.Previous)},
+	})
+	if err != nil {
+		return
+	}
+	w := []store.Write{}
+	for _, r := range rows {
+		w = append(w, store.Write{
+			Key:    r.Key,
+			Delete: true,
+		})
+	}
+	// What is left by an error is not tried again.
+	_ = stage(ctx, s, w)
+}
