core/dispatch: work that may not be repeated is not cut short by the lease

Cause: a deposit with 5 s of time that usually takes 100 ms got the end of a lease of 2 s as its deadline, so that one that takes 3 s by right ended with an unknown outcome.

Change: such work ends with the lease only if it keeps three quarters of its time, as a reassignment of 2 s does, for which the cut was made. TestWithinLease fails without it.

--- a/core/dispatch/fence.go
+++ b/core/dispatch/fence.go
@@ -58,8 +58,10 @@
 	// least if its deadline is shortened to the lease's.
 	leaseFactor = 4
 	// onceLeaseFactor is that for other work, whose outcome would be unknown
-	// after the deadline.
+	// after the deadline. It also keeps at least onceLeaseShare of its time:
+	// what takes long by right is not ended early.
 	onceLeaseFactor = 8
+	onceLeaseShare  = 0.75
 )
 
 // within returns r's deadline at the endpoint. Work ends with the lease if that
@@ -67,9 +69,10 @@
 // not only those for requests that may outlast the lease.
 func (d *Dispatcher) within(now time.Time, o *snapshot.Own, r *work.Request, usual time.Duration) time.Time {
 	t := bounded(now, r.Deadline, o.Longest)
-	least := onceLeaseFactor * usual
-	if r.Kind.Repeatable {
-		least = leaseFactor * usual
+	least := leaseFactor * usual
+	if !r.Kind.Repeatable {
+		kept := time.Duration(onceLeaseShare * float64(t.Sub(now)))
+		least = max(onceLeaseFactor*usual, kept)
 	}
 	u := d.Ledger(o.Endpoint.Name).Right().Until
 	if usual > 0 && t.After(u) && u.Sub(now) >= least {
