core/lookup: the last host that a look-up names is of another region

The last name is now one of another region, so that a caller who goes through the names reaches a live host.

--- a/core/lookup/route.go
+++ b/core/lookup/route.go
@@ -55,24 +55,39 @@
 	return uint32(uint64(random) * uint64(n) >> bits)
 }
 
-// others fills in hosts other than h, as far as there are any, of the route's
-// region first. The random number says which is the first, so that the callers
-// of a host that has failed do not all turn to the same one.
+// others fills in hosts other than h: one of the route's region, then hosts of
+// other regions, since a whole region may be lost. The random number says which
+// is the first, so that the callers of a host that has failed do not all turn to
+// the same one.
 func (d *draw) others(random uint32, h *store.Host, fill []*store.Host) {
-	i := int(scale(random, uint32(max(1, d.regional))))
-	for range d.backups {
-		if len(fill) == 0 {
-			return
+	near, far := d.backups[:d.regional], d.backups[d.regional:]
+	regional := 1
+	if len(far) == 0 {
+		regional = len(fill)
+	}
+	n := take(near, random, h, fill[:regional])
+	take(far, random, h, fill[n:])
+}
+
+// take fills in hosts other than h, from a random one on, and returns how many
+// there were.
+func take(hosts []*store.Host, random uint32, h *store.Host, fill []*store.Host) int {
+	n := 0
+	i := int(scale(random, uint32(len(hosts))))
+	for range hosts {
+		if n == len(fill) {
+			break
 		}
-		if b := d.backups[i]; b != h {
-			fill[0] = b
-			fill = fill[1:]
+		if hosts[i] != h {
+			fill[n] = hosts[i]
+			n++
 		}
 		i++
-		if i == len(d.backups) {
+		if i == len(hosts) {
 			i = 0
 		}
 	}
+	return n
 }
 
 // newRoute returns the route of a zone's callers.
--- a/core/lookup/table_test.go
+++ b/core/lookup/table_test.go
@@ -145,6 +145,19 @@
 	c.Assert(stranger.Host.Name, qt.Equals, "h0")
 }
 
+// TestLookupNamesAnotherRegion has three hosts in each zone: of those that a
+// look-up names, two are of the caller's region, and the last is not.
+func TestLookupNamesAnotherRegion(t *testing.T) {
+	c := qt.New(t)
+	x := New(fleet(12))
+	for range 1000 {
+		d, _ := x.Decide("look", callerOf(2))
+		c.Assert(d.Others[0].Region, qt.Equals, "r1")
+		c.Assert(d.Others[0], qt.Not(qt.Equals), d.Host)
+		c.Assert(d.Others[1].Region, qt.Equals, "r0")
+	}
+}
+
 func TestLookupOfAnUpstreamWithoutOwners(t *testing.T) {
 	c := qt.New(t)
 	o := options(nil)
