--- a/sessions/oncelong_test.go
+++ b/sessions/oncelong_test.go
@@ -147,6 +147,7 @@
 			break
 		}
 		x.CloseIdleConnections()
+		<-time.After(pollInterval)
 	}
 	last := toldAnswer{
 		code: code.OutcomeUnknown,
