--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -52,7 +52,8 @@
 
 // Dispatcher carries requests. It is safe for concurrent use.
 type Dispatcher struct {
-	options Options
+	options  Options
+	refusals refusals
 	// racing are the goroutines of sendings. None is added once closed is true.
 	racing sync.WaitGroup
 	mu     sync.Mutex
@@ -63,6 +64,9 @@
 	budgets map[string]*budget.Budget
 	// ledgers holds a *quota.Ledger for every endpoint's name that was asked for.
 	ledgers sync.Map
+	// mute holds until when nothing is passed back to a host, by name, as a
+	// time.Time.
+	mute sync.Map
 }
 
 // New returns a dispatcher with the options.
--- a/core/dispatch/retry_test.go
+++ b/core/dispatch/retry_test.go
@@ -136,23 +136,15 @@
 	a, err := d.Do(context.Background(), newRequest(time.Now()))
 	c.Assert(err, qt.IsNil)
 	finish(c, a)
+	// Of two endpoints with free slots the first is taken.
 	silent = "e1"
-	for range 4 {
-		r := newRequest(time.Now())
-		r.Deadline = r.Deadline.Add(time.Minute)
-		d.budget("u").Succeed()
-		a, err := d.Do(context.Background(), r)
-		c.Assert(err, qt.IsNil)
-		finish(c, a)
-		select {
-		case n := <-cancelled:
-			c.Assert(n, qt.Equals, silent)
-			d.Close()
-			return
-		default:
-		}
-	}
-	c.Fatal("no request was hedged")
+	r := newRequest(time.Now())
+	r.Deadline = r.Deadline.Add(time.Minute)
+	a, err = d.Do(context.Background(), r)
+	c.Assert(err, qt.IsNil)
+	finish(c, a)
+	c.Assert(<-cancelled, qt.Equals, silent)
+	d.Close()
 }
 
 // withSpare makes the dispatcher's host one of two, of which the other has free
@@ -232,8 +224,8 @@
 	c.Assert(hops, qt.Equals, 1)
 }
 
-// TestSpreadWaitsHereIfNobodyTakesIt has the other host refuse: the request
-// waits for a slot of this one.
+// TestSpreadWaitsHereIfNobodyTakesIt has the other host refuse: it is not asked
+// again at once, and the request waits for a slot of this one.
 func TestSpreadWaitsHereIfNobodyTakesIt(t *testing.T) {
 	c := qt.New(t)
 	d := newDispatcher(time.Now, func(intent.Endpoint, *work.Request) (*work.Answer, error) {
@@ -257,5 +249,5 @@
 	a, err := d.Do(context.Background(), newRequest(time.Now()))
 	c.Assert(err, qt.IsNil)
 	c.Assert(a.Host, qt.Equals, "h1")
-	c.Assert(hops > 0, qt.IsTrue)
+	c.Assert(hops, qt.Equals, 1)
 }
--- a/core/dispatch/route.go
+++ b/core/dispatch/route.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"heatherford/core/admission"
 	"heatherford/core/code"
@@ -10,10 +11,6 @@
 	"heatherford/core/work"
 )
 
-// maxHops is the number of hosts that are asked for a free slot, one after the
-// other, before a request waits for one. None of them passes it on.
-const maxHops = 2
-
 // route sends r to an endpoint of this host if a slot is free, else over one
 // hop to a host that has one, else to where it waits for one.
 func (d *Dispatcher) route(ctx context.Context, r *work.Request) (*work.Answer, error) {
@@ -51,16 +48,26 @@
 // region, if there is one.
 func (d *Dispatcher) passBack(ctx context.Context, s *snapshot.Snapshot, r *work.Request, err error) (*work.Answer, error) {
 	h := s.Table.Near(r.Kind.Name, r.Caller)
-	if h == nil || h.Name == d.options.Self {
+	if h == nil || h.Name == d.options.Self || !d.answers(h.Name) {
 		return nil, err
 	}
 	a, hopErr := d.carry(ctx, *h, r)
 	if refused(hopErr) {
+		d.mute.Store(h.Name, d.options.Now().Add(muteTime))
 		return nil, err
 	}
 	return a, hopErr
 }
 
+// muteTime is how long nothing is passed back to a host that took no part of
+// what was. A region may be lost, and refusals are to be quick.
+const muteTime = 2 * time.Second
+
+func (d *Dispatcher) answers(host string) bool {
+	t, ok := d.mute.Load(host)
+	return !ok || !d.options.Now().Before(t.(time.Time))
+}
+
 func (d *Dispatcher) ask(s *snapshot.Snapshot, r *work.Request) admission.Ask {
 	return admission.Ask{
 		Rank:     r.Rank,
@@ -79,6 +86,8 @@
 	case !owns:
 		return nil, code.New(code.HopRefused, "dispatch: this host owns no endpoint of %q", r.Kind.Upstream)
 	case r.Immediate:
+		// Caps remember what they kept out.
+		d.capped(s, r)
 		return nil, code.New(code.HopRefused, "dispatch: no slot is free")
 	default:
 		return d.wait(ctx, s, r)
@@ -98,31 +107,6 @@
 	return d.send(ctx, p, r)
 }
 
-// hopToSpare passes r on to a host that is thought to have a free slot. It
-// returns an error of HopRefused if there is none.
-func (d *Dispatcher) hopToSpare(ctx context.Context, s *snapshot.Snapshot, r *work.Request) (*work.Answer, error) {
-	r.Immediate = true
-	defer func() {
-		r.Immediate = false
-	}()
-	before := (*store.Host)(nil)
-	for range maxHops {
-		h := s.Table.Spare(r.Kind.Name)
-		if h == nil {
-			break
-		}
-		if h == before {
-			continue
-		}
-		before = h
-		a, err := d.carry(ctx, *h, r)
-		if !refused(err) {
-			return a, err
-		}
-	}
-	return nil, code.New(code.HopRefused, "dispatch: no host has a free slot for %q", r.Kind.Upstream)
-}
-
 // passOn passes r on to an owner, where it may wait.
 func (d *Dispatcher) passOn(ctx context.Context, s *snapshot.Snapshot, r *work.Request) (*work.Answer, error) {
 	l, ok := s.Table.Decide(r.Kind.Name, r.Caller)
