--- a/core/report/html.go
+++ b/core/report/html.go
@@ -24,6 +24,8 @@
 	Columns []string
 	Rows    [][]pageCell
 	Empty   string
+	Summary string
+	More    string
 	Charts  []pageChart
 }
 
@@ -63,6 +65,8 @@
 		Title:   s.title,
 		Columns: s.columns,
 		Empty:   s.empty,
+		Summary: s.summary,
+		More:    s.more,
 	}
 	for _, row := range s.rows {
 		cells := []pageCell{}
--- a/core/report/report_test.go
+++ b/core/report/report_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"encoding/xml"
 	"errors"
+	"fmt"
 	"io"
 	"os"
 	"path/filepath"
@@ -193,3 +194,34 @@
 	c.Assert(r.Regions[0].Headroom, qt.Equals, 0)
 	c.Assert(r.Verdict, qt.Equals, report.WentWell)
 }
+
+// TestReportOfManyChanges keeps the page short on a day of the plan's 1,500
+// changes: their number, the median and the slowest ones are shown.
+func TestReportOfManyChanges(t *testing.T) {
+	c := qt.New(t)
+	d := newDay()
+	d.start("h1", "a")
+	d.start("h2", "b")
+	const changes, one = 1500, 700
+	d.run(2 * time.Minute)
+	for n := 1; n <= changes; n++ {
+		v := fmt.Sprint(n)
+		d.event("h1", timeline.KindConfig, timeline.PhaseBegun, v, "version confirmed")
+		d.event("h2", timeline.KindConfig, timeline.PhaseEnded, v, "version in force")
+		d.now = d.now.Add(time.Duration(n) * time.Millisecond)
+		d.event("h1", timeline.KindConfig, timeline.PhaseEnded, v, "version in force")
+		d.now = d.now.Add(20 * time.Second)
+		d.write("h1")
+		d.write("h2")
+	}
+	r := d.report()
+	c.Assert(r.Changes, qt.HasLen, changes)
+	took, ok := r.Changes[one-1].Took()
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(took, qt.Equals, one*time.Millisecond)
+	b := &bytes.Buffer{}
+	c.Assert(report.Text(b, r), qt.IsNil)
+	c.Assert(b.String(), qt.Contains, "1500 changes; until everywhere: median 751ms, longest 1.5s.")
+	c.Assert(b.String(), qt.Contains, "  And 1450 more, which the JSON file has.")
+	c.Assert(strings.Count(b.String(), "\n") < 120, qt.IsTrue)
+}
--- a/core/report/section.go
+++ b/core/report/section.go
@@ -1,7 +1,9 @@
 package report
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -14,11 +16,29 @@
 	rows    [][]string
 	// empty stands in place of the rows if there are none.
 	empty string
+	// summary stands before the rows, or is empty.
+	summary string
+	// more says how many rows are left out, or is empty.
+	more string
 	// charts follow the rows in HTML.
 	charts []chart
 }
 
+// maxRows bounds the rows of a section.
+const maxRows = 50
+
 func (r *Report) sections() []section {
+	s := r.allSections()
+	for i := range s {
+		if n := len(s[i].rows) - maxRows; n > 0 {
+			s[i].rows = s[i].rows[:maxRows]
+			s[i].more = fmt.Sprintf("And %d more, which the JSON file has.", n)
+		}
+	}
+	return s
+}
+
+func (r *Report) allSections() []section {
 	return []section{
 		r.rankSection(),
 		r.kindSection(),
@@ -130,8 +150,9 @@
 		title:   "Changes of the configuration",
 		columns: []string{"version", "confirmed", "hosts", "until everywhere", "missing at"},
 		empty:   "No change was confirmed.",
+		summary: r.changeSummary(),
 	}
-	for _, c := range r.Changes {
+	for _, c := range slowestFirst(r.Changes) {
 		took := "not known"
 		if d, ok := c.Took(); ok {
 			took = durationText(d)
@@ -147,6 +168,43 @@
 	return s
 }
 
+// slowestFirst orders changes that are not in force everywhere before those that
+// are, the slowest first.
+func slowestFirst(changes []Change) []Change {
+	s := slices.Clone(changes)
+	slices.SortStableFunc(s, func(a, b Change) int {
+		x, known := a.Took()
+		y, alsoKnown := b.Took()
+		switch {
+		case known && alsoKnown:
+			return cmp.Compare(y, x)
+		case alsoKnown:
+			return -1
+		case known:
+			return 1
+		default:
+			return 0
+		}
+	})
+	return s
+}
+
+// changeSummary says how long changes took, or nothing of fewer than two.
+func (r *Report) changeSummary() string {
+	took := []time.Duration{}
+	for _, c := range r.Changes {
+		if d, ok := c.Took(); ok {
+			took = append(took, d)
+		}
+	}
+	if len(took) < 2 {
+		return ""
+	}
+	slices.Sort(took)
+	return fmt.Sprintf("%d changes; until everywhere: median %s, longest %s.",
+		len(r.Changes), durationText(took[len(took)/2]), durationText(took[len(took)-1]))
+}
+
 func (r *Report) spanSection(title, empty string, spans []Span) section {
 	s := section{
 		title:   title,
--- a/core/report/text.go
+++ b/core/report/text.go
@@ -21,9 +21,11 @@
 			fmt.Fprintf(b, "  %s\n", s.empty)
 			continue
 		}
+		textLine(b, s.summary)
 		if err := textTable(b, s); err != nil {
 			return err
 		}
+		textLine(b, s.more)
 	}
 	_, err := io.WriteString(w, b.String())
 	return err
@@ -35,6 +37,12 @@
 		r.Day, r.TimeZone, r.Hosts, r.MadeAt.In(r.location).Format(time.DateTime))
 }
 
+func textLine(w io.Writer, s string) {
+	if s != "" {
+		fmt.Fprintf(w, "  %s\n", s)
+	}
+}
+
 func textList(w io.Writer, title string, s []string) {
 	if len(s) == 0 {
 		return
