--- a/core/report/report_test.go
+++ b/core/report/report_test.go
@@ -211,9 +211,9 @@
 		d.now = d.now.Add(time.Duration(n) * time.Millisecond)
 		d.event("h1", timeline.KindConfig, timeline.PhaseEnded, v, "version in force")
 		d.now = d.now.Add(20 * time.Second)
-		d.write("h1")
-		d.write("h2")
 	}
+	d.write("h1")
+	d.write("h2")
 	r := d.report()
 	c.Assert(r.Changes, qt.HasLen, changes)
 	took, ok := r.Changes[one-1].Took()
