core/report: a host's planned stop once, and "no end seen" where there is none

The page of the demo showed each planned stop as a stop and as a drain whose end nobody was left to see, and said "not known" of a shift that goes on.

--- a/core/report/coverage.go
+++ b/core/report/coverage.go
@@ -98,9 +98,20 @@
 		return x.At.Compare(y.At)
 	})
 	b.report.Failures = slices.DeleteFunc(b.report.Failures, b.planned)
+	b.report.Drains = withoutStops(b.report.Drains)
 	b.tellGaps()
 }
 
+// withoutStops leaves out the drains of hosts that are a part of their planned
+// stops, which stand among the drains by themselves.
+func withoutStops(drains []Span) []Span {
+	return slices.DeleteFunc(slices.Clone(drains), func(s Span) bool {
+		return s.Kind == timeline.KindDrain && slices.ContainsFunc(drains, func(x Span) bool {
+			return x.Kind == timeline.KindStop && x.Subject == s.Subject && s.begin().Sub(x.begin()).Abs() < stopLag
+		})
+	})
+}
+
 // planned reports whether the others only saw the end of a host's planned stop.
 func (b *builder) planned(s Span) bool {
 	return s.Kind == timeline.KindMember && slices.ContainsFunc(b.report.Stops, func(x Stop) bool {
--- a/core/report/day_test.go
+++ b/core/report/day_test.go
@@ -240,6 +240,10 @@
 	d.run(4 * time.Hour)
 	d.event("h3", timeline.KindShift, timeline.PhaseEnded, "monday", "the share has reached 0.5")
 	d.event("h3", timeline.KindDrain, timeline.PhaseFailed, "desk-2", "the deadline came with 1 request in flight")
+	d.event("h3", timeline.KindStop, timeline.PhaseBegun, "h3", "planned stop begun")
+	d.event("h3", timeline.KindDrain, timeline.PhaseBegun, "h3", "host is leaving by host leaving")
+	d.now = d.now.Add(2 * time.Second)
+	d.event("h3", timeline.KindStop, timeline.PhaseEnded, "h3", "no request is in flight any more")
 	d.stop("h3", "h1")
 	d.event("h1", timeline.KindMember, timeline.PhaseFailed, "h3", "is dead")
 	d.listed = []string{"h1"}
--- a/core/report/section.go
+++ b/core/report/section.go
@@ -223,7 +223,7 @@
 		s.rows = append(s.rows, []string{
 			spanName(x),
 			r.clock(x.Begun),
-			r.clock(x.Ended),
+			r.endCell(x),
 			took,
 			hosts(x.Hosts),
 			result,
@@ -232,6 +232,14 @@
 	return s
 }
 
+// endCell says when x ended, or that no host saw an end of what began.
+func (r *Report) endCell(x Span) string {
+	if x.Ended.IsZero() && !x.Begun.IsZero() {
+		return "no end seen"
+	}
+	return r.clock(x.Ended)
+}
+
 func (r *Report) stopSection() section {
 	s := section{
 		title:   "Planned stops of hosts",
