--- /dev/null
+++ b/cmd/heatherford-edge/cgo.go
@@ -0,0 +1,4 @@
+package main
+
+// #include <stdlib.h>
+import "C"
--- /dev/null
+++ b/cmd/heatherford-edge/daemon.go
@@ -0,0 +1,167 @@
+package main
+
+import (
+	"context"
+	"os"
+	"time"
+
+	"gopkg.in/tomb.v2"
+
+	"heatherford/core/edge"
+	"heatherford/io/endpoint"
+	"heatherford/io/host"
+	"heatherford/io/ingress"
+	"heatherford/io/stdout"
+	"heatherford/platform"
+)
+
+const (
+	// linesPerSecond bounds the log lines a second of each kind.
+	linesPerSecond = 50
+	// stayOpen is how long a stopping host still takes requests: callers keep
+	// look-ups for a while.
+	stayOpen = 2500 * time.Millisecond
+	// stopMargin is kept between the end of the last request and the kill.
+	stopMargin = 400 * time.Millisecond
+	// lastLines is how long the last log lines may take.
+	lastLines = 100 * time.Millisecond
+	// settingsInterval is how often the settings file is looked at for changes
+	// that no signal tells.
+	settingsInterval = time.Second
+)
+
+// daemon is the running parts of the program.
+type daemon struct {
+	settings *platform.Settings
+	path     string
+	log      *stdout.Logger
+	edge     *edge.Edge
+	sender   *endpoint.Sender
+	store    *platform.Store
+	ingress  *ingress.Ingress
+	tomb     tomb.Tomb
+	// content is the settings file's content that was read last.
+	content string
+}
+
+func start(s *platform.Settings, path string) (*daemon, error) {
+	d := &daemon{
+		settings: s,
+		path:     path,
+		sender:   endpoint.New(platform.EndpointHeaders()),
+		store:    platform.NewStore(s.Store),
+	}
+	d.log = stdout.New(stdout.Options{
+		Writer:  os.Stdout,
+		Host:    s.Host,
+		Default: linesPerSecond,
+	})
+	d.store.Log = d.log.Log
+	link, err := host.Listen(host.Options{
+		Address: s.Peers,
+		Hear:    d.hear,
+		Book:    d.book,
+		Log:     d.log.Log,
+	})
+	if err != nil {
+		return nil, err
+	}
+	d.edge = edge.New(edge.Options{
+		Self:  s.Member(time.Now()),
+		Zones: s.Zones,
+		Seams: edge.Seams{
+			Read:      d.store.Read,
+			Forgotten: d.store.Forgotten,
+			Join:      d.store.Join,
+			Tell:      link.Tell,
+			Fetch:     link.Fetch,
+			Send:      d.sender.Send,
+		},
+		Repeats: s.Repeats,
+		Log:     d.log.Log,
+		Observe: d.observe,
+	})
+	d.edge.Start()
+	if err := link.Start(&d.tomb); err != nil {
+		return nil, err
+	}
+	d.ingress, err = ingress.Start(ingress.Options{
+		Edge:       d.edge,
+		Headers:    platform.CallerHeaders(),
+		Lookups:    platform.Lookups(s.LookupTTL),
+		ReadyPath:  platform.ReadyPath,
+		LookupPath: platform.LookupPath,
+		Callers:    s.Callers,
+		Ready:      s.Ready,
+		Directory:  s.Directory,
+	}, &d.tomb)
+	if err != nil {
+		return nil, err
+	}
+	d.log.Log("start", "zone", s.Zone, "region", s.Region, "callers", s.Callers, "peers", s.Peers)
+	return d, nil
+}
+
+// wait runs until a signal to stop or the end of a part, and returns the exit
+// code.
+func (d *daemon) wait(signals, reloads <-chan os.Signal) int {
+	t := time.NewTicker(settingsInterval)
+	defer t.Stop()
+	d.changed()
+	for {
+		select {
+		case <-reloads:
+			d.reload("signal")
+		case <-t.C:
+			if d.changed() {
+				d.reload("file")
+			}
+		case <-signals:
+			return d.stop()
+		case <-d.tomb.Dying():
+			d.log.Log("stop", "outcome", "failed", "err", d.tomb.Err())
+			d.log.Close(lastLines)
+			return exitFailed
+		}
+	}
+}
+
+// changed reports whether the settings file has another content than before.
+func (d *daemon) changed() bool {
+	b, err := os.ReadFile(d.path)
+	if err != nil {
+		// A file that is being replaced is looked at again.
+		return false
+	}
+	c := string(b) != d.content
+	d.content = string(b)
+	return c
+}
+
+// reload takes in the settings that can change while the host runs: those of the
+// stop. All others need a restart.
+func (d *daemon) reload(why string) {
+	s, err := platform.Load(d.path)
+	if err != nil {
+		d.log.Log("reload", "by", why, "outcome", "kept", "err", err)
+		return
+	}
+	d.settings.Grace = s.Grace
+	d.log.Log("reload", "by", why, "outcome", "taken", "grace", s.Grace)
+}
+
+// stop ends the host without harm to requests: it is named in look-ups no more,
+// asks callers to leave, and ends after the last request.
+func (d *daemon) stop() int {
+	began := time.Now()
+	d.log.Log("stop", "outcome", "begun", "grace", d.settings.Grace)
+	d.edge.Leave()
+	d.ingress.Leave()
+	time.Sleep(min(stayOpen, d.settings.Grace/2))
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(d.settings.Grace-stopMargin))
+	defer cancel()
+	err := d.ingress.Stop(ctx)
+	d.log.Log("stop", "outcome", "ended", "took", time.Since(began), "err", err)
+	d.log.Close(lastLines)
+	return exitOK
+}
--- /dev/null
+++ b/cmd/heatherford-edge/main.go
@@ -0,0 +1,56 @@
+// Heatherford-edge runs on every host of a platform on which endpoints register
+// themselves. It takes callers' requests, chooses endpoints for them and answers
+// look-ups.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"heatherford/core/code"
+	"heatherford/platform"
+)
+
+// Exit codes; docs/CODES.md lists them.
+const (
+	exitOK       = 0
+	exitFailed   = 1
+	exitSettings = 2
+)
+
+// gcPercent trades processor time, of which there is plenty, for memory.
+const gcPercent = 50
+
+func main() {
+	path := flag.String("settings", os.Getenv(platform.EnvSettings), "`file` with the host's settings")
+	check := flag.Bool("check", false, "validate the settings and exit")
+	flag.Parse()
+	os.Exit(run(*path, *check))
+}
+
+func run(path string, check bool) int {
+	s, err := platform.Load(path)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitSettings
+	}
+	if check {
+		fmt.Println("settings are valid")
+		return exitOK
+	}
+	debug.SetGCPercent(gcPercent)
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
+	d, err := start(s, path)
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "heatherford-edge: cannot start: %s [%d]\n", code.Text(err), code.Of(err))
+		return exitFailed
+	}
+	return d.wait(signals, reloads)
+}
--- /dev/null
+++ b/cmd/heatherford-edge/observe.go
@@ -0,0 +1,27 @@
+package main
+
+import (
+	"context"
+
+	"heatherford/core/edge"
+	"heatherford/core/registry"
+)
+
+func (d *daemon) hear(t *edge.Tick) {
+	d.edge.Hear(t)
+}
+
+func (d *daemon) book(ctx context.Context, since [registry.Parts]uint64) (*edge.Book, error) {
+	return d.edge.Book(ctx, since)
+}
+
+// observe logs the end of a request.
+func (d *daemon) observe(o *edge.Observation) {
+	q, a := o.Request, o.Answer
+	name := ""
+	if o.Route != nil {
+		name = o.Route.Name
+	}
+	d.log.Log("request", "request", q.ID, "route", name, "status", a.Status, "code", int(a.Code), "endpoint", a.Endpoint,
+		"attempts", o.Attempts, "hedges", o.Hedges, "took", o.Ended.Sub(q.Arrived), "detail", a.Detail)
+}
--- /dev/null
+++ b/core/balance/tell.go
@@ -0,0 +1,106 @@
+package balance
+
+import "time"
+
+// pressWeight is what a request that found no room adds to the use of slots.
+const pressWeight = 0.6
+
+// Flights returns this host's requests at each endpoint that has any.
+func (b *Balancer) Flights() map[string]int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	m := map[string]int{}
+	for id, s := range b.seats {
+		if n := len(s.flights); n > 0 {
+			m[id] = n
+		}
+	}
+	return m
+}
+
+// Tell takes in what another host has at endpoints.
+func (b *Balancer) Tell(host string, loads map[string]int, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for id, s := range b.seats {
+		n := loads[id]
+		if n == 0 {
+			delete(s.peers, host)
+			continue
+		}
+		s.peers[host] = peerLoad{
+			count: n,
+			at:    now,
+		}
+	}
+}
+
+// Uses returns, for each upstream, the use of the slots of the own zone and how
+// many there are.
+func (b *Balancer) Uses(now time.Time) map[string]Use {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	m := map[string]Use{}
+	for n, p := range b.pools {
+		u := Use{}
+		for _, s := range p.seats[SameZone] {
+			u.Slots += s.Slots
+			u.Used += float64(s.load(now))
+		}
+		u.Used += pressWeight * p.pressed * float64(u.Slots)
+		m[n] = u
+	}
+	return m
+}
+
+// Use is how much of some slots is used.
+type Use struct {
+	Slots int     `json:"slots"`
+	Used  float64 `json:"used"`
+}
+
+// Add returns the sum of two uses.
+func (u Use) Add(o Use) Use {
+	return Use{
+		Slots: u.Slots + o.Slots,
+		Used:  u.Used + o.Used,
+	}
+}
+
+// Share returns the used part, or -1 without slots.
+func (u Use) Share() float64 {
+	if u.Slots == 0 {
+		return -1
+	}
+	return u.Used / float64(u.Slots)
+}
+
+// Shares returns the shares in force.
+func (b *Balancer) Shares() map[string]Shares {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	m := map[string]Shares{}
+	for n, p := range b.pools {
+		m[n] = p.shares
+	}
+	return m
+}
+
+// SetShares puts shares in force.
+func (b *Balancer) SetShares(m map[string]Shares) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for n, s := range m {
+		p := b.pool(n)
+		p.shares = s
+		p.started = true
+	}
+}
+
+// Started reports whether shares of an upstream were set.
+func (b *Balancer) Started(upstream string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p := b.pools[upstream]
+	return p != nil && p.started
+}
--- a/core/dispatch/send.go
+++ b/core/dispatch/send.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"heatherford/core/admission"
+	"heatherford/core/quota"
 	"heatherford/core/timeline"
 	"heatherford/core/work"
 )
@@ -26,6 +27,9 @@
 	o := p.Own
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	r.MayRun = false
+	r.Resend = func() bool {
+		return d.resend(&p, r)
+	}
 	d.options.Record(timeline.Event{
 		Kind:    timeline.KindUpstream,
 		Request: r.ID,
@@ -50,6 +54,21 @@
 	return a, nil
 }
 
+// resend takes a second slot of the endpoint, while the permit's counts as used
+// until r's deadline. It reports false if none is free.
+func (d *Dispatcher) resend(p *admission.Permit, r *work.Request) bool {
+	now := d.options.Now()
+	l := d.Ledger(p.Own.Endpoint.Name)
+	f, refusal := l.Enter(now, d.counted(now, &p.Own, r, p.Usual))
+	if refusal != quota.Allowed {
+		return false
+	}
+	l.Linger(p.Flight)
+	p.Hold(r.Deadline)
+	p.Flight = f
+	return true
+}
+
 // release gives the permit's slot back, unless the endpoint may still be at work
 // on r: then the slot counts as used until r's deadline.
 func (d *Dispatcher) release(p admission.Permit, r *work.Request, x admission.Result) {
--- a/core/dispatch/send_test.go
+++ b/core/dispatch/send_test.go
@@ -169,6 +169,43 @@
 	c.Assert(d.Ledger(tried[0]).Drained(now.Add(time.Second)), qt.IsTrue)
 }
 
+// TestGrantLedgerOfASecondSending sends a request to one endpoint a second time, as
+// after a silent connection: both sendings count until the deadline, and without a
+// slot there is no second one.
+func TestGrantLedgerOfASecondSending(t *testing.T) {
+	c := qt.New(t)
+	now := time.Now()
+	allowed := []bool{}
+	d := newDispatcher(func() time.Time { return now }, func(_ intent.Endpoint, r *work.Request) (*work.Answer, error) {
+		allowed = append(allowed, r.Resend())
+		return &work.Answer{
+			Body: io.NopCloser(strings.NewReader("whole")),
+		}, nil
+	})
+	d.Ledger("e1").Set(quota.Right{
+		Full: quota.Limits{
+			Slots: 2,
+		},
+		Lasting: quota.Limits{
+			Slots: 2,
+		},
+		Smaller: quota.Limits{
+			Slots: 2,
+		},
+	})
+	for range 2 {
+		a, err := d.Do(context.Background(), newRequest(now))
+		c.Assert(err, qt.IsNil)
+		_, err = io.ReadAll(a.Body)
+		c.Assert(err, qt.IsNil)
+		c.Assert(a.Body.Close(), qt.IsNil)
+	}
+	// The second request finds e1 with its one slot in use, and e2 with one slot.
+	c.Assert(allowed, qt.DeepEquals, []bool{true, false})
+	c.Assert(d.Ledger("e1").InFlight(), qt.Equals, 1)
+	c.Assert(d.Ledger("e1").Drained(now.Add(time.Second)), qt.IsTrue)
+}
+
 // TestCapReached checks that work over a link without room is refused at once as
 // not run, and that other work is not.
 func TestCapReached(t *testing.T) {
--- /dev/null
+++ b/core/edge/control.go
@@ -0,0 +1,258 @@
+package edge
+
+import (
+	"context"
+	"time"
+
+	"heatherford/core/balance"
+	"heatherford/core/fleet"
+	"heatherford/core/registry"
+	"heatherford/core/route"
+)
+
+const (
+	// step is the interval of the control goroutine's regular work.
+	step = 50 * time.Millisecond
+	// nearInterval is the interval of ticks within a zone of up to nearHosts
+	// hosts; it grows with the hosts beyond, so that a host hears a bounded
+	// number of ticks.
+	nearInterval = 100 * time.Millisecond
+	nearHosts    = 8
+	// farInterval is the interval of a relay's ticks to other zones.
+	farInterval = 500 * time.Millisecond
+	// shareInterval is the interval at which a relay adjusts the shares.
+	shareInterval = 250 * time.Millisecond
+	// joinAgain is the pause before another try to join.
+	joinAgain = 500 * time.Millisecond
+	// joinTimeout and fetchTimeout bound calls.
+	joinTimeout  = 1500 * time.Millisecond
+	fetchTimeout = 600 * time.Millisecond
+	// transit is added to the age of what another host tells.
+	transit = 20 * time.Millisecond
+	// zoneAge is how long what a relay told of its zone's slots is used.
+	zoneAge = 3 * time.Second
+	// coldPart is the part of a cold endpoint's allowance that the hosts of its
+	// zone use together. The rest is for hosts that do not hear each other.
+	coldPart = 0.7
+	// pauseGap is a gap between two steps that shows that the host did not run.
+	pauseGap = time.Second
+)
+
+// control is the state of the control goroutine.
+type control struct {
+	edge     *Edge
+	registry *registry.Registry
+	fleet    *fleet.Fleet
+	readers  [registry.Parts]reader
+	// zones is what relays told of their zones.
+	zones map[string]zoneState
+	// joined is true once the platform lists this host.
+	joined   bool
+	joining  bool
+	joinNext time.Time
+	fetching bool
+
+	nearNext  time.Time
+	farNext   time.Time
+	shareNext time.Time
+	stepped   time.Time
+	// live is the view of the last step.
+	live []fleet.Member
+	// changes is the registry's count that the view holds.
+	changes uint64
+	table   *route.Table
+}
+
+type zoneState struct {
+	at   time.Time
+	live []string
+	uses map[string]balance.Use
+}
+
+// run is the control goroutine.
+func (e *Edge) run() error {
+	c := &control{
+		edge:     e,
+		registry: registry.New(),
+		fleet:    fleet.New(e.options.Self),
+		zones:    map[string]zoneState{},
+		changes:  1,
+	}
+	now := time.Now()
+	c.stepped = now
+	c.live = c.fleet.Live(now)
+	t := time.NewTicker(step)
+	defer t.Stop()
+	c.step(now)
+	for {
+		select {
+		case f := <-e.events:
+			f(c)
+		case <-t.C:
+			c.step(time.Now())
+		case <-e.tomb.Dying():
+			return nil
+		}
+	}
+}
+
+// step does the regular work.
+func (c *control) step(now time.Time) {
+	if now.Sub(c.stepped) > pauseGap {
+		c.edge.options.Log("pause", "gap", now.Sub(c.stepped))
+		c.registry.Doubt()
+	}
+	c.stepped = now
+	c.registry.Expire(now)
+	c.join(now)
+	c.watchFleet(now)
+	for p := range registry.Parts {
+		c.read(p, now)
+	}
+	if !now.Before(c.shareNext) {
+		c.shareNext = now.Add(shareInterval)
+		c.adjustShares(now)
+	}
+	c.publish(now)
+	if !now.Before(c.nearNext) {
+		c.tellNear(now)
+	}
+	if !now.Before(c.farNext) && c.relay() {
+		c.tellFar(now)
+	}
+}
+
+// join enters the host into the platform's list, once.
+func (c *control) join(now time.Time) {
+	if c.joined || c.joining || now.Before(c.joinNext) {
+		return
+	}
+	c.joining = true
+	self := c.fleet.Self()
+	c.edge.tomb.Go(func() error {
+		ctx, cancel := context.WithTimeout(c.edge.tomb.Context(nil), joinTimeout)
+		defer cancel()
+		s, err := c.edge.options.Seams.Join(ctx, self)
+		c.edge.post(func(c *control) {
+			c.joining = false
+			c.joinNext = time.Now().Add(joinAgain)
+			if err != nil {
+				c.edge.options.Log("join", "outcome", "failed", "err", err)
+				return
+			}
+			c.joined = true
+			c.fleet.List(s, time.Now())
+			c.edge.options.Log("join", "outcome", "joined", "hosts", len(s))
+		})
+		return nil
+	})
+}
+
+// watchFleet notes hosts that come and go.
+func (c *control) watchFleet(now time.Time) {
+	live := c.fleet.Live(now)
+	before := map[string]fleet.Member{}
+	for _, m := range c.live {
+		before[m.Name] = m
+	}
+	changed := len(live) != len(c.live)
+	for _, m := range live {
+		o, ok := before[m.Name]
+		if !ok || o.Leaving != m.Leaving || !o.Started.Equal(m.Started) {
+			changed = true
+			c.edge.options.Log("host", "name", m.Name, "zone", m.Zone, "state", stateOf(m))
+		}
+		delete(before, m.Name)
+	}
+	for n, m := range before {
+		c.edge.options.Log("host", "name", n, "zone", m.Zone, "state", "silent")
+	}
+	c.live = live
+	if changed {
+		c.changes = 0
+	}
+}
+
+func stateOf(m fleet.Member) string {
+	if m.Leaving {
+		return "leaving"
+	}
+	return "live"
+}
+
+// publish puts a new view in force.
+func (c *control) publish(now time.Time) {
+	if c.changes != c.registry.Changes()+1 {
+		c.changes = c.registry.Changes() + 1
+		c.setEndpoints(now)
+	}
+	v := &View{
+		Table:   c.table,
+		Listed:  c.registry.Version(registry.Endpoints) > 0,
+		Live:    c.live,
+		Leaving: c.fleet.Self().Leaving,
+	}
+	for p := range registry.Parts {
+		v.Current[p] = c.registry.Current(p)
+	}
+	c.edge.view.Store(v)
+}
+
+// setEndpoints hands the declaration and the endpoints to traffic.
+func (c *control) setEndpoints(now time.Time) {
+	d := c.registry.Declaration()
+	if d == nil {
+		return
+	}
+	if c.table == nil || c.table.Declaration.Version != d.Version {
+		c.table = route.NewTable(d)
+		c.edge.options.Log("declaration", "version", d.Version, "routes", len(d.Routes),
+			"age", now.Sub(c.registry.Current(registry.Orders)))
+	}
+	limits := map[string]balance.Limits{}
+	for n, u := range d.Upstreams {
+		limits[n] = balance.Limits{
+			Connections: u.Connections,
+			ColdRate:    u.ColdRate,
+		}
+	}
+	s := c.registry.Usable()
+	c.edge.balancer.Set(s, limits, c.coldPart)
+	c.startShares(s)
+	c.edge.options.Log("endpoints", "usable", len(s), "version", c.registry.Version(registry.Endpoints))
+}
+
+// coldPart returns the part of a cold endpoint's allowance that this host may
+// use: the hosts of its zone share it, or those of its region if it has none.
+func (c *control) coldPart(zone string) float64 {
+	self := c.fleet.Self()
+	if zone == self.Zone {
+		return coldPart / float64(max(1, len(fleet.Zone(c.live, zone))))
+	}
+	if len(fleet.Zone(c.live, zone)) > 0 || c.edge.options.Zones[zone] != self.Region {
+		return 0
+	}
+	n := 0
+	for _, m := range c.live {
+		if m.Region == self.Region {
+			n++
+		}
+	}
+	return coldPart / float64(max(1, n))
+}
+
+// leave marks the host as leaving and tells the others at once.
+func (c *control) leave() {
+	c.fleet.Leave()
+	now := time.Now()
+	c.watchFleet(now)
+	c.publish(now)
+	c.tellNear(now)
+	c.tellFar(now)
+}
+
+// relay reports whether this host tells other zones of its own.
+func (c *control) relay() bool {
+	z := fleet.Zone(c.live, c.fleet.Self().Zone)
+	return len(z) > 0 && z[0].Name == c.fleet.Self().Name
+}
--- /dev/null
+++ b/core/edge/exchange.go
@@ -0,0 +1,275 @@
+package edge
+
+import (
+	"context"
+	"time"
+
+	"heatherford/core/balance"
+	"heatherford/core/fleet"
+	"heatherford/core/registry"
+)
+
+// tellNear sends a tick to the hosts of the own zone.
+func (c *control) tellNear(now time.Time) {
+	hosts := c.fleet.NearTargets()
+	c.nearNext = now.Add(nearInterval * time.Duration(max(1, len(hosts)/nearHosts)))
+	t := c.tick(now)
+	t.Flights = c.edge.balancer.Flights()
+	if c.relay() {
+		t.Shares = c.edge.balancer.Shares()
+		for z, s := range c.zones {
+			t.Zones = append(t.Zones, ZoneNews{
+				Zone: z,
+				Live: s.live,
+				Age:  now.Sub(s.at),
+			})
+		}
+	}
+	c.edge.options.Seams.Tell(hosts, t)
+}
+
+// tellFar sends a tick to the relays of the other zones.
+func (c *control) tellFar(now time.Time) {
+	c.farNext = now.Add(farInterval)
+	t := c.tick(now)
+	if c.relay() {
+		t.Zones = []ZoneNews{c.ownZone(now)}
+	}
+	c.edge.options.Seams.Tell(c.fleet.FarTargets(c.live), t)
+}
+
+func (c *control) ownZone(now time.Time) ZoneNews {
+	z := c.fleet.Self().Zone
+	n := ZoneNews{
+		Zone: z,
+		Uses: c.edge.balancer.Uses(now),
+	}
+	for _, m := range fleet.Zone(c.live, z) {
+		if !m.Leaving {
+			n.Live = append(n.Live, m.Name)
+		}
+	}
+	return n
+}
+
+func (c *control) tick(now time.Time) *Tick {
+	t := &Tick{
+		From: c.fleet.Self(),
+	}
+	for p := range registry.Parts {
+		t.News[p] = News{
+			Version: c.registry.Version(p),
+			Changed: c.registry.Changed(p),
+			Age:     ageOf(c.registry.Current(p), now),
+			Reader:  c.readers[p].source,
+		}
+	}
+	return t
+}
+
+// ageOf returns the age of a time, or -1 if it is zero.
+func ageOf(t, now time.Time) time.Duration {
+	if t.IsZero() {
+		return -1
+	}
+	return now.Sub(t)
+}
+
+// hear takes in a tick that arrived at the time.
+func (c *control) hear(t *Tick, now time.Time) {
+	c.fleet.Hear(t.From, now)
+	behind := false
+	for p := range registry.Parts {
+		behind = c.hearNews(p, &t.News[p], now) || behind
+	}
+	unknown := c.hearZones(t, now)
+	if t.From.Zone == c.fleet.Self().Zone {
+		c.edge.balancer.Tell(t.From.Name, t.Flights, now)
+		if len(t.Shares) > 0 && !c.relay() {
+			c.edge.balancer.SetShares(t.Shares)
+		}
+	}
+	if behind || unknown {
+		c.fetch(t.From)
+	}
+}
+
+// hearNews reports whether the other host knows something of a part that this
+// one does not.
+func (c *control) hearNews(p registry.Part, n *News, now time.Time) bool {
+	c.yield(p, n)
+	if n.Age < 0 || n.Version < c.registry.Version(p) {
+		return false
+	}
+	current := now.Add(-n.Age - transit)
+	newer := current.After(c.registry.Current(p))
+	if !c.registry.Confirm(p, n.Version, n.Changed, current) {
+		return true
+	}
+	if newer {
+		c.readers[p].source = n.Reader
+	}
+	return false
+}
+
+// hearZones takes in what a relay says of zones and reports whether it names a
+// host that this one does not know.
+func (c *control) hearZones(t *Tick, now time.Time) bool {
+	unknown := false
+	for i := range t.Zones {
+		z := &t.Zones[i]
+		at := now.Add(-z.Age)
+		if z.Zone == c.fleet.Self().Zone {
+			continue
+		}
+		if n := c.fleet.Tell(z.Zone, z.Live, at); n != "" {
+			unknown = true
+		}
+		if o := c.zones[z.Zone]; at.After(o.at) {
+			if z.Uses == nil {
+				z.Uses = o.uses
+			}
+			c.zones[z.Zone] = zoneState{
+				at:   at,
+				live: z.Live,
+				uses: z.Uses,
+			}
+		}
+	}
+	return unknown
+}
+
+// fetch asks another host for what this one lacks.
+func (c *control) fetch(m fleet.Member) {
+	if c.fetching {
+		return
+	}
+	c.fetching = true
+	since := [registry.Parts]uint64{}
+	for p := range registry.Parts {
+		since[p] = c.registry.Version(p)
+	}
+	c.edge.tomb.Go(func() error {
+		ctx, cancel := context.WithTimeout(c.edge.tomb.Context(nil), fetchTimeout)
+		defer cancel()
+		b, err := c.edge.options.Seams.Fetch(ctx, m, since)
+		c.edge.post(func(c *control) {
+			c.fetching = false
+			if err != nil {
+				c.edge.options.Log("fetch", "from", m.Name, "outcome", "failed", "err", err)
+				return
+			}
+			c.learn(b, time.Now())
+		})
+		return nil
+	})
+}
+
+// learn takes in what another host knew.
+func (c *control) learn(b *Book, now time.Time) {
+	c.fleet.List(b.Members, now)
+	changed := false
+	for _, u := range b.Updates {
+		p := u.Part
+		if p < 0 || p >= registry.Parts || u.Version < c.registry.Version(p) {
+			continue
+		}
+		current := time.Time{}
+		if b.Ages[p] >= 0 {
+			current = now.Add(-b.Ages[p] - transit)
+		}
+		if current.After(c.registry.Current(p)) {
+			c.readers[p].source = b.Readers[p]
+		}
+		changed = c.registry.Apply(u, current, now) || changed
+	}
+	c.publish(now)
+	if changed {
+		c.tellNear(now)
+	}
+}
+
+// book returns what this host knows beyond the versions.
+func (c *control) book(since [registry.Parts]uint64, now time.Time) *Book {
+	b := &Book{
+		Members: c.fleet.Known(),
+	}
+	for p := range registry.Parts {
+		b.Ages[p] = ageOf(c.registry.Current(p), now)
+		b.Readers[p] = c.readers[p].source
+		if c.registry.Version(p) > 0 {
+			b.Updates = append(b.Updates, c.registry.Since(p, since[p], now))
+		}
+	}
+	return b
+}
+
+// startShares sets the shares of upstreams that are new.
+func (c *control) startShares(s []registry.Endpoint) {
+	zones, region := c.places()
+	slots := map[string][3]float64{}
+	for _, e := range s {
+		x := slots[e.Upstream]
+		x[2] += float64(e.Slots)
+		if c.edge.options.Zones[e.Zone] == c.fleet.Self().Region {
+			x[1] += float64(e.Slots)
+		}
+		if e.Zone == c.fleet.Self().Zone {
+			x[0] += float64(e.Slots)
+		}
+		slots[e.Upstream] = x
+	}
+	m := map[string]balance.Shares{}
+	for n, x := range slots {
+		if !c.edge.balancer.Started(n) {
+			m[n] = balance.StartShares(x[0], x[1], x[2], zones, region)
+		}
+	}
+	c.edge.balancer.SetShares(m)
+}
+
+// places returns the number of zones, and of those of the own region.
+func (c *control) places() (zones, region int) {
+	for _, r := range c.edge.options.Zones {
+		zones++
+		if r == c.fleet.Self().Region {
+			region++
+		}
+	}
+	return zones, region
+}
+
+// adjustShares moves the shares of the zone by the uses of slots, if this host
+// is its relay.
+func (c *control) adjustShares(now time.Time) {
+	if !c.relay() {
+		return
+	}
+	m := c.edge.balancer.Shares()
+	for n, u := range c.edge.balancer.Uses(now) {
+		region, far := c.elsewhere(n, now)
+		m[n] = m[n].Step(balance.Uses{
+			Zone:   u.Share(),
+			Region: region.Share(),
+			Far:    far.Share(),
+		}, shareInterval)
+	}
+	c.edge.balancer.SetShares(m)
+}
+
+// elsewhere returns the uses of an upstream's slots in the other zones of the
+// region, and in the other regions.
+func (c *control) elsewhere(upstream string, now time.Time) (region, far balance.Use) {
+	for z, s := range c.zones {
+		if now.Sub(s.at) > zoneAge {
+			continue
+		}
+		u := s.uses[upstream]
+		if c.edge.options.Zones[z] == c.fleet.Self().Region {
+			region = region.Add(u)
+		} else {
+			far = far.Add(u)
+		}
+	}
+	return region, far
+}
--- /dev/null
+++ b/core/edge/serve.go
@@ -0,0 +1,467 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"heatherford/core/balance"
+	"heatherford/core/budget"
+	"heatherford/core/code"
+	"heatherford/core/route"
+)
+
+const (
+	// maxUnreached bounds the endpoints that are tried in vain for a request,
+	// beside its attempts.
+	maxUnreached = 4
+	// hedgeFactor is how many usual times a repeatable request waits before it
+	// is sent to a second endpoint too.
+	hedgeFactor = 2.5
+	// hedgeLeast is the least such time.
+	hedgeLeast = 150 * time.Millisecond
+	// suspectInterval is how often the endpoint of a request is looked at.
+	suspectInterval = 100 * time.Millisecond
+	// behindAgain is when a client may come back that met a host without a
+	// declaration.
+	behindAgain = 300 * time.Millisecond
+	// retryMargin is the least time before the deadline for another sending.
+	retryMargin = 30 * time.Millisecond
+	// answerMargin is kept before the route's time for the answer's way.
+	answerMargin = 5 * time.Millisecond
+)
+
+// Observation is what became of a request.
+type Observation struct {
+	Request *Request
+	Route   *route.Route
+	Answer  *Answer
+	// Attempts is the number of endpoints that the request was sent to.
+	Attempts int
+	// Hedges is the number of those while another one was still at work.
+	Hedges int
+	// Ended is when the answer was ready.
+	Ended time.Time
+	// Waited is the time at endpoints of the sending that was answered.
+	Waited time.Duration
+}
+
+// run is a request in progress. Only one goroutine uses it.
+type run struct {
+	edge     *Edge
+	request  *Request
+	route    *route.Route
+	upstream string
+	ask      balance.Ask
+	window   *budget.Window
+	deadline time.Time
+	// attempts is the number of endpoints that may have got the request, and
+	// unreached of those that did not.
+	attempts  int
+	unreached int
+	hedges    int
+	// usual is the time that the first endpoint usually takes.
+	usual time.Duration
+	// unknown is true if a sending may have been run.
+	unknown bool
+	// rejected is true if an endpoint stated that it did not run the request.
+	rejected bool
+	// last is the newest failure that could be the answer, or nil.
+	last *Answer
+	// flying is the number of sendings without a result.
+	flying  int
+	results chan result
+	waited  time.Duration
+}
+
+type result struct {
+	choice  *balance.Choice
+	reply   *Reply
+	failure *Failure
+	sentAt  time.Time
+}
+
+// Serve serves a request and returns its final answer, or nil if ctx ended
+// because the client went away.
+func (e *Edge) Serve(ctx context.Context, q *Request) *Answer {
+	r := &run{
+		edge:    e,
+		request: q,
+	}
+	a := r.serve(ctx)
+	if a == nil {
+		a = &Answer{
+			Code:   code.RequestCancelled,
+			Detail: "the client went away",
+		}
+	}
+	e.options.Observe(&Observation{
+		Request:  q,
+		Route:    r.route,
+		Answer:   a,
+		Attempts: r.attempts,
+		Hedges:   r.hedges,
+		Ended:    time.Now(),
+		Waited:   r.waited,
+	})
+	if a.Code == code.RequestCancelled {
+		return nil
+	}
+	return a
+}
+
+func (r *run) serve(ctx context.Context) *Answer {
+	v := r.edge.View()
+	q := r.request
+	if v.Table == nil || !v.Listed {
+		return refused(code.HostBehind, "no declaration is known yet", time.Now().Add(behindAgain))
+	}
+	r.route = v.Table.Find(q.Host, q.Path)
+	if r.route == nil {
+		return &Answer{
+			Status: http.StatusNotFound,
+			Code:   code.KindUnknown,
+			Detail: "no route for the host and path",
+		}
+	}
+	r.prepare()
+	ctx, cancel := context.WithDeadline(ctx, r.deadline)
+	defer cancel()
+	return r.loop(ctx)
+}
+
+// prepare fills in what the request asks of endpoints.
+func (r *run) prepare() {
+	q, t := r.request, r.route
+	r.deadline = q.Deadline
+	if end := q.Arrived.Add(t.Timeout - answerMargin); t.Timeout > 0 && (r.deadline.IsZero() || end.Before(r.deadline)) {
+		r.deadline = end
+	}
+	if r.deadline.IsZero() {
+		const most = time.Minute
+		r.deadline = q.Arrived.Add(most)
+	}
+	r.upstream = r.edge.splits.next(t)
+	r.window = r.edge.window(r.upstream, q.Arrived)
+	r.window.Count(q.Arrived)
+	r.ask = balance.Ask{
+		Upstream:   r.upstream,
+		Key:        keyOf(t, q),
+		Rank:       t.Rank,
+		Objective:  q.Arrived.Add(t.Objective),
+		Deadline:   r.deadline,
+		Repeatable: t.Repeatable,
+	}
+	if len(t.Regions) > 0 {
+		r.ask.Allows = t.Allows
+	}
+	r.results = make(chan result, t.Attempts+maxUnreached+1)
+}
+
+// keyOf returns a number by which requests of one object meet. Requests of
+// other routes that concern an object of the same name are of another one.
+func keyOf(t *route.Route, q *Request) uint64 {
+	if q.Object == "" {
+		return rand.Uint64()
+	}
+	return xxhash.Sum64String(t.Name + "\x00" + q.Object)
+}
+
+// loop sends until there is a final answer.
+func (r *run) loop(ctx context.Context) *Answer {
+	if a := r.send(ctx); a != nil {
+		return a
+	}
+	defer r.abandon()
+	t := time.NewTimer(suspectInterval)
+	defer t.Stop()
+	for {
+		select {
+		case x := <-r.results:
+			r.flying--
+			if a := r.judge(ctx, &x); a != nil {
+				return a
+			}
+		case <-t.C:
+			r.hedge(ctx)
+			t.Reset(suspectInterval)
+		case <-ctx.Done():
+			return r.expired(ctx)
+		}
+	}
+}
+
+// abandon ends the sendings whose result nobody waits for. Their context has
+// ended or ends with the request's.
+func (r *run) abandon() {
+	n := r.flying
+	if n == 0 {
+		return
+	}
+	go func() {
+		for range n {
+			x := <-r.results
+			r.settle(&x, balance.Withdrawn)
+		}
+	}()
+}
+
+// send chooses an endpoint and sends to it. It returns the final answer if the
+// request cannot be sent.
+func (r *run) send(ctx context.Context) *Answer {
+	now := time.Now()
+	if !now.Before(r.deadline) {
+		return r.giveUp(refused(code.DeadlinePassed, "no time is left", time.Time{}))
+	}
+	c, refusal := r.edge.balancer.Pick(r.ask, now)
+	if refusal != nil {
+		return r.giveUp(refused(refusal.Code, refusal.Detail, refusal.Again))
+	}
+	r.launch(ctx, c, now)
+	return nil
+}
+
+func (r *run) launch(ctx context.Context, c *balance.Choice, now time.Time) {
+	if r.usual == 0 {
+		r.usual = c.Usual
+	}
+	r.ask.Avoid = append(r.ask.Avoid, c.Seat.ID)
+	r.ask.Retry = true
+	r.flying++
+	s := &Sending{
+		Request:  r.request,
+		Target:   c.Seat,
+		Deadline: r.deadline,
+		Once:     !r.route.Repeatable,
+		Fresh:    c.Fresh,
+	}
+	go func() {
+		x := result{
+			choice: c,
+			sentAt: now,
+		}
+		reply, err := r.edge.options.Seams.Send(ctx, s)
+		if err != nil && !errors.As(err, &x.failure) {
+			x.failure = &Failure{
+				Sent:   true,
+				Reason: "reset",
+				Cause:  err,
+			}
+		}
+		x.reply = reply
+		r.results <- x
+	}()
+}
+
+// giveUp returns the final answer where no further sending is possible: what an
+// endpoint answered if anything, else a refusal if nothing was run.
+func (r *run) giveUp(a *Answer) *Answer {
+	switch {
+	case r.last != nil:
+		return r.last
+	case r.unknown:
+		return unknown(code.OutcomeUnknown, a.Detail)
+	default:
+		return a
+	}
+}
+
+func refused(c code.Code, detail string, again time.Time) *Answer {
+	return &Answer{
+		Status: http.StatusServiceUnavailable,
+		Code:   c,
+		Detail: detail,
+		Again:  again,
+	}
+}
+
+func unknown(c code.Code, detail string) *Answer {
+	return &Answer{
+		Status: http.StatusBadGateway,
+		Code:   c,
+		Detail: detail,
+	}
+}
+
+// expired returns the final answer at the deadline, or nil if the client went
+// away before it.
+func (r *run) expired(ctx context.Context) *Answer {
+	if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return nil
+	}
+	if r.last != nil {
+		return r.last
+	}
+	return &Answer{
+		Status: http.StatusGatewayTimeout,
+		Code:   code.UpstreamSilent,
+		Detail: "no answer in time",
+	}
+}
+
+// judge takes in the result of a sending and returns the final answer, or nil if
+// the request goes on.
+func (r *run) judge(ctx context.Context, x *result) *Answer {
+	if ctx.Err() != nil {
+		r.settle(x, balance.Withdrawn)
+		return r.expired(ctx)
+	}
+	switch {
+	case x.failure != nil && !x.failure.Sent:
+		r.settle(x, balance.Unreached)
+		r.unreached++
+		return r.again(ctx, false, refused(code.NoEndpoint, "endpoint "+x.choice.Seat.ID+" cannot be reached", r.soon()))
+	case x.failure != nil:
+		r.settle(x, balance.Broken)
+		r.attempts++
+		r.unknown = true
+		return r.again(ctx, true, unknown(code.AnswerIncomplete, x.failure.Reason+" at endpoint "+x.choice.Seat.ID))
+	case !x.reply.Ran:
+		return r.rejectedBy(ctx, x)
+	case !x.reply.Genuine && x.reply.Status < http.StatusMultipleChoices:
+		r.settle(x, balance.Broken)
+		r.attempts++
+		r.unknown = true
+		return r.again(ctx, true, unknown(code.AnswerForeign, "answer of endpoint "+x.choice.Seat.ID+" bears no mark"))
+	default:
+		return r.answered(ctx, x)
+	}
+}
+
+func (r *run) rejectedBy(ctx context.Context, x *result) *Answer {
+	o := balance.Rejected
+	if x.reply.Misplaced {
+		o = balance.Misplaced
+	}
+	r.settle(x, o)
+	r.attempts++
+	r.rejected = true
+	return r.again(ctx, true, refused(code.UpstreamRefused, "endpoint "+x.choice.Seat.ID+" did not run it", r.soon()))
+}
+
+// soon returns when a client may come back whose endpoints had no room.
+func (r *run) soon() time.Time {
+	const least, spread = 100 * time.Millisecond, 300 * time.Millisecond
+	return time.Now().Add(least + time.Duration(rand.Float64()*float64(spread)))
+}
+
+// answered decides on an endpoint's own answer: a failure of a repeatable
+// request is tried elsewhere.
+func (r *run) answered(ctx context.Context, x *result) *Answer {
+	p := x.reply
+	r.attempts++
+	r.waited = time.Since(x.sentAt)
+	a := &Answer{
+		Status:   p.Status,
+		Header:   p.Header,
+		Body:     p.Body,
+		Code:     code.Answered,
+		Endpoint: x.choice.Seat.ID,
+	}
+	if p.Status < http.StatusInternalServerError {
+		r.settle(x, balance.Answered)
+		return a
+	}
+	r.settle(x, balance.Erred)
+	r.unknown = true
+	if !p.Genuine {
+		// Only the endpoint's mark makes its status more than a guess, and
+		// some statuses promise that a request was not run.
+		a = unknown(code.AnswerForeign, "endpoint "+x.choice.Seat.ID+" failed")
+	}
+	if r.last == nil || a.Code == code.Answered {
+		r.last = a
+	}
+	return r.again(ctx, true, a)
+}
+
+// again sends once more if that is allowed and useful, or returns the final
+// answer. With repeat, the endpoint got the request, so that another sending
+// takes from the budget.
+func (r *run) again(ctx context.Context, repeat bool, a *Answer) *Answer {
+	if r.flying > 0 {
+		return nil
+	}
+	if !r.mayRepeat() || (repeat && !r.window.Take(time.Now(), len(r.edge.View().Live))) {
+		return r.giveUp(a)
+	}
+	if e := r.send(ctx); e != nil {
+		if e.Code.Outcome() == code.NotRun {
+			return r.giveUp(later(a, e))
+		}
+		return e
+	}
+	return nil
+}
+
+// later returns the refusal a with the time to come back of e.
+func later(a, e *Answer) *Answer {
+	if a.Again.Before(e.Again) {
+		a.Again = e.Again
+	}
+	return a
+}
+
+// mayRepeat reports whether the request may go to another endpoint.
+func (r *run) mayRepeat() bool {
+	switch {
+	case r.unknown && !r.route.Repeatable:
+		return false
+	case r.attempts+r.flying >= r.route.Attempts, r.unreached > maxUnreached:
+		return false
+	default:
+		return time.Until(r.deadline) > retryMargin
+	}
+}
+
+// hedge sends a repeatable request to a second endpoint if the first one is late
+// or silent.
+func (r *run) hedge(ctx context.Context) {
+	if !r.route.Repeatable || r.flying != 1 || !r.mayRepeat() {
+		return
+	}
+	now := time.Now()
+	if !r.late(now) || !r.window.Take(now, len(r.edge.View().Live)) {
+		return
+	}
+	c, refusal := r.edge.balancer.Pick(r.ask, now)
+	if refusal != nil {
+		return
+	}
+	r.hedges++
+	r.launch(ctx, c, now)
+}
+
+// late reports whether the request waits for longer than usual.
+func (r *run) late(now time.Time) bool {
+	return now.Sub(r.request.Arrived) > max(hedgeLeast, time.Duration(hedgeFactor*float64(r.usual)))
+}
+
+// settle tells the balancer what became of a sending.
+func (r *run) settle(x *result, o balance.Outcome) {
+	s := balance.Result{
+		Outcome: o,
+		Load:    -1,
+	}
+	now := time.Now()
+	if p := x.reply; p != nil {
+		s.Load = p.Load
+		if p.ColdLeft > 0 {
+			s.ColdUntil = now.Add(p.ColdLeft)
+		}
+	}
+	r.edge.balancer.Done(x.choice, s, now)
+	r.edge.options.Log("sent", "request", r.request.ID, "endpoint", x.choice.Seat.ID, "level", x.choice.Level,
+		"load", x.choice.Load, "load_age", x.choice.LoadAge, "took", now.Sub(x.sentAt), "outcome", o, "failure", reasonOf(x.failure))
+}
+
+func reasonOf(f *Failure) string {
+	if f == nil {
+		return ""
+	}
+	return f.Reason
+}
--- /dev/null
+++ b/core/edge/tick.go
@@ -0,0 +1,57 @@
+package edge
+
+import (
+	"time"
+
+	"heatherford/core/balance"
+	"heatherford/core/fleet"
+	"heatherford/core/registry"
+)
+
+// Tick is what a host tells others of itself, several times a second. Ages stand
+// for times, since hosts' clocks differ.
+type Tick struct {
+	From fleet.Member `json:"from"`
+	// News tells how much the host knows of each part of the platform's
+	// records.
+	News [registry.Parts]News `json:"news"`
+	// Flights are the host's requests at endpoints. Only hosts of its zone get
+	// them.
+	Flights map[string]int `json:"flights,omitempty"`
+	// Shares are those in force in the zone. Only its relay tells them.
+	Shares map[string]balance.Shares `json:"shares,omitempty"`
+	// Zones is what relays know of zones.
+	Zones []ZoneNews `json:"zones,omitempty"`
+}
+
+// News is how much a host knows of a part.
+type News struct {
+	Version uint64 `json:"version"`
+	// Changed is a version from which on nothing changed that matters.
+	Changed uint64 `json:"changed"`
+	// Age is how long ago the part was known to be current; negative stands for
+	// never.
+	Age time.Duration `json:"age"`
+	// Reader is the host that read it then.
+	Reader string `json:"reader,omitempty"`
+}
+
+// ZoneNews is what is known of an availability zone.
+type ZoneNews struct {
+	Zone string `json:"zone"`
+	// Live are the names of the hosts that live there and take callers.
+	Live []string `json:"live"`
+	// Age is how long ago the zone's relay told it.
+	Age time.Duration `json:"age"`
+	// Uses are the uses of the zone's slots by upstream.
+	Uses map[string]balance.Use `json:"uses,omitempty"`
+}
+
+// Book is what a host fetches from another one that knows more.
+type Book struct {
+	Updates []registry.Update `json:"updates"`
+	// Ages are the ages of the updates, by part.
+	Ages    [registry.Parts]time.Duration `json:"ages"`
+	Readers [registry.Parts]string        `json:"readers"`
+	Members []fleet.Member                `json:"members"`
+}
--- /dev/null
+++ b/core/fleet/fleet.go
@@ -0,0 +1,234 @@
+package fleet
+
+import (
+	"sort"
+	"time"
+)
+
+const (
+	// nearSilence is how long a host of the own zone may be silent before it
+	// counts as dead: six of its messages.
+	nearSilence = 700 * time.Millisecond
+	// farSilence is the same for hosts of other zones, of which relays tell
+	// every 500 ms.
+	farSilence = 2500 * time.Millisecond
+	// startGrace is how long hosts of the platform's list count as alive before
+	// they are heard.
+	startGrace = 1500 * time.Millisecond
+	// relays is the number of hosts of a zone that other zones' relays tell.
+	relays = 2
+)
+
+// Fleet is a host's view of the hosts. Only one goroutine may use it.
+type Fleet struct {
+	self  Member
+	peers map[string]*peer
+}
+
+// New returns a view in which only the host itself lives.
+func New(self Member) *Fleet {
+	return &Fleet{
+		self:  self,
+		peers: map[string]*peer{},
+	}
+}
+
+// Self returns the host itself.
+func (f *Fleet) Self() Member {
+	return f.self
+}
+
+// Leave marks the host itself as leaving.
+func (f *Fleet) Leave() {
+	f.self.Leaving = true
+}
+
+// List takes in the platform's list of hosts. Hosts that are new to this one
+// count as alive for a while.
+func (f *Fleet) List(s []Member, now time.Time) {
+	for _, m := range s {
+		if f.learn(m) {
+			p := f.peers[m.Name]
+			p.heard = now.Add(startGrace - f.silence(&p.Member))
+			p.told = p.heard
+		}
+	}
+}
+
+// learn takes in a description and reports whether the host was unknown or has
+// started anew.
+func (f *Fleet) learn(m Member) bool {
+	if m.Name == f.self.Name || m.Name == "" {
+		return false
+	}
+	p := f.peers[m.Name]
+	if p == nil || p.Started.Before(m.Started) {
+		f.peers[m.Name] = &peer{
+			Member: m,
+		}
+		return true
+	}
+	if p.Started.Equal(m.Started) {
+		p.Member = m
+	}
+	return false
+}
+
+// Hear notes a message that came from the host itself.
+func (f *Fleet) Hear(m Member, now time.Time) {
+	f.learn(m)
+	p := f.peers[m.Name]
+	if p == nil || p.Started.After(m.Started) {
+		return
+	}
+	p.heard = now
+}
+
+// Tell notes what the relay of another zone says of its zone: the names of the
+// hosts that live there, as of the time. It returns a name that this host does
+// not know, or an empty string.
+func (f *Fleet) Tell(zone string, live []string, at time.Time) string {
+	unknown := ""
+	named := map[string]bool{}
+	for _, n := range live {
+		named[n] = true
+		p := f.peers[n]
+		if p == nil {
+			if n != f.self.Name {
+				unknown = n
+			}
+			continue
+		}
+		if at.After(p.told) {
+			p.told = at
+			p.absent = time.Time{}
+		}
+	}
+	for _, p := range f.peers {
+		if p.Zone == zone && zone != f.self.Zone && !named[p.Name] && at.After(p.told) && p.absent.IsZero() {
+			p.absent = at
+		}
+	}
+	return unknown
+}
+
+func (f *Fleet) silence(m *Member) time.Duration {
+	if m.Zone == f.self.Zone {
+		return nearSilence
+	}
+	return farSilence
+}
+
+func (f *Fleet) alive(p *peer, now time.Time) bool {
+	t := p.heard
+	if p.Zone != f.self.Zone && p.told.After(t) {
+		t = p.told
+	}
+	if !p.absent.IsZero() && !p.heard.After(p.absent) {
+		return false
+	}
+	return now.Sub(t) <= f.silence(&p.Member)
+}
+
+// Live returns the hosts that live, this one among them, in the order that all
+// hosts know.
+func (f *Fleet) Live(now time.Time) []Member {
+	s := []Member{f.self}
+	for _, p := range f.peers {
+		if f.alive(p, now) {
+			s = append(s, p.Member)
+		}
+	}
+	sort.Slice(s, func(i, j int) bool {
+		a, b := s[i].place(), s[j].place()
+		if a != b {
+			return a < b
+		}
+		return s[i].Name < s[j].Name
+	})
+	return s
+}
+
+// Known returns all hosts that this one has heard of.
+func (f *Fleet) Known() []Member {
+	s := []Member{f.self}
+	for _, p := range f.peers {
+		s = append(s, p.Member)
+	}
+	sort.Slice(s, func(i, j int) bool {
+		return s[i].Name < s[j].Name
+	})
+	return s
+}
+
+// Zone returns the members of a zone, in their order.
+func Zone(s []Member, zone string) []Member {
+	z := []Member{}
+	for _, m := range s {
+		if m.Zone == zone {
+			z = append(z, m)
+		}
+	}
+	return z
+}
+
+// Place returns the position of the named host among the members that do not
+// leave, or the number of these if it is not among them.
+func Place(s []Member, name string) int {
+	n := 0
+	for _, m := range s {
+		if m.Leaving {
+			continue
+		}
+		if m.Name == name {
+			return n
+		}
+		n++
+	}
+	return n
+}
+
+// FarTargets returns the hosts of other zones that a relay tells of its zone.
+// Hosts that seem dead are told too if a zone has none that lives, so that two
+// parts of a fleet that were cut find each other again.
+func (f *Fleet) FarTargets(live []Member) []Member {
+	zones := map[string][]Member{}
+	for _, m := range live {
+		zones[m.Zone] = append(zones[m.Zone], m)
+	}
+	for _, p := range f.peers {
+		if len(zones[p.Zone]) == 0 {
+			zones[p.Zone] = f.all(p.Zone)
+		}
+	}
+	s := []Member{}
+	for z, members := range zones {
+		if z == f.self.Zone {
+			continue
+		}
+		s = append(s, members[:min(relays, len(members))]...)
+	}
+	sort.Slice(s, func(i, j int) bool {
+		return s[i].Name < s[j].Name
+	})
+	return s
+}
+
+func (f *Fleet) all(zone string) []Member {
+	s := []Member{}
+	for _, p := range f.peers {
+		if p.Zone == zone {
+			s = append(s, p.Member)
+		}
+	}
+	sort.Slice(s, func(i, j int) bool {
+		return s[i].place() < s[j].place()
+	})
+	return s
+}
+
+// NearTargets returns all hosts of the own zone, dead ones too: each finds its
+// way back by what it hears.
+func (f *Fleet) NearTargets() []Member {
+	return f.all(f.self.Zone)
+}
--- a/core/work/work.go
+++ b/core/work/work.go
@@ -63,6 +63,9 @@
 	// Again asks whether the upstream's budget allows one more sending of
 	// repeatable work; nil stands for yes.
 	Again func() bool
+	// Resend asks for a slot for a second sending to the same endpoint while that
+	// may still be at work on the first; nil stands for yes.
+	Resend func() bool
 	// MayRun is set together with an error if the endpoint may be at work on the
 	// request until its deadline.
 	MayRun bool
--- /dev/null
+++ b/io/endpoint/sender.go
@@ -0,0 +1,280 @@
+package endpoint
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"heatherford/core/edge"
+	"heatherford/io/internal/wire"
+)
+
+const (
+	// dialTimeout bounds the opening of a connection. It is several times the
+	// way to another region and back.
+	dialTimeout = 300 * time.Millisecond
+	// idle is how long an unused connection is kept unless the endpoint states
+	// a shorter time.
+	idle = 8 * time.Second
+	// onceIdle is the same for requests that may not be repeated: an endpoint
+	// may forget a connection, and what is sent on it then is lost.
+	onceIdle = 8 * time.Second
+	// maxAnswerBytes is the longest answer that is taken.
+	maxAnswerBytes = 32 << 20
+	// dialsPerSecond and dialBurst bound a host's new connections to one
+	// endpoint.
+	dialsPerSecond = 100
+	dialBurst      = 32
+	// maxConnections is the most connections to one endpoint.
+	maxConnections = 96
+	// sharers is the number of hosts whose connections an endpoint has to bear
+	// together.
+	sharers = 24
+	// skipForeign is the most late answers to other requests that are dropped.
+	skipForeign = 2
+	// forgetAge is how long connections to an endpoint without requests are
+	// kept in mind.
+	forgetAge = time.Minute
+)
+
+// Headers are the names of the headers between a host and an endpoint.
+type Headers struct {
+	// RequestID carries the request's identifier, which the endpoint echoes.
+	RequestID string
+	// DeadlineMS carries the time left in milliseconds.
+	DeadlineMS string
+	// Expected names the endpoint that the request is for. Any other endpoint
+	// answers 421 and does not run it.
+	Expected string
+	// Mark is the endpoint's mark on an answer of its own.
+	Mark string
+	// NotRun states that the endpoint did not run the request.
+	NotRun string
+	// Load carries the running requests, the waiting ones and the slots.
+	Load string
+	// ColdMS carries how long the endpoint stays cold, in milliseconds.
+	ColdMS string
+	// Object names what a request concerns.
+	Object string
+}
+
+// Sender sends requests to endpoints. It is safe for concurrent use.
+type Sender struct {
+	headers Headers
+
+	mu    sync.Mutex
+	pools map[poolKey]*pooled
+	swept time.Time
+}
+
+type poolKey struct {
+	id      string
+	address string
+}
+
+type pooled struct {
+	pool *wire.Pool
+	used time.Time
+}
+
+// New returns a sender without connections.
+func New(h Headers) *Sender {
+	return &Sender{
+		headers: h,
+		pools:   map[poolKey]*pooled{},
+	}
+}
+
+// Close closes all idle connections.
+func (s *Sender) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, p := range s.pools {
+		p.pool.Close()
+	}
+}
+
+// Send sends a request and returns the whole answer. The error is an
+// *edge.Failure, whose Sent is false only if the endpoint cannot have the
+// request.
+func (s *Sender) Send(ctx context.Context, x *edge.Sending) (*edge.Reply, error) {
+	p, err := s.pool(x)
+	if err != nil {
+		return nil, &edge.Failure{
+			Reason: "unreachable",
+			Cause:  err,
+		}
+	}
+	q := x.Request
+	a, err := p.Do(ctx, &wire.Call{
+		ID:     q.ID,
+		Method: q.Method,
+		Host:   q.Host,
+		Path:   q.Target,
+		Header: s.header(x),
+		Body:   q.Body,
+		Fresh:  x.Fresh,
+		Once:   x.Once,
+	})
+	if err != nil {
+		return nil, failureOf(err)
+	}
+	defer a.Body.Close()
+	b, err := io.ReadAll(a.Body)
+	if err != nil {
+		return nil, failureOf(err)
+	}
+	return s.reply(a, b), nil
+}
+
+// header returns the headers that go to the endpoint.
+func (s *Sender) header(x *edge.Sending) http.Header {
+	h := x.Request.Header.Clone()
+	if h == nil {
+		h = http.Header{}
+	}
+	left := max(1, time.Until(x.Deadline).Milliseconds())
+	h.Set(s.headers.DeadlineMS, strconv.FormatInt(left, 10))
+	h.Set(s.headers.Expected, x.Target.ID)
+	return h
+}
+
+func (s *Sender) reply(a *wire.Reply, body []byte) *edge.Reply {
+	return &edge.Reply{
+		Status:    a.Status,
+		Header:    a.Header,
+		Body:      body,
+		Ran:       a.Header.Get(s.headers.NotRun) == "" && a.Status != http.StatusMisdirectedRequest,
+		Misplaced: a.Status == http.StatusMisdirectedRequest,
+		Genuine:   a.Header.Get(s.headers.Mark) != "",
+		Load:      loadOf(a.Header.Get(s.headers.Load)),
+		ColdLeft:  coldOf(a.Header.Get(s.headers.ColdMS)),
+	}
+}
+
+// loadOf returns the running and waiting requests of a report, or -1.
+func loadOf(v string) int {
+	f := strings.Split(v, ",")
+	const fields = 3
+	if len(f) != fields {
+		return -1
+	}
+	running, err := strconv.Atoi(strings.TrimSpace(f[0]))
+	waiting, err2 := strconv.Atoi(strings.TrimSpace(f[1]))
+	if err != nil || err2 != nil || running < 0 || waiting < 0 {
+		return -1
+	}
+	return running + waiting
+}
+
+func coldOf(v string) time.Duration {
+	n, err := strconv.ParseInt(v, 10, 32)
+	if err != nil || n < 0 {
+		return 0
+	}
+	return time.Duration(n) * time.Millisecond
+}
+
+func failureOf(err error) error {
+	x := &edge.Failure{
+		Sent:   true,
+		Reason: "reset",
+		Cause:  err,
+	}
+	f := (*wire.Failure)(nil)
+	if !errors.As(err, &f) {
+		// The call could not be encoded.
+		x.Sent = false
+		x.Reason = "unreachable"
+		return x
+	}
+	x.Sent = f.Sent
+	switch {
+	case !f.Sent:
+		x.Reason = "unreachable"
+	case errors.Is(err, wire.ErrForeign):
+		x.Reason = "foreign"
+	case f.Silent:
+		x.Reason = "silent"
+	case f.Step == wire.StepBody:
+		x.Reason = "incomplete"
+	}
+	return x
+}
+
+func (s *Sender) pool(x *edge.Sending) (*wire.Pool, error) {
+	a, err := netip.ParseAddrPort(x.Target.Address)
+	if err != nil {
+		return nil, err
+	}
+	now := time.Now()
+	k := poolKey{
+		id:      x.Target.ID,
+		address: x.Target.Address,
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sweep(now)
+	p := s.pools[k]
+	if p == nil {
+		p = &pooled{
+			pool: wire.New(wire.Options{
+				Address:        a,
+				Dial:           dial,
+				Connections:    connections(x.Target.Connections),
+				DialsPerSecond: dialsPerSecond,
+				DialBurst:      dialBurst,
+				IDHeader:       s.headers.RequestID,
+				Whole:          maxAnswerBytes,
+				MaxAnswer:      maxAnswerBytes,
+				Proofless:      true,
+				OnceIdle:       onceIdle,
+				Patient:        true,
+				CloseFramed:    true,
+				SkipForeign:    skipForeign,
+				Idle:           idle,
+			}),
+		}
+		s.pools[k] = p
+	}
+	p.used = now
+	return p.pool, nil
+}
+
+// sweep closes the connections to endpoints that got nothing for long, such as
+// those that are gone.
+func (s *Sender) sweep(now time.Time) {
+	if now.Sub(s.swept) < forgetAge {
+		return
+	}
+	s.swept = now
+	for k, p := range s.pools {
+		if now.Sub(p.used) > forgetAge {
+			p.pool.Close()
+			delete(s.pools, k)
+		}
+	}
+}
+
+func dial(ctx context.Context, network, address string) (net.Conn, error) {
+	d := net.Dialer{
+		Timeout: dialTimeout,
+	}
+	return d.DialContext(ctx, network, address)
+}
+
+// connections returns the most connections of this host to an endpoint that
+// accepts so many from all.
+func connections(all int) int {
+	if all == 0 {
+		return maxConnections
+	}
+	return max(1, min(maxConnections, all/sharers))
+}
--- /dev/null
+++ b/io/host/host.go
@@ -0,0 +1,197 @@
+package host
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"strconv"
+	"time"
+
+	"goji.io"
+	"goji.io/pat"
+	"gopkg.in/tomb.v2"
+
+	"heatherford/core/code"
+	"heatherford/core/edge"
+	"heatherford/core/fleet"
+	"heatherford/core/registry"
+)
+
+const (
+	// maxDatagram is the longest tick that is sent or taken.
+	maxDatagram = 60 << 10
+	// maxBook is the longest book that is taken.
+	maxBook = 8 << 20
+	// bookPath is where a host gives what it knows.
+	bookPath = "/book"
+	// headerTimeout bounds the reading of a request's head.
+	headerTimeout = 2 * time.Second
+	// idleTimeout is how long an unused connection is kept.
+	idleTimeout = 15 * time.Second
+	// dialTimeout bounds the opening of a connection to another host.
+	dialTimeout = 300 * time.Millisecond
+)
+
+// parameters are the versions that a book is asked beyond, by part.
+var parameters = [registry.Parts]string{
+	registry.Orders:    "orders",
+	registry.Endpoints: "endpoints",
+}
+
+// Options are what a Link needs. All are required.
+type Options struct {
+	// Address is where this host hears others, over UDP and TCP.
+	Address netip.AddrPort
+	// Hear takes in a tick.
+	Hear func(t *edge.Tick)
+	// Book returns what this host knows beyond the versions.
+	Book func(ctx context.Context, since [registry.Parts]uint64) (*edge.Book, error)
+	// Log writes a line of a kind with pairs of keys and values.
+	Log func(kind string, pairs ...any)
+}
+
+// Link exchanges ticks and books with other hosts. It is safe for concurrent
+// use.
+type Link struct {
+	options Options
+	udp     *net.UDPConn
+	client  *http.Client
+}
+
+// Listen binds the address.
+func Listen(o Options) (*Link, error) {
+	u, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(o.Address))
+	if err != nil {
+		return nil, code.Wrap(code.SettingsValue, err, "host: cannot listen on %s", o.Address)
+	}
+	d := net.Dialer{
+		Timeout: dialTimeout,
+	}
+	return &Link{
+		options: o,
+		udp:     u,
+		client: &http.Client{
+			Transport: &http.Transport{
+				DialContext:         d.DialContext,
+				MaxIdleConnsPerHost: 1,
+				IdleConnTimeout:     idleTimeout / 2,
+			},
+		},
+	}, nil
+}
+
+// Start serves in goroutines of t until it dies.
+func (l *Link) Start(t *tomb.Tomb) error {
+	a, err := net.Listen("tcp", l.options.Address.String())
+	if err != nil {
+		return code.Wrap(code.SettingsValue, err, "host: cannot listen on %s", l.options.Address)
+	}
+	m := goji.NewMux()
+	m.HandleFunc(pat.Get(bookPath), l.serveBook)
+	s := &http.Server{
+		Handler:           m,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+	}
+	t.Go(func() error {
+		if err := s.Serve(a); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	})
+	t.Go(l.receive)
+	t.Go(func() error {
+		<-t.Dying()
+		l.client.CloseIdleConnections()
+		return errors.Join(s.Close(), l.udp.Close())
+	})
+	return nil
+}
+
+// receive takes in ticks until the socket is closed.
+func (l *Link) receive() error {
+	b := make([]byte, maxDatagram)
+	for {
+		n, from, err := l.udp.ReadFromUDPAddrPort(b)
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			// A datagram to a host that is gone may come back as an error.
+			l.options.Log("tick", "outcome", "not received", "err", err)
+			continue
+		}
+		t := &edge.Tick{}
+		if err := json.Unmarshal(b[:n], t); err != nil {
+			l.options.Log("tick", "from", from, "outcome", "unreadable", "err", err)
+			continue
+		}
+		l.options.Hear(t)
+	}
+}
+
+// Tell sends a tick to other hosts. It may not arrive.
+func (l *Link) Tell(to []fleet.Member, t *edge.Tick) {
+	b, err := json.Marshal(t)
+	if err == nil && len(b) > maxDatagram {
+		err = fmt.Errorf("host: a tick of %d bytes is too long", len(b))
+	}
+	if err != nil {
+		l.options.Log("tick", "outcome", "not sent", "err", err)
+		return
+	}
+	for _, m := range to {
+		if _, err := l.udp.WriteToUDPAddrPort(b, m.Peers); err != nil {
+			l.options.Log("tick", "to", m.Name, "outcome", "not sent", "err", err)
+		}
+	}
+}
+
+func (l *Link) serveBook(w http.ResponseWriter, r *http.Request) {
+	since := [registry.Parts]uint64{}
+	for p, n := range parameters {
+		v, err := strconv.ParseUint(r.URL.Query().Get(n), 10, 64)
+		if err != nil {
+			http.Error(w, "the parameter "+n+" is not a version", http.StatusBadRequest)
+			return
+		}
+		since[p] = v
+	}
+	b, err := l.options.Book(r.Context(), since)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(b)
+}
+
+// Fetch asks another host for what it knows beyond the versions.
+func (l *Link) Fetch(ctx context.Context, from fleet.Member, since [registry.Parts]uint64) (*edge.Book, error) {
+	v := url.Values{}
+	for p, n := range parameters {
+		v.Set(n, strconv.FormatUint(since[p], 10))
+	}
+	q, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+from.Peers.String()+bookPath+"?"+v.Encode(), nil)
+	if err != nil {
+		return nil, code.Wrap(code.PeerUnreachable, err, "host: %s", from.Name)
+	}
+	a, err := l.client.Do(q)
+	if err != nil {
+		return nil, code.Wrap(code.PeerUnreachable, err, "host: %s", from.Name)
+	}
+	defer a.Body.Close()
+	if a.StatusCode != http.StatusOK {
+		return nil, code.New(code.PeerUnreachable, "host: %s answered %d", from.Name, a.StatusCode)
+	}
+	b := &edge.Book{}
+	if err := json.NewDecoder(http.MaxBytesReader(nil, a.Body, maxBook)).Decode(b); err != nil {
+		return nil, code.Wrap(code.PeerUnreachable, err, "host: book of %s", from.Name)
+	}
+	return b, nil
+}
--- /dev/null
+++ b/io/ingress/handler.go
@@ -0,0 +1,221 @@
+package ingress
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"heatherford/core/code"
+	"heatherford/core/edge"
+	"heatherford/core/route"
+)
+
+// Headers are the names of the headers between a caller and a host.
+type Headers struct {
+	// RequestID names an attempt of a client.
+	RequestID string
+	// DeadlineMS carries how long the client waits, in milliseconds.
+	DeadlineMS string
+	// Object names what a request concerns.
+	Object string
+	// Own are headers that only hosts and endpoints set. They are dropped from
+	// what clients send.
+	Own []string
+}
+
+const (
+	// maxHeldBytes bounds the bodies of the requests in progress.
+	maxHeldBytes = 48 << 20
+	// bodyTimeout is the longest pause between bytes of a request's body.
+	bodyTimeout = 5 * time.Second
+	// headerCode carries the result code of an answer of the host's own.
+	headerCode = "Heatherford-Code"
+	// retryShare is the part of the time left that a client waits at most.
+	retryShare = 1.0 / 3
+)
+
+// hopHeaders concern one connection only.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
+}
+
+// traffic answers requests for work.
+type traffic struct {
+	edge    *edge.Edge
+	headers Headers
+	// held is the number of bytes of bodies in progress.
+	held atomic.Int64
+	// leaving makes callers use another connection next.
+	leaving *atomic.Bool
+}
+
+// ServeHTTP implements http.Handler.
+func (t *traffic) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	arrived := time.Now()
+	if t.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	limits := t.limits()
+	q := &edge.Request{
+		ID:      r.Header.Get(t.headers.RequestID),
+		Method:  r.Method,
+		Host:    r.Host,
+		Path:    r.URL.Path,
+		Target:  r.RequestURI,
+		Object:  r.Header.Get(t.headers.Object),
+		Arrived: arrived,
+	}
+	if n, err := strconv.ParseInt(r.Header.Get(t.headers.DeadlineMS), 10, 32); err == nil && n > 0 {
+		q.Deadline = arrived.Add(time.Duration(n) * time.Millisecond)
+	}
+	if limits.HeaderBytes > 0 && headerBytes(r.Header) > limits.HeaderBytes {
+		t.refuse(w, q, http.StatusRequestHeaderFieldsTooLarge, code.RequestInvalid, "the headers are too long")
+		return
+	}
+	b, status := t.body(w, r, limits.BodyBytes)
+	defer t.held.Add(-int64(len(b)))
+	if status != 0 {
+		t.refuse(w, q, status, code.BodyTooLarge, "the body cannot be taken")
+		return
+	}
+	q.Body = b
+	q.Header = t.forwarded(r.Header)
+	ctx := r.Context()
+	a := t.edge.Serve(ctx, q)
+	if a == nil {
+		// The client has gone; there is nobody to answer.
+		panic(http.ErrAbortHandler)
+	}
+	t.write(w, q, a)
+}
+
+func (t *traffic) limits() route.Limits {
+	if v := t.edge.View(); v.Table != nil {
+		return v.Table.Declaration.Limits
+	}
+	return route.Limits{}
+}
+
+func headerBytes(h http.Header) int64 {
+	const separators = 4
+	n := 0
+	for k, v := range h {
+		for _, x := range v {
+			n += len(k) + len(x) + separators
+		}
+	}
+	return int64(n)
+}
+
+// body reads the request's body whole. The status is not 0 if it cannot be
+// taken. The bytes returned are counted as held in any case.
+func (t *traffic) body(w http.ResponseWriter, r *http.Request, most int64) (b []byte, status int) {
+	if r.Body == nil || r.ContentLength == 0 {
+		return nil, 0
+	}
+	if most <= 0 || most > maxHeldBytes {
+		most = maxHeldBytes
+	}
+	if r.ContentLength > most {
+		return nil, http.StatusRequestEntityTooLarge
+	}
+	if t.held.Load()+max(0, r.ContentLength) > maxHeldBytes {
+		return nil, http.StatusServiceUnavailable
+	}
+	c := http.NewResponseController(w)
+	if err := c.SetReadDeadline(time.Now().Add(bodyTimeout)); err != nil && !errors.Is(err, http.ErrNotSupported) {
+		return nil, http.StatusRequestTimeout
+	}
+	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, most))
+	t.held.Add(int64(len(b)))
+	if err != nil {
+		x := (*http.MaxBytesError)(nil)
+		if errors.As(err, &x) {
+			return b, http.StatusRequestEntityTooLarge
+		}
+		return b, http.StatusRequestTimeout
+	}
+	if err := c.SetReadDeadline(time.Time{}); err != nil && !errors.Is(err, http.ErrNotSupported) {
+		return b, http.StatusRequestTimeout
+	}
+	return b, 0
+}
+
+// forwarded returns the headers that go on to an endpoint.
+func (t *traffic) forwarded(h http.Header) http.Header {
+	f := h.Clone()
+	for _, v := range h.Values("Connection") {
+		for _, n := range strings.Split(v, ",") {
+			f.Del(strings.TrimSpace(n))
+		}
+	}
+	for _, n := range hopHeaders {
+		f.Del(n)
+	}
+	for _, n := range t.headers.Own {
+		f.Del(n)
+	}
+	return f
+}
+
+func (t *traffic) refuse(w http.ResponseWriter, q *edge.Request, status int, c code.Code, detail string) {
+	t.write(w, q, &edge.Answer{
+		Status: status,
+		Code:   c,
+		Detail: detail,
+	})
+}
+
+// write sends the final answer.
+func (t *traffic) write(w http.ResponseWriter, q *edge.Request, a *edge.Answer) {
+	h := w.Header()
+	if a.Code == code.Answered {
+		for k, v := range t.forwarded(a.Header) {
+			h[k] = v
+		}
+		if _, ok := h["Content-Type"]; !ok {
+			// Without a value of its own, net/http would guess one.
+			h["Content-Type"] = nil
+		}
+		if _, ok := h["Date"]; !ok {
+			h["Date"] = nil
+		}
+		if q.Method != http.MethodHead {
+			h.Set("Content-Length", strconv.Itoa(len(a.Body)))
+		}
+		w.WriteHeader(a.Status)
+		w.Write(a.Body)
+		return
+	}
+	b := a.Detail + "\n"
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	h.Set("Content-Length", strconv.Itoa(len(b)))
+	h.Set(headerCode, strconv.Itoa(int(a.Code)))
+	if q.ID != "" {
+		h.Set(t.headers.RequestID, q.ID)
+	}
+	if s := retryAfter(a.Again, q.Deadline, time.Now()); s != "" {
+		h.Set("Retry-After", s)
+	}
+	w.WriteHeader(a.Status)
+	io.WriteString(w, b)
+}
+
+// retryAfter returns the seconds after which a client may come back, or an empty
+// string if the answer says nothing of it. Clients wait for no more than a part
+// of the time that they have left.
+func retryAfter(again, deadline, now time.Time) string {
+	if again.IsZero() {
+		return ""
+	}
+	d := max(0, again.Sub(now))
+	if !deadline.IsZero() {
+		d = min(d, time.Duration(retryShare*float64(max(0, deadline.Sub(now)))))
+	}
+	return strconv.FormatFloat(d.Seconds(), 'f', 3, 64)
+}
--- a/io/internal/wire/call.go
+++ b/io/internal/wire/call.go
@@ -26,6 +26,8 @@
 	// peer has proved the connection alive, and its answer may take until the
 	// deadline.
 	Once bool
+	// Host is the name that the request addresses; empty stands for the pool's.
+	Host string
 }
 
 // message is a request as it is written.
@@ -38,6 +40,13 @@
 // headEnd separates a message's head from its body.
 const headEnd = "\r\n\r\n"
 
+func (p *Pool) hostOf(c *Call) string {
+	if c.Host != "" {
+		return c.Host
+	}
+	return p.options.Host
+}
+
 // encode returns c as net/http writes it. With proof, the head asks for a 100
 // Continue.
 func (p *Pool) encode(c *Call, proof bool) (*message, error) {
@@ -52,7 +61,7 @@
 		ProtoMajor:    1,
 		ProtoMinor:    1,
 		Header:        c.Header.Clone(),
-		Host:          p.options.Host,
+		Host:          p.hostOf(c),
 		ContentLength: int64(len(c.Body)),
 		Body:          io.NopCloser(bytes.NewReader(c.Body)),
 	}
@@ -62,6 +71,10 @@
 	if q.Header == nil {
 		q.Header = http.Header{}
 	}
+	if _, ok := q.Header["User-Agent"]; !ok {
+		// Without a value of its own, net/http would add one.
+		q.Header.Set("User-Agent", "")
+	}
 	if p.options.IDHeader != "" {
 		q.Header.Set(p.options.IDHeader, c.ID)
 	}
--- a/io/internal/wire/conn.go
+++ b/io/internal/wire/conn.go
@@ -26,6 +26,8 @@
 	reader *bufio.Reader
 	// idleSince is when the last exchange ended, at which something was heard.
 	idleSince time.Time
+	// keep is how long the connection may stay unused.
+	keep time.Duration
 	// budget is the number of bytes that may still be read.
 	budget int64
 
--- a/io/internal/wire/exchange.go
+++ b/io/internal/wire/exchange.go
@@ -52,7 +52,7 @@
 func (p *Pool) Do(ctx context.Context, c *Call) (*Reply, error) {
 	// Without a body there is nothing to hold back, so that only the handshake
 	// of a new connection can prove it alive.
-	fresh := c.Fresh || (c.Once && (len(c.Body) == 0 || p.proofless()))
+	fresh := c.Fresh || (c.Once && !p.options.Proofless && (len(c.Body) == 0 || p.proofless()))
 	for {
 		x, err := p.begin(ctx, c, fresh)
 		if err != nil {
@@ -77,7 +77,7 @@
 	if t, ok := ctx.Deadline(); ok {
 		x.deadline = t
 	}
-	k, reused, err := p.take(ctx, fresh)
+	k, reused, err := p.take(ctx, fresh, p.within(c))
 	if err != nil {
 		return nil, &Failure{
 			Step:  StepDial,
@@ -86,7 +86,7 @@
 	}
 	x.conn = k
 	x.reused = reused
-	x.proof = reused && c.Once
+	x.proof = reused && c.Once && !p.options.Proofless
 	x.started = time.Now()
 	x.message, err = p.encode(c, x.proof)
 	if err != nil {
@@ -101,6 +101,14 @@
 	return x, nil
 }
 
+// within returns how recently a connection must have been used to carry c.
+func (p *Pool) within(c *Call) time.Duration {
+	if c.Once && p.options.Proofless {
+		return p.options.OnceIdle
+	}
+	return p.options.Idle
+}
+
 // run carries out the exchange on its connection.
 func (x *exchange) run() (*Reply, error) {
 	if x.proof {
@@ -168,8 +176,26 @@
 	return nil
 }
 
-// head reads the head of the final answer.
+// head reads the head of the final answer. It drops answers to requests that
+// the connection carried before.
 func (x *exchange) head() (*http.Response, error) {
+	for n := 0; ; n++ {
+		a, err := x.final()
+		if err != nil || !x.reused || n >= x.pool.options.SkipForeign || x.check(a) != ErrForeign {
+			return a, err
+		}
+		if _, err := io.Copy(io.Discard, a.Body); err != nil {
+			return nil, err
+		}
+		if a.Close {
+			return nil, ErrForeign
+		}
+		x.conn.budget = maxHeadBytes
+	}
+}
+
+// final reads the head of the next answer that is not interim.
+func (x *exchange) final() (*http.Response, error) {
 	x.conn.within(x.headDeadline())
 	for range maxInterim {
 		a, err := http.ReadResponse(x.conn.reader, x.message.request)
@@ -189,7 +215,7 @@
 // headDeadline returns when the answer's head is overdue. A request that must
 // not be sent again gains nothing by giving up early.
 func (x *exchange) headDeadline() time.Time {
-	if x.call.Once {
+	if x.call.Once || x.pool.options.Patient {
 		return x.deadline
 	}
 	return x.pool.pace.silence(time.Now(), x.deadline)
--- a/io/internal/wire/pool.go
+++ b/io/internal/wire/pool.go
@@ -44,6 +44,23 @@
 	// MinSilence is the shortest wait for an answer's head before a connection
 	// counts as silent; zero stands for 150 ms.
 	MinSilence time.Duration
+	// Proofless says that the peer sends no 100 Continue, so that no body is
+	// held back for it. A call that must be sent only once then uses an idle
+	// connection if that was used within OnceIdle, else a new one.
+	Proofless bool
+	OnceIdle  time.Duration
+	// Patient makes calls wait for an answer's head until their deadline, where
+	// the sender itself judges how long is too long.
+	Patient bool
+	// CloseFramed accepts an answer that states no length and ends with its
+	// connection.
+	CloseFramed bool
+	// SkipForeign is the most answers to other requests that are read and
+	// dropped before the awaited one. They can only come on a used connection.
+	SkipForeign int
+	// Idle is how long an unused connection is kept unless the peer states a
+	// shorter time; zero stands for 30 s.
+	Idle time.Duration
 }
 
 // Counts are what a pool has seen.
@@ -87,6 +104,9 @@
 	if o.Host == "" {
 		o.Host = o.Address.String()
 	}
+	if o.Idle == 0 {
+		o.Idle = idleTimeout
+	}
 	if o.MinSilence == 0 {
 		o.MinSilence = minHeadSilence
 	}
@@ -121,11 +141,11 @@
 }
 
 // take returns an idle connection or a new one; with fresh, always a new one.
-func (p *Pool) take(ctx context.Context, fresh bool) (*conn, bool, error) {
+func (p *Pool) take(ctx context.Context, fresh bool, within time.Duration) (*conn, bool, error) {
 	for {
 		wait := p.freedSignal()
 		if !fresh {
-			if c := p.reuse(); c != nil {
+			if c := p.reuse(within); c != nil {
 				return c, true, nil
 			}
 		}
@@ -152,21 +172,22 @@
 	return p.freed
 }
 
-// reuse returns the newest idle connection that is fit for use, or nil.
-func (p *Pool) reuse() *conn {
+// reuse returns the newest idle connection that is fit for use, or nil. It was
+// used within the given time.
+func (p *Pool) reuse(within time.Duration) *conn {
 	for {
-		c := p.pop()
+		c := p.pop(within)
 		if c == nil {
 			return nil
 		}
-		if time.Since(c.idleSince) < idleTimeout && c.clean() {
+		if time.Since(c.idleSince) < c.keep && c.clean() {
 			return c
 		}
 		p.discard(c)
 	}
 }
 
-func (p *Pool) pop() *conn {
+func (p *Pool) pop(within time.Duration) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	n := len(p.idle)
@@ -174,6 +195,9 @@
 		return nil
 	}
 	c := p.idle[n-1]
+	if time.Since(c.idleSince) > within {
+		return nil
+	}
 	p.idle = p.idle[:n-1]
 	return c
 }
@@ -202,7 +226,9 @@
 		p.signal()
 		return nil, err
 	}
-	return newConn(c), nil
+	x := newConn(c)
+	x.keep = p.options.Idle
+	return x, nil
 }
 
 func (p *Pool) connect(ctx context.Context) (net.Conn, error) {
@@ -245,7 +271,7 @@
 // expired takes out the connections that were idle for too long.
 func (p *Pool) expired() []*conn {
 	n := 0
-	for n < len(p.idle) && time.Since(p.idle[n].idleSince) >= idleTimeout {
+	for n < len(p.idle) && time.Since(p.idle[n].idleSince) >= p.idle[n].keep {
 		n++
 	}
 	old := p.idle[:n:n]
--- a/io/internal/wire/reply.go
+++ b/io/internal/wire/reply.go
@@ -5,9 +5,16 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
+	"strings"
 	"sync"
+	"time"
 )
 
+// keepShare is the part of a peer's stated idle timeout for which a connection
+// is used.
+const keepShare = 0.8
+
 // reply checks the answer's head and reads a small body whole. With written
 // false the peer answered before it had the request, whose connection can
 // carry nothing more.
@@ -16,6 +23,7 @@
 		return nil, x.fail(StepHead, err)
 	}
 	x.conn.budget = x.pool.options.MaxAnswer + maxHeadBytes
+	x.conn.keep = x.pool.keepOf(a.Header)
 	b := &body{
 		exchange: x,
 		source:   a.Body,
@@ -42,7 +50,7 @@
 	}
 	chunked := len(a.TransferEncoding) > 0
 	empty := x.call.Method == http.MethodHead || a.StatusCode == http.StatusNoContent || a.StatusCode == http.StatusNotModified
-	if a.ContentLength < 0 && !chunked && !empty {
+	if a.ContentLength < 0 && !chunked && !empty && !x.pool.options.CloseFramed {
 		return ErrFraming
 	}
 	if a.ContentLength > x.pool.options.MaxAnswer {
@@ -51,6 +59,20 @@
 	return nil
 }
 
+// keepOf returns how long a connection may stay unused after an answer with the
+// header. A peer that states a time closes the connection after it, so that a
+// part of it is left for what may be on its way.
+func (p *Pool) keepOf(h http.Header) time.Duration {
+	for _, f := range strings.Split(h.Get("Keep-Alive"), ",") {
+		k, v, _ := strings.Cut(strings.TrimSpace(f), "=")
+		n, err := strconv.Atoi(v)
+		if k == "timeout" && err == nil && n >= 0 {
+			return min(p.options.Idle, time.Duration(float64(n)*keepShare*float64(time.Second)))
+		}
+	}
+	return p.options.Idle
+}
+
 // whole reads a body of up to Options.Whole bytes. A longer one without a
 // stated length is streamed from its beginning.
 func (x *exchange) whole(r *Reply, b *body) (*Reply, error) {
--- a/io/upstream/sender.go
+++ b/io/upstream/sender.go
@@ -80,7 +80,7 @@
 	p := s.pool(e)
 	c := newCall(r)
 	a, err := p.Do(ctx, c)
-	if r.Kind.Repeatable && wire.WorthRetry(ctx, err, r.Again) {
+	if r.Kind.Repeatable && wire.WorthRetry(ctx, err, r.Again) && hasSlot(r, err) {
 		c.ID = work.NewID()
 		c.Fresh = true
 		a, err = p.Do(ctx, c)
@@ -123,6 +123,11 @@
 	}
 }
 
+// hasSlot reports whether a second sending of r stays within the endpoint's slots.
+func hasSlot(r *work.Request, err error) bool {
+	return !mayRun(err) || r.Resend == nil || r.Resend()
+}
+
 // mayRun reports whether the endpoint may still be at work on a request.
 func mayRun(err error) bool {
 	f := (*wire.Failure)(nil)
--- a/io/upstream/sender_test.go
+++ b/io/upstream/sender_test.go
@@ -323,3 +323,22 @@
 		c.Assert(s, qt.Equals, "answer to "+seen[0].Path)
 	})
 }
+
+// TestSilentWithoutASlot lets a used connection fall silent while the endpoint has
+// no slot for a second sending: repeatable work is not sent again.
+func TestSilentWithoutASlot(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(c, standin.Honest, standin.Silent, standin.Honest)
+	_, err := b.send(b.request("/1", true))
+	c.Assert(err, qt.IsNil)
+	r := b.request("/2", true)
+	asked := 0
+	r.Resend = func() bool {
+		asked++
+		return false
+	}
+	_, err = b.send(r)
+	c.Assert(code.Of(err), qt.Equals, code.UpstreamSilent)
+	c.Assert(asked, qt.Equals, 1)
+	c.Assert(b.hostile.Seen(), qt.HasLen, 2)
+}
