core/balance: urgent work meets one endpoint of the region; shares by decayed use

The shares followed loads of one moment. Change: rank 0 is placed over the region; loads are decayed; objects that an endpoint forgets move work away; hedges after 4.5 usual times.

--- a/core/balance/ask.go
+++ b/core/balance/ask.go
@@ -12,6 +12,8 @@
 	// Key names the request's object, such as a hash of its affinity key. It
 	// is drawn at random for requests without one.
 	Key uint64
+	// Class names requests that cost endpoints alike, such as those of a route.
+	Class string
 	// Rank is 0 for the most urgent work.
 	Rank int
 	// Objective is when an answer stops having its full worth.
@@ -60,6 +62,8 @@
 type Choice struct {
 	Seat  Target
 	Level Level
+	// Place is the endpoint's place in the order of the object's endpoints.
+	Place int
 	// Fresh demands a new connection: the endpoint may be unreachable.
 	Fresh bool
 	// Usual is the time that the endpoint usually takes, with its queue.
@@ -72,6 +76,7 @@
 	seat   *seat
 	flight *flight
 	key    uint64
+	class  string
 	// queued is the number of requests beyond the slots when it was chosen.
 	queued int
 }
--- a/core/balance/balancer.go
+++ b/core/balance/balancer.go
@@ -71,6 +71,8 @@
 	tokens float64
 	// service is the usual time in a slot over all endpoints.
 	service time.Duration
+	// fastest is a low quantile of the time at endpoints by class of work.
+	fastest map[string]time.Duration
 	// pressed is the decayed part of requests that found no room at home.
 	pressed float64
 }
@@ -191,6 +193,26 @@
 	}
 }
 
+// fast returns a low quantile of the times of a class of work at endpoints,
+// which it moves by the newest one.
+func (p *pool) fast(class string, d time.Duration) time.Duration {
+	const up, down = 0.02, 0.1
+	f := p.fastest[class]
+	switch {
+	case f == 0:
+		f = d
+	case d < f:
+		f -= time.Duration(down * float64(f-d))
+	default:
+		f += time.Duration(up * float64(min(d, 2*f)-f))
+	}
+	if p.fastest == nil {
+		p.fastest = map[string]time.Duration{}
+	}
+	p.fastest[class] = f
+	return f
+}
+
 func (p *pool) press(x float64) {
 	const weight = 0.05
 	p.pressed += weight * (x - p.pressed)
@@ -207,6 +229,10 @@
 func (b *Balancer) order(p *pool, a *Ask) []Level {
 	x := position(a.Key)
 	switch {
+	case a.Rank == 0 && x < p.shares.Far:
+		return []Level{OtherRegion, SameRegion}
+	case a.Rank == 0:
+		return []Level{SameRegion, OtherRegion}
 	case x < p.shares.Far:
 		return []Level{OtherRegion, SameZone, SameRegion}
 	case x < p.shares.Far+p.shares.Near:
@@ -219,7 +245,7 @@
 // exceeds reports whether a request would leave the region beyond the shares and
 // the allowance for that. A region without any endpoint is bound by nothing.
 func (b *Balancer) exceeds(p *pool, a *Ask, found [levels]*candidate) bool {
-	if found[SameZone] == nil && found[SameRegion] == nil || position(a.Key) < p.shares.Far {
+	if (found[SameZone] == nil && found[SameRegion] == nil) || position(a.Key) < p.shares.Far {
 		return false
 	}
 	if p.tokens < 1 {
@@ -233,6 +259,8 @@
 type candidate struct {
 	seat *seat
 	load int
+	// place is the endpoint's place in the order of the object's endpoints.
+	place int
 	// done is when an answer is expected.
 	done time.Time
 	cost time.Duration
@@ -240,7 +268,12 @@
 
 // best returns the level's endpoint at which the request costs least.
 func (b *Balancer) best(p *pool, l Level, a *Ask, now time.Time) *candidate {
-	order := b.fit(p.seats[l], a, now)
+	order := b.fit(nil, p.seats[l], a, now)
+	if a.Rank == 0 && l == SameRegion {
+		// The most urgent work meets one endpoint of the whole region, since
+		// that has its object ready sooner than one of each zone would.
+		order = b.fit(order, p.seats[SameZone], a, now)
+	}
 	sort.Slice(order, func(i, j int) bool {
 		return order[i].weight > order[j].weight
 	})
@@ -259,9 +292,8 @@
 	weight uint64
 }
 
-// fit returns the endpoints that may get the request at all.
-func (b *Balancer) fit(s []*seat, a *Ask, now time.Time) []ordered {
-	r := make([]ordered, 0, len(s))
+// fit appends the endpoints that may get the request at all.
+func (b *Balancer) fit(r []ordered, s []*seat, a *Ask, now time.Time) []ordered {
 	for _, x := range s {
 		if x.resting(now) || now.Before(x.fullUntil) && a.Retry || contains(a.Avoid, x.ID) {
 			continue
@@ -302,10 +334,11 @@
 	cost += time.Duration(placeCost * float64(place) * float64(service))
 	cost += time.Duration(s.failing*float64(failCost) + s.rejecting*float64(rejectCost))
 	return &candidate{
-		seat: s,
-		load: load,
-		done: now.Add(wait + service),
-		cost: cost,
+		seat:  s,
+		load:  load,
+		place: place,
+		done:  now.Add(wait + service),
+		cost:  cost,
 	}
 }
 
@@ -349,6 +382,7 @@
 			Connections: s.connections,
 		},
 		Level:   s.level,
+		Place:   k.place,
 		Fresh:   fresh,
 		Usual:   k.done.Sub(now),
 		Load:    k.load,
@@ -356,6 +390,7 @@
 		seat:    s,
 		flight:  f,
 		key:     a.Key,
+		class:   a.Class,
 		queued:  max(0, k.load+1-s.Slots),
 	}
 }
--- a/core/balance/result.go
+++ b/core/balance/result.go
@@ -83,9 +83,13 @@
 	s.failing -= rateWeight * s.failing
 	s.rejecting -= rateWeight * s.rejecting
 	d := now.Sub(c.flight.sentAt)
+	p := b.pools[s.Upstream]
+	if p != nil && c.queued == 0 {
+		s.judgeKey(c.key, d, p.fast(c.class, d), now)
+	}
 	s.learn(d, c.queued)
 	s.remember(c.key, now)
-	if p := b.pools[s.Upstream]; p != nil {
+	if p != nil {
 		const weight = 0.02
 		if p.service == 0 {
 			p.service = s.service
--- a/core/balance/seat.go
+++ b/core/balance/seat.go
@@ -32,6 +32,11 @@
 	// rejectPause is how long an endpoint that rejected a request gets nothing
 	// beyond what it reported.
 	rejectPause = 60 * time.Millisecond
+	// missFactor is how many times the shortest usual time an answer takes whose
+	// object the endpoint did not have ready.
+	missFactor = 2.2
+	// missWeight is the weight of the newest answer in the rate of those.
+	missWeight = 0.05
 	// silentFactor is how many usual times without any answer make an endpoint
 	// that has requests suspect, and silentLeast the least such time.
 	silentFactor = 4
@@ -64,6 +69,8 @@
 	reportedAt      time.Time
 	reportedFlights int
 
+	// busy is the decayed mean of the load.
+	busy float64
 	// service is the usual time in a slot, 0 if not known.
 	service time.Duration
 	// failing and rejecting are rates between 0 and 1.
@@ -79,6 +86,9 @@
 	heard time.Time
 	// warm holds when each object was served last.
 	warm map[uint64]time.Time
+	// missing is the rate at which objects that were served here lately took
+	// as long as new ones, since the endpoint keeps too few.
+	missing float64
 }
 
 type flight struct {
@@ -159,10 +169,13 @@
 }
 
 func (s *seat) refill(now time.Time) {
-	if !s.tokensAt.IsZero() {
-		s.tokens = min(1, s.tokens+s.coldRate*now.Sub(s.tokensAt).Seconds())
-	} else {
+	switch {
+	case s.coldRate <= 0:
+		s.tokens = 0
+	case s.tokensAt.IsZero():
 		s.tokens = 1
+	default:
+		s.tokens = min(1, s.tokens+s.coldRate*now.Sub(s.tokensAt).Seconds())
 	}
 	s.tokensAt = now
 }
@@ -200,6 +213,19 @@
 	s.service += time.Duration(serviceWeight * float64(d-s.service))
 }
 
+// judgeKey learns from the time that an answer took, beside the shortest usual
+// one, whether the endpoint still had an object that it served before.
+func (s *seat) judgeKey(key uint64, d, fast time.Duration, now time.Time) {
+	if !s.isWarm(key, now) {
+		return
+	}
+	x := 0.0
+	if float64(d) > missFactor*float64(fast) {
+		x = 1
+	}
+	s.missing += missWeight * (x - s.missing)
+}
+
 func (s *seat) remember(key uint64, now time.Time) {
 	if len(s.warm) >= maxWarm {
 		for k, t := range s.warm {
--- a/core/balance/spill.go
+++ b/core/balance/spill.go
@@ -16,6 +16,12 @@
 	lowUse  = 0.6
 	// useGap is how much freer the other place has to be.
 	useGap = 0.12
+	// highMisses and lowMisses are the rates of missing objects at which work
+	// begins to leave and may return, and missGap how much lower they have to
+	// be elsewhere.
+	highMisses = 0.2
+	lowMisses  = 0.08
+	missGap    = 0.08
 	// mostSpill leaves some work at home, so that its room is seen.
 	mostSpill = 0.9
 	// startUse is the use of all slots that is assumed before traffic shows it.
@@ -36,6 +42,10 @@
 	Zone   float64
 	Region float64
 	Far    float64
+	// ZoneMisses and FarMisses are the rates at which endpoints no longer have
+	// an object ready that they served lately.
+	ZoneMisses float64
+	FarMisses  float64
 }
 
 // StartShares returns the shares before any traffic was seen: what the zone's
@@ -59,11 +69,29 @@
 // Step returns the shares after a time in which the uses held.
 func (s Shares) Step(u Uses, d time.Duration) Shares {
 	t := d.Seconds()
-	s.Far = clamp(s.Far + farSlope*t*direction(own(u), u.Far))
+	s.Far = clamp(s.Far + farSlope*t*farDirection(u))
 	s.Near = min(1-s.Far, clamp(s.Near+nearSlope*t*direction(u.Zone, u.Region)))
 	return s
 }
 
+// farDirection returns whether work should leave the region, between -1 and 1:
+// because its slots are used, or because its endpoints cannot keep all objects
+// ready.
+func farDirection(u Uses) float64 {
+	d := direction(own(u), u.Far)
+	if u.Far < 0 || u.Far > highUse || d > 0 {
+		return d
+	}
+	switch {
+	case u.ZoneMisses > highMisses && u.FarMisses < u.ZoneMisses-missGap:
+		return 1
+	case u.ZoneMisses > lowMisses:
+		return max(0, d)
+	default:
+		return d
+	}
+}
+
 // own returns the use of the whole region's slots.
 func own(u Uses) float64 {
 	switch {
--- a/core/balance/tell.go
+++ b/core/balance/tell.go
@@ -5,6 +5,10 @@
 // pressWeight is what a request that found no room adds to the use of slots.
 const pressWeight = 0.6
 
+// busyTime is the time constant of the mean load by which work is moved. It is
+// long beside the time of a request.
+const busyTime = 1500 * time.Millisecond
+
 // Flights returns this host's requests at each endpoint that has any.
 func (b *Balancer) Flights() map[string]int {
 	b.mu.Lock()
@@ -35,9 +39,22 @@
 	}
 }
 
+// Sample takes the loads of the own zone's endpoints into their decayed means.
+// It is called at an even interval.
+func (b *Balancer) Sample(interval time.Duration, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w := interval.Seconds() / busyTime.Seconds()
+	for _, p := range b.pools {
+		for _, s := range p.seats[SameZone] {
+			s.busy += w * (float64(s.load(now)) - s.busy)
+		}
+	}
+}
+
 // Uses returns, for each upstream, the use of the slots of the own zone and how
 // many there are.
-func (b *Balancer) Uses(now time.Time) map[string]Use {
+func (b *Balancer) Uses() map[string]Use {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	m := map[string]Use{}
@@ -45,7 +62,8 @@
 		u := Use{}
 		for _, s := range p.seats[SameZone] {
 			u.Slots += s.Slots
-			u.Used += float64(s.load(now))
+			u.Used += s.busy
+			u.Missing += s.missing * float64(s.Slots)
 		}
 		u.Used += pressWeight * p.pressed * float64(u.Slots)
 		m[n] = u
@@ -57,13 +75,17 @@
 type Use struct {
 	Slots int     `json:"slots"`
 	Used  float64 `json:"used"`
+	// Missing is the number of slots times the rate at which endpoints no
+	// longer have an object ready that they served lately.
+	Missing float64 `json:"missing,omitempty"`
 }
 
 // Add returns the sum of two uses.
 func (u Use) Add(o Use) Use {
 	return Use{
-		Slots: u.Slots + o.Slots,
-		Used:  u.Used + o.Used,
+		Slots:   u.Slots + o.Slots,
+		Used:    u.Used + o.Used,
+		Missing: u.Missing + o.Missing,
 	}
 }
 
@@ -75,6 +97,14 @@
 	return u.Used / float64(u.Slots)
 }
 
+// Misses returns the mean rate of missing objects.
+func (u Use) Misses() float64 {
+	if u.Slots == 0 {
+		return 0
+	}
+	return u.Missing / float64(u.Slots)
+}
+
 // Shares returns the shares in force.
 func (b *Balancer) Shares() map[string]Shares {
 	b.mu.Lock()
--- a/core/edge/control.go
+++ b/core/edge/control.go
@@ -22,6 +22,8 @@
 	farInterval = 500 * time.Millisecond
 	// shareInterval is the interval at which a relay adjusts the shares.
 	shareInterval = 250 * time.Millisecond
+	// sharesLogInterval is the interval of the log lines on shares.
+	sharesLogInterval = 2 * time.Second
 	// joinAgain is the pause before another try to join.
 	joinAgain = 500 * time.Millisecond
 	// joinTimeout and fetchTimeout bound calls.
@@ -55,12 +57,15 @@
 	nearNext  time.Time
 	farNext   time.Time
 	shareNext time.Time
+	sharesLog time.Time
 	stepped   time.Time
 	// live is the view of the last step.
 	live []fleet.Member
 	// changes is the registry's count that the view holds.
 	changes uint64
 	table   *route.Table
+	// usable are the endpoints that the view holds.
+	usable map[string]registry.Endpoint
 }
 
 type zoneState struct {
@@ -109,6 +114,7 @@
 	for p := range registry.Parts {
 		c.read(p, now)
 	}
+	c.edge.balancer.Sample(step, now)
 	if !now.Before(c.shareNext) {
 		c.shareNext = now.Add(shareInterval)
 		c.adjustShares(now)
@@ -219,7 +225,29 @@
 	s := c.registry.Usable()
 	c.edge.balancer.Set(s, limits, c.coldPart)
 	c.startShares(s)
-	c.edge.options.Log("endpoints", "usable", len(s), "version", c.registry.Version(registry.Endpoints))
+	c.logEndpoints(s, now)
+}
+
+// logEndpoints writes a line for each endpoint that came, changed or went.
+func (c *control) logEndpoints(s []registry.Endpoint, now time.Time) {
+	age := now.Sub(c.registry.Current(registry.Endpoints))
+	version := c.registry.Version(registry.Endpoints)
+	before := c.usable
+	c.usable = map[string]registry.Endpoint{}
+	for _, e := range s {
+		c.usable[e.ID] = e
+		o, ok := before[e.ID]
+		delete(before, e.ID)
+		if ok && o.Born.Equal(e.Born) && o.ColdUntil.Equal(e.ColdUntil) {
+			continue
+		}
+		c.edge.options.Log("endpoint", "endpoint", e.ID, "upstream", e.Upstream, "zone", e.Zone, "state", "usable",
+			"cold_left", max(0, e.ColdUntil.Sub(now)), "version", version, "age", age)
+	}
+	for id, o := range before {
+		c.edge.options.Log("endpoint", "endpoint", id, "upstream", o.Upstream, "zone", o.Zone, "state", "unusable",
+			"version", version, "age", age)
+	}
 }
 
 // coldPart returns the part of a cold endpoint's allowance that this host may
--- a/core/edge/exchange.go
+++ b/core/edge/exchange.go
@@ -33,16 +33,16 @@
 	c.farNext = now.Add(farInterval)
 	t := c.tick(now)
 	if c.relay() {
-		t.Zones = []ZoneNews{c.ownZone(now)}
+		t.Zones = []ZoneNews{c.ownZone()}
 	}
 	c.edge.options.Seams.Tell(c.fleet.FarTargets(c.live), t)
 }
 
-func (c *control) ownZone(now time.Time) ZoneNews {
+func (c *control) ownZone() ZoneNews {
 	z := c.fleet.Self().Zone
 	n := ZoneNews{
 		Zone: z,
-		Uses: c.edge.balancer.Uses(now),
+		Uses: c.edge.balancer.Uses(),
 	}
 	for _, m := range fleet.Zone(c.live, z) {
 		if !m.Leaving {
@@ -246,15 +246,31 @@
 		return
 	}
 	m := c.edge.balancer.Shares()
-	for n, u := range c.edge.balancer.Uses(now) {
+	for n, u := range c.edge.balancer.Uses() {
 		region, far := c.elsewhere(n, now)
 		m[n] = m[n].Step(balance.Uses{
-			Zone:   u.Share(),
-			Region: region.Share(),
-			Far:    far.Share(),
+			Zone:       u.Share(),
+			Region:     region.Share(),
+			Far:        far.Share(),
+			ZoneMisses: u.Misses(),
+			FarMisses:  far.Misses(),
 		}, shareInterval)
 	}
 	c.edge.balancer.SetShares(m)
+	c.logShares(m, now)
+}
+
+// logShares writes a line for each upstream from time to time.
+func (c *control) logShares(m map[string]balance.Shares, now time.Time) {
+	if now.Before(c.sharesLog) {
+		return
+	}
+	c.sharesLog = now.Add(sharesLogInterval)
+	for n, u := range c.edge.balancer.Uses() {
+		region, far := c.elsewhere(n, now)
+		c.edge.options.Log("shares", "upstream", n, "near", m[n].Near, "far", m[n].Far, "zone_use", u.Share(), "zone_misses", u.Misses(),
+			"region_use", region.Share(), "far_use", far.Share(), "far_misses", far.Misses())
+	}
 }
 
 // elsewhere returns the uses of an upstream's slots in the other zones of the
--- a/core/edge/serve.go
+++ b/core/edge/serve.go
@@ -21,7 +21,7 @@
 	maxUnreached = 4
 	// hedgeFactor is how many usual times a repeatable request waits before it
 	// is sent to a second endpoint too.
-	hedgeFactor = 2.5
+	hedgeFactor = 4.5
 	// hedgeLeast is the least such time.
 	hedgeLeast = 150 * time.Millisecond
 	// suspectInterval is how often the endpoint of a request is looked at.
@@ -151,6 +151,7 @@
 	r.ask = balance.Ask{
 		Upstream:   r.upstream,
 		Key:        keyOf(t, q),
+		Class:      t.Name,
 		Rank:       t.Rank,
 		Objective:  q.Arrived.Add(t.Objective),
 		Deadline:   r.deadline,
@@ -455,7 +456,8 @@
 		}
 	}
 	r.edge.balancer.Done(x.choice, s, now)
-	r.edge.options.Log("sent", "request", r.request.ID, "endpoint", x.choice.Seat.ID, "level", x.choice.Level,
+	r.edge.options.Log("sent", "request", r.request.ID, "object", r.request.Object, "upstream", r.upstream,
+		"endpoint", x.choice.Seat.ID, "level", x.choice.Level, "place", x.choice.Place,
 		"load", x.choice.Load, "load_age", x.choice.LoadAge, "took", now.Sub(x.sentAt), "outcome", o, "failure", reasonOf(x.failure))
 }
 
