core/balance: one owner for each endpoint, with one queue by rank (trial)

A host sends to an endpoint of another zone less than once a second, so that what it knows of its load is always old. Change: hosts pass requests on to the endpoint's owner, which counts exactly.

--- a/cmd/heatherford-edge/daemon.go
+++ b/cmd/heatherford-edge/daemon.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"os"
 	"time"
 
@@ -39,6 +40,7 @@
 	sender   *endpoint.Sender
 	store    *platform.Store
 	ingress  *ingress.Ingress
+	link     *host.Link
 	tomb     tomb.Tomb
 	// content is the settings file's content that was read last.
 	content string
@@ -61,6 +63,7 @@
 		Address: s.Peers,
 		Hear:    d.hear,
 		Book:    d.book,
+		Take:    d.take,
 		Log:     d.log.Log,
 	})
 	if err != nil {
@@ -76,6 +79,7 @@
 			Tell:      link.Tell,
 			Fetch:     link.Fetch,
 			Send:      d.sender.Send,
+			Carry:     link.Carry,
 		},
 		Repeats: s.Repeats,
 		Log:     d.log.Log,
@@ -98,6 +102,7 @@
 	if err != nil {
 		return nil, err
 	}
+	d.link = link
 	d.log.Log("start", "zone", s.Zone, "region", s.Region, "callers", s.Callers, "peers", s.Peers)
 	return d, nil
 }
@@ -160,7 +165,7 @@
 	time.Sleep(min(stayOpen, d.settings.Grace/2))
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(d.settings.Grace-stopMargin))
 	defer cancel()
-	err := d.ingress.Stop(ctx)
+	err := errors.Join(d.ingress.Stop(ctx), d.link.Stop(ctx))
 	d.log.Log("stop", "outcome", "ended", "took", time.Since(began), "err", err)
 	d.log.Close(lastLines)
 	return exitOK
--- a/cmd/heatherford-edge/observe.go
+++ b/cmd/heatherford-edge/observe.go
@@ -15,6 +15,10 @@
 	return d.edge.Book(ctx, since)
 }
 
+func (d *daemon) take(ctx context.Context, c *edge.Carried) *edge.Carry {
+	return d.edge.Take(ctx, c)
+}
+
 // observe logs the end of a request.
 func (d *daemon) observe(o *edge.Observation) {
 	q, a := o.Request, o.Answer
--- a/core/balance/ask.go
+++ b/core/balance/ask.go
@@ -25,10 +25,8 @@
 	Allows func(region string) bool
 	// Avoid names endpoints that the request must not go to.
 	Avoid []string
-	// Repeatable requests may run more than once.
-	Repeatable bool
 	// Retry is true if an endpoint had the request before. A retry does not
-	// wait in an endpoint's queue.
+	// wait in a queue.
 	Retry bool
 }
 
@@ -57,34 +55,46 @@
 	return [...]string{"zone", "region", "far"}[l]
 }
 
-// Choice is the right to send one request to an endpoint. Its user ends it with
-// Balancer.Done.
+// Choice is an endpoint for one request. Its user ends it with Balancer.Done.
 type Choice struct {
-	Seat  Target
-	Level Level
+	Target Target
+	Level  Level
 	// Place is the endpoint's place in the order of the object's endpoints.
 	Place int
-	// Fresh demands a new connection: the endpoint may be unreachable.
-	Fresh bool
 	// Usual is the time that the endpoint usually takes, with its queue.
 	Usual time.Duration
 	// Load and LoadAge say what the choice was based on: requests at the
-	// endpoint, and how old the newest report of it was.
+	// endpoint and before it, and how old that figure was, negative if nothing
+	// was known.
 	Load    int
 	LoadAge time.Duration
 
-	seat   *seat
-	flight *flight
-	key    uint64
-	class  string
-	// queued is the number of requests beyond the slots when it was chosen.
-	queued int
+	seat *seat
+	key  uint64
 }
 
 // Target is the endpoint of a choice.
 type Target struct {
 	ID          string
+	Upstream    string
 	Zone        string
 	Address     string
 	Connections int
+	// Owner is the host that sends to the endpoint.
+	Owner string
+}
+
+// State is what an owner tells of an endpoint.
+type State struct {
+	// Load is the number of requests at the endpoint and in its queue.
+	Load int `json:"load"`
+	// Service is the usual time in a slot.
+	Service time.Duration `json:"service,omitempty"`
+	// Failing is the rate of failures.
+	Failing float64 `json:"failing,omitempty"`
+	// Missing is the rate at which the endpoint no longer has an object ready
+	// that it served lately.
+	Missing float64 `json:"missing,omitempty"`
+	// Rest is how long the endpoint gets nothing.
+	Rest time.Duration `json:"rest,omitempty"`
 }
--- /dev/null
+++ b/core/balance/gate.go
@@ -0,0 +1,274 @@
+package balance
+
+import (
+	"context"
+	"sort"
+	"time"
+
+	"heatherford/core/code"
+)
+
+const (
+	// mostOvertaken is the number of urgent requests in a row after which a
+	// waiting request of another rank gets its turn.
+	mostOvertaken = 4
+	// queuePerSlot bounds the requests that wait for an endpoint.
+	queuePerSlot = 4
+)
+
+// Permit is the right to send one request to an endpoint. Its user ends it with
+// Balancer.Leave.
+type Permit struct {
+	Target Target
+	// Fresh demands a new connection: the endpoint may be unreachable.
+	Fresh bool
+	// Waited is the time in the queue.
+	Waited time.Duration
+
+	seat   *seat
+	key    uint64
+	class  string
+	sentAt time.Time
+}
+
+// waiter is a request in an endpoint's queue.
+type waiter struct {
+	ask     Ask
+	arrived time.Time
+	// latest is when the request has to be sent at the latest.
+	latest time.Time
+	// done gets the decision. It has room for one.
+	done chan decision
+}
+
+type decision struct {
+	permit  *Permit
+	refusal *Refusal
+}
+
+// Enter admits a request to an endpoint, at once or after a wait that ends with
+// ctx. It refuses at once what would be answered too late. This host should own
+// the endpoint.
+func (b *Balancer) Enter(ctx context.Context, id string, a Ask) (*Permit, *Refusal) {
+	now := time.Now()
+	w, d := b.enter(id, a, now)
+	if w == nil {
+		return d.permit, d.refusal
+	}
+	t := time.NewTimer(w.latest.Sub(now))
+	defer t.Stop()
+	select {
+	case d := <-w.done:
+		return d.permit, d.refusal
+	case <-ctx.Done():
+	case <-t.C:
+	}
+	if b.withdraw(id, w) {
+		return nil, refuse(code.DeadlinePassed, time.Now().Add(retryLeast), "no slot of %s came free in time", id)
+	}
+	x := <-w.done
+	return x.permit, x.refusal
+}
+
+// enter decides at once, or returns a waiter.
+func (b *Balancer) enter(id string, a Ask, now time.Time) (*waiter, decision) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.seats[id]
+	if s == nil {
+		return nil, decision{
+			refusal: refuse(code.NoEndpoint, now.Add(retryLeast), "endpoint %s may not be sent to", id),
+		}
+	}
+	if r := s.unfit(now); r != nil {
+		return nil, decision{
+			refusal: r,
+		}
+	}
+	if s.free(now) && len(s.queue) == 0 {
+		return nil, decision{
+			permit: b.admit(s, &a, now),
+		}
+	}
+	if r := b.late(s, &a, now); r != nil {
+		return nil, decision{
+			refusal: r,
+		}
+	}
+	w := &waiter{
+		ask:     a,
+		arrived: now,
+		latest:  a.Deadline.Add(-deadlineMargin),
+		done:    make(chan decision, 1),
+	}
+	s.insert(w)
+	return w, decision{}
+}
+
+// unfit refuses requests to an endpoint that gets nothing for now.
+func (s *seat) unfit(now time.Time) *Refusal {
+	switch {
+	case s.resting(now):
+		return refuse(code.NoEndpoint, s.restUntil, "endpoint %s rests", s.ID)
+	case s.suspect(now):
+		return refuse(code.NoEndpoint, now.Add(silentLeast), "endpoint %s is silent", s.ID)
+	case s.trying() && len(s.flights) > 0:
+		return refuse(code.NoEndpoint, now.Add(restFirst), "endpoint %s is being tried", s.ID)
+	case s.cold(now) && !s.coldOwn.has(now):
+		return refuse(code.EndpointFull, now.Add(retryLeast), "endpoint %s is cold", s.ID)
+	default:
+		return nil
+	}
+}
+
+// free reports whether a slot is free.
+func (s *seat) free(now time.Time) bool {
+	return s.running(now) < s.Slots && !now.Before(s.fullUntil)
+}
+
+// late refuses a request whose turn would come too late: a queue that is longer
+// than the objective allows would make every answer late.
+func (b *Balancer) late(s *seat, a *Ask, now time.Time) *Refusal {
+	service := b.pools[s.Upstream].serviceOf(s)
+	ahead := s.ahead(a.Rank)
+	wait := waitBehind(s.running(now)+ahead, s.Slots, service)
+	done := now.Add(wait + service)
+	if !a.Retry && ahead < queuePerSlot*s.Slots && !done.After(a.Objective) {
+		return nil
+	}
+	over := max(1, s.running(now)+len(s.queue)-s.Slots+1)
+	spread := time.Duration(b.options.Random() * spreadBack * float64(service))
+	again := now.Add(retryLeast + time.Duration(float64(service)*float64(over)/float64(s.Slots)) + spread)
+	return refuse(code.RankFull, again, "endpoint %s has %d of %d and %d wait", s.ID, s.running(now), s.Slots, len(s.queue))
+}
+
+// ahead returns the number of waiting requests that go before one of the rank.
+func (s *seat) ahead(rank int) int {
+	n := 0
+	for _, w := range s.queue {
+		if w.ask.Rank <= rank {
+			n++
+		}
+	}
+	return n
+}
+
+// insert puts a waiter behind those of its rank and of more urgent ones.
+func (s *seat) insert(w *waiter) {
+	i := sort.Search(len(s.queue), func(i int) bool {
+		return s.queue[i].ask.Rank > w.ask.Rank
+	})
+	s.queue = append(s.queue, nil)
+	copy(s.queue[i+1:], s.queue[i:])
+	s.queue[i] = w
+}
+
+// withdraw takes a waiter out of its queue. It reports false if the waiter was
+// decided before.
+func (b *Balancer) withdraw(id string, w *waiter) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.seats[id]
+	if s == nil {
+		return false
+	}
+	for i, x := range s.queue {
+		if x == w {
+			s.queue = append(s.queue[:i], s.queue[i+1:]...)
+			return true
+		}
+	}
+	return false
+}
+
+func (b *Balancer) admit(s *seat, a *Ask, now time.Time) *Permit {
+	if s.cold(now) {
+		s.coldOwn.take(now)
+	}
+	p := &Permit{
+		Target: Target{
+			ID:          s.ID,
+			Upstream:    s.Upstream,
+			Zone:        s.Zone,
+			Address:     s.Address.String(),
+			Connections: s.connections,
+			Owner:       s.owner,
+		},
+		Fresh:  s.trying(),
+		seat:   s,
+		key:    a.Key,
+		class:  a.Class,
+		sentAt: now,
+	}
+	s.flights[p] = true
+	return p
+}
+
+// pump gives free slots to waiting requests.
+func (b *Balancer) pump(s *seat, now time.Time) {
+	for len(s.queue) > 0 {
+		if r := s.unfit(now); r != nil && r.Code != code.EndpointFull {
+			s.refuseAll(r)
+			return
+		}
+		if !s.free(now) || (s.cold(now) && !s.coldOwn.has(now)) {
+			return
+		}
+		w := s.next()
+		p := b.admit(s, &w.ask, now)
+		p.Waited = now.Sub(w.arrived)
+		w.done <- decision{
+			permit: p,
+		}
+	}
+}
+
+// next takes the next request out of the queue: the most urgent one, but for a
+// turn of the other ranks from time to time.
+func (s *seat) next() *waiter {
+	i := 0
+	first := s.queue[0].ask.Rank
+	if last := s.queue[len(s.queue)-1].ask.Rank; last > first {
+		s.overtaken++
+		if s.overtaken > mostOvertaken {
+			i = sort.Search(len(s.queue), func(i int) bool {
+				return s.queue[i].ask.Rank > first
+			})
+			s.overtaken = 0
+		}
+	}
+	w := s.queue[i]
+	s.queue = append(s.queue[:i], s.queue[i+1:]...)
+	return w
+}
+
+func (s *seat) refuseAll(r *Refusal) {
+	for _, w := range s.queue {
+		w.done <- decision{
+			refusal: r,
+		}
+	}
+	s.queue = nil
+}
+
+// dismiss refuses what waits for an endpoint that is gone.
+func (s *seat) dismiss(now time.Time) {
+	s.refuseAll(refuse(code.NoEndpoint, now.Add(retryLeast), "endpoint %s may not be sent to", s.ID))
+}
+
+// Pump gives slots that came free without an answer to waiting requests, such as
+// those that a cold endpoint may take. It is called at an even interval.
+func (b *Balancer) Pump(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, s := range b.seats {
+		b.pump(s, now)
+	}
+}
+
+// Usable reports whether a permit's endpoint may still get work.
+func (b *Balancer) Usable(p *Permit) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.seats[p.Target.ID] == p.seat
+}
--- a/core/balance/result.go
+++ b/core/balance/result.go
@@ -40,12 +40,13 @@
 	ColdUntil time.Time
 }
 
-// Done ends a choice. It is called once for each.
-func (b *Balancer) Done(c *Choice, r Result, now time.Time) {
+// Leave ends a permit and returns what its endpoint's owner tells of it. It is
+// called once for each permit.
+func (b *Balancer) Leave(p *Permit, r Result, now time.Time) State {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s := c.seat
-	delete(s.flights, c.flight)
+	s := p.seat
+	delete(s.flights, p)
 	if r.Load >= 0 {
 		s.reported = r.Load
 		s.reportedAt = now
@@ -54,16 +55,25 @@
 	if r.ColdUntil.After(s.ColdUntil) {
 		s.ColdUntil = r.ColdUntil
 	}
-	switch r.Outcome {
+	b.learn(p, r.Outcome, now)
+	b.pump(s, now)
+	return s.state(now)
+}
+
+func (b *Balancer) learn(p *Permit, o Outcome, now time.Time) {
+	s := p.seat
+	switch o {
 	case Answered:
-		b.answered(c, now)
+		b.answered(p, now)
 	case Erred:
 		s.answered(now)
 		s.failing += rateWeight * (1 - s.failing)
 	case Rejected:
 		s.answered(now)
 		s.rejecting += rateWeight * (1 - s.rejecting)
-		s.fullUntil = now.Add(rejectPause)
+		if s.running(now) >= s.Slots {
+			s.fullUntil = now.Add(rejectPause)
+		}
 	case Misplaced:
 		s.heard = now
 		s.failures = max(s.failures, restFailures)
@@ -77,23 +87,19 @@
 	}
 }
 
-func (b *Balancer) answered(c *Choice, now time.Time) {
-	s := c.seat
+func (b *Balancer) answered(x *Permit, now time.Time) {
+	s := x.seat
 	s.answered(now)
 	s.failing -= rateWeight * s.failing
 	s.rejecting -= rateWeight * s.rejecting
-	d := now.Sub(c.flight.sentAt)
+	d := now.Sub(x.sentAt)
 	p := b.pools[s.Upstream]
-	if p != nil && c.queued == 0 {
-		s.judgeKey(c.key, d, p.fast(c.class, d), now)
-	}
-	s.learn(d, c.queued)
-	s.remember(c.key, now)
-	if p != nil {
-		const weight = 0.02
-		if p.service == 0 {
-			p.service = s.service
-		}
-		p.service += time.Duration(weight * float64(s.service-p.service))
+	s.judgeKey(x.key, d, p.fast(x.class, d), now)
+	s.learn(d)
+	s.remember(x.key, now)
+	const weight = 0.02
+	if p.service == 0 {
+		p.service = s.service
 	}
+	p.service += time.Duration(weight * float64(s.service-p.service))
 }
--- a/core/balance/seat.go
+++ b/core/balance/seat.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"math"
 	"time"
 
 	"heatherford/core/registry"
@@ -9,18 +10,18 @@
 const (
 	// firstService is the time that an endpoint is taken to need for a request
 	// before it or its siblings have answered one.
-	firstService = 250 * time.Millisecond
+	firstService = 200 * time.Millisecond
 	// serviceWeight is the weight of the newest answer in the usual time.
-	serviceWeight = 0.15
+	serviceWeight = 0.1
 	// rateWeight is the same for the rates of failures and rejections.
 	rateWeight = 0.15
 	// reportAge is how long an endpoint's own word on its load is used.
-	reportAge = time.Second
-	// peerAge is how long another host's word on its requests is used.
-	peerAge = time.Second
+	reportAge = 500 * time.Millisecond
+	// hintAge is how long an owner's word on an endpoint is used.
+	hintAge = 400 * time.Millisecond
 	// warmAge is how long an endpoint is taken to serve an object faster after
 	// it served it.
-	warmAge = 15 * time.Second
+	warmAge = 10 * time.Second
 	// maxWarm bounds the objects that are remembered for an endpoint.
 	maxWarm = 512
 	// restFirst and restMost bound how long an endpoint gets nothing after
@@ -29,9 +30,8 @@
 	restMost  = 2 * time.Second
 	// restFailures is the number of failures in a row that make it rest.
 	restFailures = 2
-	// rejectPause is how long an endpoint that rejected a request gets nothing
-	// beyond what it reported.
-	rejectPause = 60 * time.Millisecond
+	// rejectPause is how long an endpoint that rejected a request gets nothing.
+	rejectPause = 40 * time.Millisecond
 	// missFactor is how many times the shortest usual time an answer takes whose
 	// object the endpoint did not have ready.
 	missFactor = 2.2
@@ -43,25 +43,38 @@
 	silentLeast  = 600 * time.Millisecond
 )
 
-// seat is what a host knows of an endpoint.
+// seat is what a host knows of an endpoint. Some fields are used by the owner
+// only, others by the hosts that pass requests on to it.
 type seat struct {
 	registry.Endpoint
 	region string
 	level  Level
+	// owner is the host that sends to the endpoint.
+	owner string
 	// connections is the most connections that the endpoint accepts from all
 	// hosts.
 	connections int
-	// coldRate is the number of requests a second that this host may send while
-	// the endpoint is cold.
-	coldRate float64
-	// tokens and tokensAt are the allowance for a cold endpoint.
-	tokens   float64
-	tokensAt time.Time
-
-	// flights are this host's requests at the endpoint.
-	flights map[*flight]bool
-	// peers are other hosts' requests at it.
-	peers map[string]peerLoad
+	// coldRate is the number of requests a second that this host may pass on
+	// while the endpoint is cold, and coldOwn what an owner may send.
+	coldRate bucket
+	coldOwn  bucket
+
+	// passing is the number of requests that this host has chosen the endpoint
+	// for and that have not ended.
+	passing int
+	// hint is what the owner told, at a time at which this host was passing so
+	// many.
+	hint        State
+	hintAt      time.Time
+	hintPassing int
+
+	// flights are the requests that this host has sent to the endpoint.
+	flights map[*Permit]bool
+	// queue holds the requests that wait for a slot, in order.
+	queue []*waiter
+	// overtaken is the number of urgent requests in a row that went before
+	// another rank.
+	overtaken int
 	// reported is the endpoint's own word on its running and waiting requests.
 	reported int
 	// reportedAt is when that came, and reportedFlights what this host had at
@@ -69,8 +82,6 @@
 	reportedAt      time.Time
 	reportedFlights int
 
-	// busy is the decayed mean of the load.
-	busy float64
 	// service is the usual time in a slot, 0 if not known.
 	service time.Duration
 	// failing and rejecting are rates between 0 and 1.
@@ -80,7 +91,8 @@
 	failures int
 	// restUntil is when the endpoint may get work again.
 	restUntil time.Time
-	// fullUntil is when the endpoint may get work again after a rejection.
+	// fullUntil is when a slot may be free again after a rejection by an
+	// endpoint that said that it is full.
 	fullUntil time.Time
 	// heard is when it answered last.
 	heard time.Time
@@ -89,46 +101,39 @@
 	// missing is the rate at which objects that were served here lately took
 	// as long as new ones, since the endpoint keeps too few.
 	missing float64
-}
-
-type flight struct {
-	sentAt time.Time
-}
-
-type peerLoad struct {
-	count int
-	at    time.Time
+	// busy is the decayed mean of the load.
+	busy float64
 }
 
 func newSeat(e registry.Endpoint) *seat {
 	return &seat{
 		Endpoint: e,
-		flights:  map[*flight]bool{},
-		peers:    map[string]peerLoad{},
+		flights:  map[*Permit]bool{},
 		warm:     map[uint64]time.Time{},
 	}
 }
 
-// load returns the number of requests that are thought to be at the endpoint.
-func (s *seat) load(now time.Time) int {
-	n := len(s.flights)
-	for _, p := range s.peers {
-		if now.Sub(p.at) < peerAge {
-			n += p.count
-		}
+// load returns the number of requests that are thought to be at the endpoint and
+// before it, and the age of that figure, negative if it is but this host's own.
+func (s *seat) load(self string, now time.Time) (n int, age time.Duration) {
+	if s.owner == self {
+		return s.running(now) + len(s.queue), 0
 	}
-	if !s.reportedAt.IsZero() && now.Sub(s.reportedAt) < reportAge {
-		n = max(n, s.reported+len(s.flights)-s.reportedFlights)
+	n = s.passing
+	if age = now.Sub(s.hintAt); s.hintAt.IsZero() || age > hintAge {
+		return n, -1
 	}
-	return max(0, n)
+	return max(n, s.hint.Load+s.passing-s.hintPassing), age
 }
 
-// loadAge returns the age of the endpoint's own word.
-func (s *seat) loadAge(now time.Time) time.Duration {
-	if s.reportedAt.IsZero() {
-		return -1
+// running returns the number of requests that are thought to be at the endpoint:
+// those of this host, or what the endpoint itself reported if that is more.
+func (s *seat) running(now time.Time) int {
+	n := len(s.flights)
+	if !s.reportedAt.IsZero() && now.Sub(s.reportedAt) < reportAge {
+		n = max(n, s.reported+len(s.flights)-s.reportedFlights)
 	}
-	return now.Sub(s.reportedAt)
+	return n
 }
 
 // suspect reports whether the endpoint has had requests for long without any
@@ -158,31 +163,20 @@
 	return now.Before(s.ColdUntil)
 }
 
-// takeCold takes one request of a cold endpoint's allowance.
-func (s *seat) takeCold(now time.Time) bool {
-	s.refill(now)
-	if s.tokens < 1 {
-		return false
+// state returns what an owner tells of the endpoint.
+func (s *seat) state(now time.Time) State {
+	return State{
+		Load:    s.running(now) + len(s.queue),
+		Service: s.service.Round(time.Millisecond),
+		Failing: hundredths(s.failing),
+		Missing: hundredths(s.missing),
+		Rest:    max(0, s.restUntil.Sub(now)).Round(time.Millisecond),
 	}
-	s.tokens--
-	return true
-}
-
-func (s *seat) refill(now time.Time) {
-	switch {
-	case s.coldRate <= 0:
-		s.tokens = 0
-	case s.tokensAt.IsZero():
-		s.tokens = 1
-	default:
-		s.tokens = min(1, s.tokens+s.coldRate*now.Sub(s.tokensAt).Seconds())
-	}
-	s.tokensAt = now
 }
 
-func (s *seat) mayCold(now time.Time) bool {
-	s.refill(now)
-	return s.tokens >= 1
+func hundredths(x float64) float64 {
+	const n = 100
+	return math.Round(n*x) / n
 }
 
 // fail counts a failure after which the endpoint rests.
@@ -201,11 +195,7 @@
 	s.heard = now
 }
 
-func (s *seat) learn(d time.Duration, queued int) {
-	if queued > 0 {
-		// What was measured holds the wait for a slot.
-		d = time.Duration(float64(d) * float64(s.Slots) / float64(s.Slots+queued))
-	}
+func (s *seat) learn(d time.Duration) {
 	if s.service == 0 {
 		s.service = d
 		return
--- a/core/balance/tell.go
+++ b/core/balance/tell.go
@@ -9,33 +9,35 @@
 // long beside the time of a request.
 const busyTime = 1500 * time.Millisecond
 
-// Flights returns this host's requests at each endpoint that has any.
-func (b *Balancer) Flights() map[string]int {
+// Owned returns what this host tells of the endpoints that it owns.
+func (b *Balancer) Owned(now time.Time) map[string]State {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	m := map[string]int{}
+	m := map[string]State{}
 	for id, s := range b.seats {
-		if n := len(s.flights); n > 0 {
-			m[id] = n
+		if s.owner == b.options.Self {
+			m[id] = s.state(now)
 		}
 	}
 	return m
 }
 
-// Tell takes in what another host has at endpoints.
-func (b *Balancer) Tell(host string, loads map[string]int, now time.Time) {
+// Tell takes in what the owners of endpoints tell, as of the time.
+func (b *Balancer) Tell(m map[string]State, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for id, s := range b.seats {
-		n := loads[id]
-		if n == 0 {
-			delete(s.peers, host)
+	for id, t := range m {
+		s := b.seats[id]
+		if s == nil || s.owner == b.options.Self {
 			continue
 		}
-		s.peers[host] = peerLoad{
-			count: n,
-			at:    now,
-		}
+		s.hint = t
+		s.hintAt = now
+		s.hintPassing = s.passing
+		s.service = t.Service
+		s.failing = t.Failing
+		s.missing = t.Missing
+		s.restUntil = now.Add(t.Rest)
 	}
 }
 
@@ -47,7 +49,8 @@
 	w := interval.Seconds() / busyTime.Seconds()
 	for _, p := range b.pools {
 		for _, s := range p.seats[SameZone] {
-			s.busy += w * (float64(s.load(now)) - s.busy)
+			n, _ := s.load(b.options.Self, now)
+			s.busy += w * (float64(n) - s.busy)
 		}
 	}
 }
--- a/core/edge/control.go
+++ b/core/edge/control.go
@@ -115,6 +115,7 @@
 		c.read(p, now)
 	}
 	c.edge.balancer.Sample(step, now)
+	c.edge.balancer.Pump(now)
 	if !now.Before(c.shareNext) {
 		c.shareNext = now.Add(shareInterval)
 		c.adjustShares(now)
@@ -223,7 +224,7 @@
 		}
 	}
 	s := c.registry.Usable()
-	c.edge.balancer.Set(s, limits, c.coldPart)
+	c.edge.balancer.Set(s, limits, c.placement, now)
 	c.startShares(s)
 	c.logEndpoints(s, now)
 }
@@ -250,23 +251,40 @@
 	}
 }
 
-// coldPart returns the part of a cold endpoint's allowance that this host may
-// use: the hosts of its zone share it, or those of its region if it has none.
-func (c *control) coldPart(zone string) float64 {
+// placement says what this host is to an endpoint.
+func (c *control) placement(e *registry.Endpoint) balance.Placement {
 	self := c.fleet.Self()
-	if zone == self.Zone {
-		return coldPart / float64(max(1, len(fleet.Zone(c.live, zone))))
+	hosts := c.hostsOf(e.Zone)
+	m := balance.Placement{
+		ColdOwn: coldPart,
 	}
-	if len(fleet.Zone(c.live, zone)) > 0 || c.edge.options.Zones[zone] != self.Region {
-		return 0
+	for _, h := range hosts {
+		if h.Name == self.Name {
+			m.ColdPart = coldPart / float64(len(hosts))
+		}
 	}
-	n := 0
-	for _, m := range c.live {
-		if m.Region == self.Region {
-			n++
+	m.Owner = fleet.Owner(hosts, e.ID)
+	if m.Owner == "" {
+		// No host is near the endpoint: whoever has a request sends it.
+		m.Owner = self.Name
+		m.ColdOwn = 0
+	}
+	return m
+}
+
+// hostsOf returns the hosts that send to the endpoints of a zone: those of the
+// zone that do not leave, or of its region if it has none.
+func (c *control) hostsOf(zone string) []fleet.Member {
+	s := fleet.Staying(fleet.Zone(c.live, zone))
+	if len(s) > 0 {
+		return s
+	}
+	for _, m := range fleet.Staying(c.live) {
+		if m.Region == c.edge.options.Zones[zone] {
+			s = append(s, m)
 		}
 	}
-	return coldPart / float64(max(1, n))
+	return s
 }
 
 // leave marks the host as leaving and tells the others at once.
--- a/core/edge/edge.go
+++ b/core/edge/edge.go
@@ -34,6 +34,9 @@
 	Fetch func(ctx context.Context, from fleet.Member, since [registry.Parts]uint64) (*Book, error)
 	// Send sends a request to an endpoint. The error is a *Failure.
 	Send func(ctx context.Context, c *Sending) (*Reply, error)
+	// Carry passes a request on to the owner of its endpoint. The error is a
+	// *Failure: without Sent, the owner cannot have the request.
+	Carry func(ctx context.Context, to fleet.Member, c *Carried) (*Carry, error)
 }
 
 // Sending is one sending of a request.
@@ -87,6 +90,9 @@
 
 	mu      sync.Mutex
 	windows map[string]*budget.Window
+	// unreachable holds until when each host that could not be reached is
+	// passed by.
+	unreachable map[string]time.Time
 }
 
 // New returns an edge that knows nothing yet.
@@ -94,6 +100,7 @@
 	e := &Edge{
 		options: o,
 		balancer: balance.New(balance.Options{
+			Self:   o.Self.Name,
 			Zone:   o.Self.Zone,
 			Region: o.Self.Region,
 			RegionOf: func(zone string) string {
@@ -102,6 +109,8 @@
 		}),
 		events:  make(chan func(c *control), 64),
 		windows: map[string]*budget.Window{},
+
+		unreachable: map[string]time.Time{},
 	}
 	e.view.Store(&View{
 		Live: []fleet.Member{o.Self},
--- a/core/edge/exchange.go
+++ b/core/edge/exchange.go
@@ -14,7 +14,7 @@
 	hosts := c.fleet.NearTargets()
 	c.nearNext = now.Add(nearInterval * time.Duration(max(1, len(hosts)/nearHosts)))
 	t := c.tick(now)
-	t.Flights = c.edge.balancer.Flights()
+	t.Owned = c.edge.balancer.Owned(now)
 	if c.relay() {
 		t.Shares = c.edge.balancer.Shares()
 		for z, s := range c.zones {
@@ -84,7 +84,7 @@
 	}
 	unknown := c.hearZones(t, now)
 	if t.From.Zone == c.fleet.Self().Zone {
-		c.edge.balancer.Tell(t.From.Name, t.Flights, now)
+		c.edge.balancer.Tell(t.Owned, now)
 		if len(t.Shares) > 0 && !c.relay() {
 			c.edge.balancer.SetShares(t.Shares)
 		}
--- a/core/edge/request.go
+++ b/core/edge/request.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"heatherford/core/balance"
 	"heatherford/core/code"
 )
 
@@ -45,33 +46,82 @@
 
 // Reply is what an endpoint answered.
 type Reply struct {
-	Status int
-	Header http.Header
-	Body   []byte
+	Status int         `json:"status"`
+	Header http.Header `json:"header,omitempty"`
+	Body   []byte      `json:"-"`
 	// Ran is false if the endpoint states that it did not run the request.
-	Ran bool
+	Ran bool `json:"ran"`
 	// Misplaced is true if another endpoint has the address now.
-	Misplaced bool
+	Misplaced bool `json:"misplaced,omitempty"`
 	// Genuine is true if the answer bears the endpoint's mark.
-	Genuine bool
+	Genuine bool `json:"genuine"`
 	// Load is the number of running and waiting requests that the endpoint
 	// reported, or -1.
-	Load int
+	Load int `json:"-"`
 	// ColdLeft is how long the endpoint said it would stay cold, or zero.
-	ColdLeft time.Duration
+	ColdLeft time.Duration `json:"-"`
+}
+
+// Carried is a request that a host passes on to the owner of an endpoint. Times
+// are what is left of them, since hosts' clocks differ.
+type Carried struct {
+	// Endpoint is the endpoint that the owner should send to.
+	Endpoint string `json:"endpoint"`
+	// ID distinguishes this from other requests that are passed on.
+	ID        string        `json:"id"`
+	Request   string        `json:"request"`
+	Method    string        `json:"method"`
+	Host      string        `json:"host"`
+	Target    string        `json:"target"`
+	Header    http.Header   `json:"header,omitempty"`
+	Object    string        `json:"object,omitempty"`
+	Key       uint64        `json:"key"`
+	Class     string        `json:"class"`
+	Rank      int           `json:"rank"`
+	Retry     bool          `json:"retry,omitempty"`
+	Once      bool          `json:"once,omitempty"`
+	Objective time.Duration `json:"objective"`
+	Left      time.Duration `json:"left"`
+
+	Body []byte `json:"-"`
+}
+
+// Carry is what became of a request at an endpoint: exactly one of Reply,
+// Refusal and Failure is set.
+type Carry struct {
+	Reply   *Reply   `json:"reply,omitempty"`
+	Refusal *Refusal `json:"refusal,omitempty"`
+	Failure *Failure `json:"failure,omitempty"`
+	// State is what the owner tells of the endpoint.
+	State *balance.State `json:"state,omitempty"`
+	// Queued and Took are the time in the owner's queue and at the endpoint.
+	Queued time.Duration `json:"queued,omitempty"`
+	Took   time.Duration `json:"took,omitempty"`
+}
+
+// Refusal says why the owner of an endpoint did not send a request.
+type Refusal struct {
+	Code   code.Code `json:"code"`
+	Detail string    `json:"detail"`
+	// AgainIn is when the request could be admitted.
+	AgainIn time.Duration `json:"again_in"`
 }
 
 // Failure is an error of Seams.Send.
 type Failure struct {
 	// Sent is true if the endpoint may have the request.
-	Sent bool
+	Sent bool `json:"sent"`
 	// Reason is one of unreachable, reset, foreign, incomplete, silent.
-	Reason string
-	Cause  error
+	Reason string `json:"reason"`
+	// Cause is nil if another host met the failure.
+	Cause error `json:"-"`
 }
 
 // Error implements error.
 func (f *Failure) Error() string {
+	if f.Cause == nil {
+		return "edge: " + f.Reason
+	}
 	return "edge: " + f.Reason + ": " + f.Cause.Error()
 }
 
--- a/core/edge/serve.go
+++ b/core/edge/serve.go
@@ -16,9 +16,9 @@
 )
 
 const (
-	// maxUnreached bounds the endpoints that are tried in vain for a request,
+	// maxRefusals bounds the endpoints that are asked in vain for a request,
 	// beside its attempts.
-	maxUnreached = 4
+	maxRefusals = 2
 	// hedgeFactor is how many usual times a repeatable request waits before it
 	// is sent to a second endpoint too.
 	hedgeFactor = 4.5
@@ -31,6 +31,10 @@
 	behindAgain = 300 * time.Millisecond
 	// retryMargin is the least time before the deadline for another sending.
 	retryMargin = 30 * time.Millisecond
+	// redirectStatus and errorStatus are the first statuses of answers that are
+	// no success, and of those that report a failure of the endpoint.
+	redirectStatus = http.StatusMultipleChoices
+	errorStatus    = http.StatusInternalServerError
 	// answerMargin is kept before the route's time for the answer's way.
 	answerMargin = 5 * time.Millisecond
 )
@@ -60,16 +64,14 @@
 	window   *budget.Window
 	deadline time.Time
 	// attempts is the number of endpoints that may have got the request, and
-	// unreached of those that did not.
-	attempts  int
-	unreached int
-	hedges    int
+	// refusals of those that did not get it.
+	attempts int
+	refusals int
+	hedges   int
 	// usual is the time that the first endpoint usually takes.
 	usual time.Duration
 	// unknown is true if a sending may have been run.
 	unknown bool
-	// rejected is true if an endpoint stated that it did not run the request.
-	rejected bool
 	// last is the newest failure that could be the answer, or nil.
 	last *Answer
 	// flying is the number of sendings without a result.
@@ -79,10 +81,9 @@
 }
 
 type result struct {
-	choice  *balance.Choice
-	reply   *Reply
-	failure *Failure
-	sentAt  time.Time
+	choice *balance.Choice
+	carry  *Carry
+	sentAt time.Time
 }
 
 // Serve serves a request and returns its final answer, or nil if ctx ended
@@ -149,18 +150,17 @@
 	r.window = r.edge.window(r.upstream, q.Arrived)
 	r.window.Count(q.Arrived)
 	r.ask = balance.Ask{
-		Upstream:   r.upstream,
-		Key:        keyOf(t, q),
-		Class:      t.Name,
-		Rank:       t.Rank,
-		Objective:  q.Arrived.Add(t.Objective),
-		Deadline:   r.deadline,
-		Repeatable: t.Repeatable,
+		Upstream:  r.upstream,
+		Key:       keyOf(t, q),
+		Class:     t.Name,
+		Rank:      t.Rank,
+		Objective: q.Arrived.Add(t.Objective),
+		Deadline:  r.deadline,
 	}
 	if len(t.Regions) > 0 {
 		r.ask.Allows = t.Allows
 	}
-	r.results = make(chan result, t.Attempts+maxUnreached+1)
+	r.results = make(chan result, t.Attempts+maxRefusals+2)
 }
 
 // keyOf returns a number by which requests of one object meet. Requests of
@@ -206,7 +206,7 @@
 	go func() {
 		for range n {
 			x := <-r.results
-			r.settle(&x, balance.Withdrawn)
+			r.settle(&x)
 		}
 	}()
 }
@@ -230,31 +230,19 @@
 	if r.usual == 0 {
 		r.usual = c.Usual
 	}
-	r.ask.Avoid = append(r.ask.Avoid, c.Seat.ID)
-	r.ask.Retry = true
 	r.flying++
-	s := &Sending{
-		Request:  r.request,
-		Target:   c.Seat,
-		Deadline: r.deadline,
-		Once:     !r.route.Repeatable,
-		Fresh:    c.Fresh,
+	j := &job{
+		request: r.request,
+		ask:     r.ask,
+		once:    !r.route.Repeatable,
 	}
+	r.ask.Avoid = append(r.ask.Avoid, c.Target.ID)
 	go func() {
-		x := result{
+		r.results <- result{
 			choice: c,
 			sentAt: now,
+			carry:  r.edge.carry(ctx, c.Target, j),
 		}
-		reply, err := r.edge.options.Seams.Send(ctx, s)
-		if err != nil && !errors.As(err, &x.failure) {
-			x.failure = &Failure{
-				Sent:   true,
-				Reason: "reset",
-				Cause:  err,
-			}
-		}
-		x.reply = reply
-		r.results <- x
 	}()
 }
 
@@ -307,43 +295,35 @@
 // judge takes in the result of a sending and returns the final answer, or nil if
 // the request goes on.
 func (r *run) judge(ctx context.Context, x *result) *Answer {
+	r.settle(x)
 	if ctx.Err() != nil {
-		r.settle(x, balance.Withdrawn)
 		return r.expired(ctx)
 	}
+	c := x.carry
+	id := x.choice.Target.ID
 	switch {
-	case x.failure != nil && !x.failure.Sent:
-		r.settle(x, balance.Unreached)
-		r.unreached++
-		return r.again(ctx, false, refused(code.NoEndpoint, "endpoint "+x.choice.Seat.ID+" cannot be reached", r.soon()))
-	case x.failure != nil:
-		r.settle(x, balance.Broken)
+	case c.Refusal != nil:
+		r.refusals++
+		return r.again(ctx, false, refused(c.Refusal.Code, c.Refusal.Detail, time.Now().Add(c.Refusal.AgainIn)))
+	case c.Failure != nil && !c.Failure.Sent:
+		r.refusals++
+		return r.again(ctx, false, refused(code.NoEndpoint, "endpoint "+id+" cannot be reached", r.soon()))
+	case c.Failure != nil:
 		r.attempts++
 		r.unknown = true
-		return r.again(ctx, true, unknown(code.AnswerIncomplete, x.failure.Reason+" at endpoint "+x.choice.Seat.ID))
-	case !x.reply.Ran:
-		return r.rejectedBy(ctx, x)
-	case !x.reply.Genuine && x.reply.Status < http.StatusMultipleChoices:
-		r.settle(x, balance.Broken)
+		return r.again(ctx, true, unknown(code.AnswerIncomplete, c.Failure.Reason+" at endpoint "+id))
+	case !c.Reply.Ran:
+		r.attempts++
+		return r.again(ctx, true, refused(code.UpstreamRefused, "endpoint "+id+" did not run it", r.soon()))
+	case !c.Reply.Genuine && c.Reply.Status < redirectStatus:
 		r.attempts++
 		r.unknown = true
-		return r.again(ctx, true, unknown(code.AnswerForeign, "answer of endpoint "+x.choice.Seat.ID+" bears no mark"))
+		return r.again(ctx, true, unknown(code.AnswerForeign, "answer of endpoint "+id+" bears no mark"))
 	default:
 		return r.answered(ctx, x)
 	}
 }
 
-func (r *run) rejectedBy(ctx context.Context, x *result) *Answer {
-	o := balance.Rejected
-	if x.reply.Misplaced {
-		o = balance.Misplaced
-	}
-	r.settle(x, o)
-	r.attempts++
-	r.rejected = true
-	return r.again(ctx, true, refused(code.UpstreamRefused, "endpoint "+x.choice.Seat.ID+" did not run it", r.soon()))
-}
-
 // soon returns when a client may come back whose endpoints had no room.
 func (r *run) soon() time.Time {
 	const least, spread = 100 * time.Millisecond, 300 * time.Millisecond
@@ -353,26 +333,24 @@
 // answered decides on an endpoint's own answer: a failure of a repeatable
 // request is tried elsewhere.
 func (r *run) answered(ctx context.Context, x *result) *Answer {
-	p := x.reply
+	p := x.carry.Reply
 	r.attempts++
-	r.waited = time.Since(x.sentAt)
+	r.waited = x.carry.Took
 	a := &Answer{
 		Status:   p.Status,
 		Header:   p.Header,
 		Body:     p.Body,
 		Code:     code.Answered,
-		Endpoint: x.choice.Seat.ID,
+		Endpoint: x.choice.Target.ID,
 	}
-	if p.Status < http.StatusInternalServerError {
-		r.settle(x, balance.Answered)
+	if p.Status < errorStatus {
 		return a
 	}
-	r.settle(x, balance.Erred)
 	r.unknown = true
 	if !p.Genuine {
 		// Only the endpoint's mark makes its status more than a guess, and
 		// some statuses promise that a request was not run.
-		a = unknown(code.AnswerForeign, "endpoint "+x.choice.Seat.ID+" failed")
+		a = unknown(code.AnswerForeign, "endpoint "+x.choice.Target.ID+" failed")
 	}
 	if r.last == nil || a.Code == code.Answered {
 		r.last = a
@@ -387,6 +365,7 @@
 	if r.flying > 0 {
 		return nil
 	}
+	r.ask.Retry = r.ask.Retry || repeat
 	if !r.mayRepeat() || (repeat && !r.window.Take(time.Now(), len(r.edge.View().Live))) {
 		return r.giveUp(a)
 	}
@@ -412,7 +391,7 @@
 	switch {
 	case r.unknown && !r.route.Repeatable:
 		return false
-	case r.attempts+r.flying >= r.route.Attempts, r.unreached > maxUnreached:
+	case r.attempts+r.flying >= r.route.Attempts, r.refusals > maxRefusals:
 		return false
 	default:
 		return time.Until(r.deadline) > retryMargin
@@ -429,6 +408,7 @@
 	if !r.late(now) || !r.window.Take(now, len(r.edge.View().Live)) {
 		return
 	}
+	r.ask.Retry = true
 	c, refusal := r.edge.balancer.Pick(r.ask, now)
 	if refusal != nil {
 		return
@@ -443,27 +423,27 @@
 }
 
 // settle tells the balancer what became of a sending.
-func (r *run) settle(x *result, o balance.Outcome) {
-	s := balance.Result{
-		Outcome: o,
-		Load:    -1,
-	}
+func (r *run) settle(x *result) {
 	now := time.Now()
-	if p := x.reply; p != nil {
-		s.Load = p.Load
-		if p.ColdLeft > 0 {
-			s.ColdUntil = now.Add(p.ColdLeft)
-		}
-	}
-	r.edge.balancer.Done(x.choice, s, now)
-	r.edge.options.Log("sent", "request", r.request.ID, "object", r.request.Object, "upstream", r.upstream,
-		"endpoint", x.choice.Seat.ID, "level", x.choice.Level, "place", x.choice.Place,
-		"load", x.choice.Load, "load_age", x.choice.LoadAge, "took", now.Sub(x.sentAt), "outcome", o, "failure", reasonOf(x.failure))
+	c := x.carry
+	served := c.Reply != nil && c.Reply.Ran
+	r.edge.balancer.Done(x.choice, served, now)
+	t := x.choice
+	r.edge.options.Log("try", "request", r.request.ID, "object", r.request.Object, "upstream", r.upstream,
+		"endpoint", t.Target.ID, "owner", t.Target.Owner, "level", t.Level, "place", t.Place, "load", t.Load,
+		"load_age", t.LoadAge, "took", now.Sub(x.sentAt), "outcome", c.outcome())
 }
 
-func reasonOf(f *Failure) string {
-	if f == nil {
-		return ""
+// outcome returns a word for logs.
+func (c *Carry) outcome() string {
+	switch {
+	case c.Refusal != nil:
+		return "refused"
+	case c.Failure != nil:
+		return c.Failure.Reason
+	case !c.Reply.Ran:
+		return "rejected"
+	default:
+		return "answered"
 	}
-	return f.Reason
 }
--- a/core/edge/tick.go
+++ b/core/edge/tick.go
@@ -15,9 +15,9 @@
 	// News tells how much the host knows of each part of the platform's
 	// records.
 	News [registry.Parts]News `json:"news"`
-	// Flights are the host's requests at endpoints. Only hosts of its zone get
-	// them.
-	Flights map[string]int `json:"flights,omitempty"`
+	// Owned is what the host tells of the endpoints that it owns. Only hosts of
+	// its zone get it.
+	Owned map[string]balance.State `json:"owned,omitempty"`
 	// Shares are those in force in the zone. Only its relay tells them.
 	Shares map[string]balance.Shares `json:"shares,omitempty"`
 	// Zones is what relays know of zones.
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -3,6 +3,8 @@
 import (
 	"sort"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -172,6 +174,32 @@
 	return z
 }
 
+// Staying returns the members that do not leave.
+func Staying(s []Member) []Member {
+	z := []Member{}
+	for _, m := range s {
+		if !m.Leaving {
+			z = append(z, m)
+		}
+	}
+	return z
+}
+
+// Owner returns the name of the member that an endpoint belongs to, or an empty
+// string without members. Few endpoints change their owner when a member comes or
+// goes.
+func Owner(s []Member, endpoint string) string {
+	best := ""
+	most := uint64(0)
+	for _, m := range s {
+		if h := xxhash.Sum64String(m.Name + "\x00" + endpoint); best == "" || h > most {
+			best = m.Name
+			most = h
+		}
+	}
+	return best
+}
+
 // Place returns the position of the named host among the members that do not
 // leave, or the number of these if it is not among them.
 func Place(s []Member, name string) int {
--- /dev/null
+++ b/io/host/carry.go
@@ -0,0 +1,154 @@
+package host
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"heatherford/core/edge"
+	"heatherford/core/fleet"
+	"heatherford/io/internal/wire"
+)
+
+const (
+	// carryPath is where a host takes requests that another one passes on.
+	carryPath = "/carry"
+	// headerCarry holds what is said of a request or answer, in JSON; the body
+	// is that of the request or answer.
+	headerCarry = "Heatherford-Carry"
+	// headerCarryID names the request on its connection.
+	headerCarryID = "Heatherford-Carry-Id"
+	// carryConnections is the most connections to one other host.
+	carryConnections = 128
+	// carryDials bounds new connections to one other host, a second.
+	carryDials = 200
+	// carryIdle is how long an unused connection is kept: shorter than the
+	// other host keeps it.
+	carryIdle = 10 * time.Second
+	// maxCarried is the longest body that is passed on.
+	maxCarried = 64 << 20
+)
+
+// Carry passes a request on to another host. The error is an *edge.Failure.
+func (l *Link) Carry(ctx context.Context, to fleet.Member, c *edge.Carried) (*edge.Carry, error) {
+	b, err := json.Marshal(c)
+	if err != nil {
+		return nil, &edge.Failure{
+			Reason: "unreachable",
+			Cause:  err,
+		}
+	}
+	a, err := l.pool(to.Peers).Do(ctx, &wire.Call{
+		ID:     c.ID,
+		Method: http.MethodPost,
+		Path:   carryPath,
+		Header: http.Header{
+			headerCarry: {string(b)},
+		},
+		Body: c.Body,
+		Once: c.Once,
+	})
+	if err != nil {
+		return nil, carryFailure(err)
+	}
+	defer a.Body.Close()
+	body, err := io.ReadAll(a.Body)
+	if err != nil {
+		return nil, carryFailure(err)
+	}
+	x := &edge.Carry{}
+	if err := json.Unmarshal([]byte(a.Header.Get(headerCarry)), x); err != nil {
+		return nil, &edge.Failure{
+			Sent:   true,
+			Reason: "unreadable",
+			Cause:  err,
+		}
+	}
+	if x.Reply != nil {
+		x.Reply.Body = body
+	}
+	return x, nil
+}
+
+func carryFailure(err error) error {
+	x := &edge.Failure{
+		Sent:   true,
+		Reason: "reset",
+		Cause:  err,
+	}
+	f := (*wire.Failure)(nil)
+	if !errors.As(err, &f) || !f.Sent {
+		x.Sent = false
+		x.Reason = "unreachable"
+	}
+	return x
+}
+
+func (l *Link) pool(a netip.AddrPort) *wire.Pool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	p := l.pools[a]
+	if p == nil {
+		p = wire.New(wire.Options{
+			Address:        a,
+			Dial:           dial,
+			Connections:    carryConnections,
+			DialsPerSecond: carryDials,
+			DialBurst:      carryConnections,
+			IDHeader:       headerCarryID,
+			Whole:          maxCarried,
+			MaxAnswer:      maxCarried,
+			Proofless:      true,
+			OnceIdle:       carryIdle,
+			Patient:        true,
+			Idle:           carryIdle,
+		})
+		l.pools[a] = p
+	}
+	return p
+}
+
+func dial(ctx context.Context, network, address string) (net.Conn, error) {
+	d := net.Dialer{
+		Timeout: dialTimeout,
+	}
+	return d.DialContext(ctx, network, address)
+}
+
+// serveCarry takes a request that another host passes on.
+func (l *Link) serveCarry(w http.ResponseWriter, r *http.Request) {
+	c := &edge.Carried{}
+	if err := json.Unmarshal([]byte(r.Header.Get(headerCarry)), c); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxCarried))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	c.Body = b
+	x := l.options.Take(r.Context(), c)
+	if r.Context().Err() != nil {
+		// The other host has gone; there is nobody to answer.
+		panic(http.ErrAbortHandler)
+	}
+	s, err := json.Marshal(x)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	h := w.Header()
+	h.Set(headerCarryID, c.ID)
+	h.Set(headerCarry, string(s))
+	h["Content-Type"] = nil
+	h["Date"] = nil
+	if x.Reply != nil {
+		w.Write(x.Reply.Body)
+	}
+}
--- a/io/host/host.go
+++ b/io/host/host.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"net/url"
 	"strconv"
+	"sync"
 	"time"
 
 	"goji.io"
@@ -20,6 +21,7 @@
 	"heatherford/core/edge"
 	"heatherford/core/fleet"
 	"heatherford/core/registry"
+	"heatherford/io/internal/wire"
 )
 
 const (
@@ -29,6 +31,9 @@
 	maxBook = 8 << 20
 	// bookPath is where a host gives what it knows.
 	bookPath = "/book"
+	// maxHeaderBytes bounds a request's head, which holds the head of a caller's
+	// request.
+	maxHeaderBytes = 512 << 10
 	// headerTimeout bounds the reading of a request's head.
 	headerTimeout = 2 * time.Second
 	// idleTimeout is how long an unused connection is kept.
@@ -51,6 +56,8 @@
 	Hear func(t *edge.Tick)
 	// Book returns what this host knows beyond the versions.
 	Book func(ctx context.Context, since [registry.Parts]uint64) (*edge.Book, error)
+	// Take does what another host passes on.
+	Take func(ctx context.Context, c *edge.Carried) *edge.Carry
 	// Log writes a line of a kind with pairs of keys and values.
 	Log func(kind string, pairs ...any)
 }
@@ -61,6 +68,11 @@
 	options Options
 	udp     *net.UDPConn
 	client  *http.Client
+	server  *http.Server
+
+	mu sync.Mutex
+	// pools holds the connections on which requests are passed on.
+	pools map[netip.AddrPort]*wire.Pool
 }
 
 // Listen binds the address.
@@ -75,6 +87,7 @@
 	return &Link{
 		options: o,
 		udp:     u,
+		pools:   map[netip.AddrPort]*wire.Pool{},
 		client: &http.Client{
 			Transport: &http.Transport{
 				DialContext:         d.DialContext,
@@ -93,13 +106,15 @@
 	}
 	m := goji.NewMux()
 	m.HandleFunc(pat.Get(bookPath), l.serveBook)
-	s := &http.Server{
+	m.HandleFunc(pat.Post(carryPath), l.serveCarry)
+	l.server = &http.Server{
 		Handler:           m,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
 	}
 	t.Go(func() error {
-		if err := s.Serve(a); !errors.Is(err, http.ErrServerClosed) {
+		if err := l.server.Serve(a); !errors.Is(err, http.ErrServerClosed) {
 			return err
 		}
 		return nil
@@ -108,11 +123,16 @@
 	t.Go(func() error {
 		<-t.Dying()
 		l.client.CloseIdleConnections()
-		return errors.Join(s.Close(), l.udp.Close())
+		return errors.Join(l.server.Close(), l.udp.Close())
 	})
 	return nil
 }
 
+// Stop waits for the requests that other hosts have passed on, until ctx ends.
+func (l *Link) Stop(ctx context.Context) error {
+	return l.server.Shutdown(ctx)
+}
+
 // receive takes in ticks until the socket is closed.
 func (l *Link) receive() error {
 	b := make([]byte, maxDatagram)
