core/balance: strict places, queues by expected work, reports that count themselves

An endpoint's report counts the request that it comes with, so that each owner saw one request too many and used a slot less. Refusals for a moment's queue sent work to endpoints that did not know its objects (48% of answers slow). Ruled out: the number of owners, the objective as the only bound of a queue. Change: others' requests are the report less the own ones; an object's second endpoint only where it forgets nothing; a queue may be longer than the objective for 1 s; the wait is the expected work before a request over the slots.

--- a/core/balance/ask.go
+++ b/core/balance/ask.go
@@ -25,6 +25,9 @@
 	Allows func(region string) bool
 	// Avoid names endpoints that the request must not go to.
 	Avoid []string
+	// Full names endpoints whose owner refused the request for want of room.
+	// They stay the right ones for its object.
+	Full []string
 	// Retry is true if an endpoint had the request before. A retry does not
 	// wait in a queue.
 	Retry bool
@@ -88,8 +91,13 @@
 type State struct {
 	// Load is the number of requests at the endpoint and in its queue.
 	Load int `json:"load"`
-	// Service is the usual time in a slot.
-	Service time.Duration `json:"service,omitempty"`
+	// Backlog is how long a request waits for a slot.
+	Backlog time.Duration `json:"backlog,omitempty"`
+	// Pace is how slow the endpoint is beside its siblings; 1 is as fast.
+	Pace float64 `json:"pace,omitempty"`
+	// Strict is true while the queue is longer than objectives allow, and has
+	// been for a while.
+	Strict bool `json:"strict,omitempty"`
 	// Failing is the rate of failures.
 	Failing float64 `json:"failing,omitempty"`
 	// Missing is the rate at which the endpoint no longer has an object ready
--- a/core/balance/balancer.go
+++ b/core/balance/balancer.go
@@ -39,10 +39,8 @@
 	started bool
 	// tokens bound the requests that leave the region beyond the shares.
 	tokens float64
-	// service is the usual time in a slot over all endpoints.
-	service time.Duration
-	// fastest is a low quantile of the time at endpoints by class of work.
-	fastest map[string]time.Duration
+	// times are the usual times at endpoints by class of work.
+	times map[string]*times
 	// pressed is the decayed part of requests that found no room at home.
 	pressed float64
 }
@@ -141,40 +139,6 @@
 	return p
 }
 
-func (p *pool) usual() time.Duration {
-	if p.service == 0 {
-		return firstService
-	}
-	return p.service
-}
-
-func (p *pool) serviceOf(s *seat) time.Duration {
-	if s.service == 0 {
-		return p.usual()
-	}
-	return s.service
-}
-
-// fast returns a low quantile of the times of a class of work at endpoints,
-// which it moves by the newest one.
-func (p *pool) fast(class string, d time.Duration) time.Duration {
-	const up, down = 0.02, 0.1
-	f := p.fastest[class]
-	switch {
-	case f == 0:
-		f = d
-	case d < f:
-		f -= time.Duration(down * float64(f-d))
-	default:
-		f += time.Duration(up * float64(min(d, 2*f)-f))
-	}
-	if p.fastest == nil {
-		p.fastest = map[string]time.Duration{}
-	}
-	p.fastest[class] = f
-	return f
-}
-
 // press notes whether a request found no room.
 func (p *pool) press(x float64) {
 	const weight = 0.05
--- a/core/balance/gate.go
+++ b/core/balance/gate.go
@@ -12,8 +12,6 @@
 	// mostOvertaken is the number of urgent requests in a row after which a
 	// waiting request of another rank gets its turn.
 	mostOvertaken = 4
-	// queuePerSlot bounds the requests that wait for an endpoint.
-	queuePerSlot = 4
 )
 
 // Permit is the right to send one request to an endpoint. Its user ends it with
@@ -29,12 +27,16 @@
 	key    uint64
 	class  string
 	sentAt time.Time
+	// expected is how long the endpoint is expected to need.
+	expected time.Duration
 }
 
 // waiter is a request in an endpoint's queue.
 type waiter struct {
 	ask     Ask
 	arrived time.Time
+	// expected is how long the endpoint is expected to need.
+	expected time.Duration
 	// latest is when the request has to be sent at the latest.
 	latest time.Time
 	// done gets the decision. It has room for one.
@@ -86,6 +88,7 @@
 		}
 	}
 	if s.free(now) && len(s.queue) == 0 {
+		s.overSince = time.Time{}
 		return nil, decision{
 			permit: b.admit(s, &a, now),
 		}
@@ -96,10 +99,11 @@
 		}
 	}
 	w := &waiter{
-		ask:     a,
-		arrived: now,
-		latest:  a.Deadline.Add(-deadlineMargin),
-		done:    make(chan decision, 1),
+		ask:      a,
+		arrived:  now,
+		expected: b.pools[s.Upstream].expect(s, a.Class, s.isWarm(a.Key, now)),
+		latest:   a.Deadline.Add(-deadlineMargin),
+		done:     make(chan decision, 1),
 	}
 	s.insert(w)
 	return w, decision{}
@@ -126,20 +130,21 @@
 	return s.running(now) < s.Slots && !now.Before(s.fullUntil)
 }
 
-// late refuses a request whose turn would come too late: a queue that is longer
-// than the objective allows would make every answer late.
+// late refuses a request whose turn would come too late.
 func (b *Balancer) late(s *seat, a *Ask, now time.Time) *Refusal {
-	service := b.pools[s.Upstream].serviceOf(s)
-	ahead := s.ahead(a.Rank)
-	wait := waitBehind(s.running(now)+ahead, s.Slots, service)
-	done := now.Add(wait + service)
-	if !a.Retry && ahead < queuePerSlot*s.Slots && !done.After(a.Objective) {
+	p := b.pools[s.Upstream]
+	wait := p.backlog(s, a.Rank, now)
+	done := now.Add(wait + p.expect(s, a.Class, true))
+	if !done.After(a.Objective) {
+		s.overSince = time.Time{}
+	} else if s.overSince.IsZero() {
+		s.overSince = now
+	}
+	if mayWait(a, wait, done, s.strict(now), now) {
 		return nil
 	}
-	over := max(1, s.running(now)+len(s.queue)-s.Slots+1)
-	spread := time.Duration(b.options.Random() * spreadBack * float64(service))
-	again := now.Add(retryLeast + time.Duration(float64(service)*float64(over)/float64(s.Slots)) + spread)
-	return refuse(code.RankFull, again, "endpoint %s has %d of %d and %d wait", s.ID, s.running(now), s.Slots, len(s.queue))
+	return refuse(code.RankFull, b.again(p, a, wait, now), "endpoint %s has %d of %d and %d wait, a slot in %s", s.ID,
+		s.running(now), s.Slots, len(s.queue), wait.Round(time.Millisecond))
 }
 
 // ahead returns the number of waiting requests that go before one of the rank.
@@ -199,6 +204,8 @@
 		key:    a.Key,
 		class:  a.Class,
 		sentAt: now,
+
+		expected: b.pools[s.Upstream].expect(s, a.Class, s.isWarm(a.Key, now)),
 	}
 	s.flights[p] = true
 	return p
--- a/core/balance/place.go
+++ b/core/balance/place.go
@@ -11,9 +11,12 @@
 )
 
 const (
-	// coldKey is how much longer a request takes for an object that the
-	// endpoint did not serve lately, in usual times.
-	coldKey = 2.0
+	// patience is the part of the time that a client has left for which its
+	// request may wait for a slot.
+	patience = 0.4
+	// fewMisses is the rate of forgotten objects below which an endpoint can
+	// keep more of them.
+	fewMisses = 0.04
 	// placeCost is added for each place that an endpoint stands behind in the
 	// order of its object's endpoints, as a part of the usual time.
 	placeCost = 0.12
@@ -54,7 +57,7 @@
 			continue
 		}
 		found[l] = k
-		if !k.admits(&a) {
+		if !k.admits(&a, now) {
 			continue
 		}
 		if l == OtherRegion && b.exceeds(p, &a, found) {
@@ -119,9 +122,12 @@
 	age  time.Duration
 	// place is the endpoint's place in the order of the object's endpoints.
 	place int
+	// wait is how long the request would wait for a slot.
+	wait time.Duration
 	// done is when an answer is expected.
-	done time.Time
-	cost time.Duration
+	done   time.Time
+	cost   time.Duration
+	strict bool
 }
 
 // best returns the level's endpoint at which the request costs least.
@@ -135,16 +141,39 @@
 	sort.Slice(order, func(i, j int) bool {
 		return order[i].weight > order[j].weight
 	})
-	best := (*candidate)(nil)
-	for i, o := range order {
-		k := b.judge(p, o.seat, a, i, now)
-		if best == nil || k.cost < best.cost {
+	if len(order) == 0 {
+		return nil
+	}
+	home := b.judge(p, order[0].seat, a, 0, now)
+	full := contains(a.Full, home.seat.ID)
+	best := home
+	for i, o := range order[1:] {
+		k := b.judge(p, o.seat, a, i+1, now)
+		if contains(a.Full, o.seat.ID) || !k.mayReplace(a, home, now) {
+			continue
+		}
+		if (full && best == home) || k.cost < best.cost {
 			best = k
 		}
 	}
+	if full && best == home {
+		return nil
+	}
 	return best
 }
 
+// mayReplace reports whether a request may go to an endpoint that is not the
+// first one of its object. That takes longer, and makes the endpoint forget
+// another object if it can keep no more, so that work spread in a flood would
+// make all of it slower. It is no loss where the object is known, or where a slot
+// is free and the endpoint forgets nothing.
+func (k *candidate) mayReplace(a *Ask, home *candidate, now time.Time) bool {
+	if k.seat.isWarm(a.Key, now) {
+		return true
+	}
+	return k.seat.missing < fewMisses && k.load < k.seat.Slots && home.load >= home.seat.Slots
+}
+
 type ordered struct {
 	seat   *seat
 	weight uint64
@@ -171,28 +200,45 @@
 // place in the order of its object's endpoints.
 func (b *Balancer) judge(p *pool, s *seat, a *Ask, place int, now time.Time) *candidate {
 	load, age := s.load(b.options.Self, now)
-	service := p.serviceOf(s)
-	wait := waitBehind(load, s.Slots, service)
-	cost := wait + service
+	warm := p.expect(s, a.Class, true)
+	service := warm
 	if place > 0 && !s.isWarm(a.Key, now) {
-		cost += time.Duration(coldKey * float64(service))
+		service = p.expect(s, a.Class, false)
 	}
-	cost += time.Duration(placeCost * float64(place) * float64(service))
-	cost += time.Duration(s.failing*float64(failCost) + s.rejecting*float64(rejectCost))
+	wait := b.waitAt(p, s, a, load, age, warm, now)
 	k := &candidate{
-		seat:  s,
-		load:  load,
-		age:   age,
-		place: place,
-		done:  now.Add(wait + service),
-		cost:  cost,
+		seat:   s,
+		load:   load,
+		age:    age,
+		place:  place,
+		wait:   wait,
+		done:   now.Add(wait + service),
+		cost:   wait + service + time.Duration(placeCost*float64(place)*float64(warm)),
+		strict: s.hint.Strict && age >= 0,
+	}
+	if s.owner == b.options.Self {
+		k.strict = s.strict(now)
 	}
+	k.cost += time.Duration(s.failing*float64(failCost) + s.rejecting*float64(rejectCost))
 	if s.level == OtherRegion {
 		k.done = k.done.Add(farWay)
 	}
 	return k
 }
 
+// waitAt returns how long a request would wait for a slot.
+func (b *Balancer) waitAt(p *pool, s *seat, a *Ask, load int, age, service time.Duration, now time.Time) time.Duration {
+	if s.owner == b.options.Self {
+		return p.backlog(s, a.Rank, now)
+	}
+	d := waitBehind(load, s.Slots, service)
+	if age < 0 {
+		return d
+	}
+	since := max(0, s.passing-s.hintPassing)
+	return max(d, s.hint.Backlog+time.Duration(since)*service/time.Duration(s.Slots))
+}
+
 // waitBehind returns how long a request waits for a slot behind so many others.
 func waitBehind(load, slots int, service time.Duration) time.Duration {
 	n := load - slots + 1
@@ -202,13 +248,23 @@
 	return time.Duration(float64(service) * float64(n) / float64(slots))
 }
 
-// admits reports whether it makes sense to send the request there: a slot is
-// free, or its turn comes while the answer has its full worth.
-func (k *candidate) admits(a *Ask) bool {
-	if k.load < k.seat.Slots {
-		return true
+// admits reports whether it makes sense to send the request there.
+func (k *candidate) admits(a *Ask, now time.Time) bool {
+	return k.load < k.seat.Slots || mayWait(a, k.wait, k.done, k.strict, now)
+}
+
+// mayWait reports whether a request may wait so long for a slot of an endpoint.
+// Where the queue has been too long for a while, the answer has to come while it
+// has its full worth; else it may be late, since a longer queue passes by itself.
+func mayWait(a *Ask, wait time.Duration, done time.Time, strict bool, now time.Time) bool {
+	switch {
+	case a.Retry || done.After(a.Deadline.Add(-deadlineMargin)):
+		return false
+	case strict:
+		return !done.After(a.Objective)
+	default:
+		return wait <= time.Duration(patience*float64(a.Deadline.Sub(now)))
 	}
-	return !a.Retry && !k.done.After(a.Objective)
 }
 
 func (b *Balancer) choose(k *candidate, a *Ask, now time.Time) *Choice {
@@ -255,14 +311,19 @@
 			soonest = k
 		}
 	}
-	spread := time.Duration(b.options.Random() * spreadBack * float64(p.usual()))
 	if soonest == nil {
-		return refuse(code.NoEndpoint, now.Add(restFirst+spread), "no endpoint of %q may be sent to", a.Upstream)
+		return refuse(code.NoEndpoint, b.again(p, a, restFirst, now), "no endpoint of %q may be sent to", a.Upstream)
 	}
 	s := soonest.seat
-	over := max(1, soonest.load-s.Slots+1)
-	again := now.Add(retryLeast + time.Duration(float64(p.usual())*float64(over)/float64(s.Slots)) + spread)
-	return refuse(code.RankFull, again, "endpoint %s has %d of %d", s.ID, soonest.load, s.Slots)
+	return refuse(code.RankFull, b.again(p, a, soonest.wait, now), "endpoint %s has %d of %d, a slot in %s", s.ID, soonest.load, s.Slots,
+		soonest.wait.Round(time.Millisecond))
+}
+
+// again returns when a refused client should come back: after what waits now,
+// spread over the time of a request, so that not all come at once.
+func (b *Balancer) again(p *pool, a *Ask, wait time.Duration, now time.Time) time.Time {
+	spread := b.options.Random() * spreadBack * float64(p.timesOf(a.Class).of(true))
+	return now.Add(max(retryLeast, wait) + time.Duration(spread))
 }
 
 func contains(names []string, name string) bool {
--- a/core/balance/result.go
+++ b/core/balance/result.go
@@ -46,18 +46,18 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := p.seat
-	delete(s.flights, p)
 	if r.Load >= 0 {
-		s.reported = r.Load
+		// The report counts the request that it comes with.
+		s.others = max(0, r.Load-len(s.flights))
 		s.reportedAt = now
-		s.reportedFlights = len(s.flights)
 	}
+	delete(s.flights, p)
 	if r.ColdUntil.After(s.ColdUntil) {
 		s.ColdUntil = r.ColdUntil
 	}
 	b.learn(p, r.Outcome, now)
 	b.pump(s, now)
-	return s.state(now)
+	return b.pools[s.Upstream].state(s, now)
 }
 
 func (b *Balancer) learn(p *Permit, o Outcome, now time.Time) {
@@ -93,13 +93,12 @@
 	s.failing -= rateWeight * s.failing
 	s.rejecting -= rateWeight * s.rejecting
 	d := now.Sub(x.sentAt)
-	p := b.pools[s.Upstream]
-	s.judgeKey(x.key, d, p.fast(x.class, d), now)
-	s.learn(d)
-	s.remember(x.key, now)
-	const weight = 0.02
-	if p.service == 0 {
-		p.service = s.service
+	warm := s.isWarm(x.key, now)
+	t := b.pools[s.Upstream].timesOf(x.class)
+	if warm {
+		s.judgeKey(d, t.of(true))
 	}
-	p.service += time.Duration(weight * float64(s.service-p.service))
+	s.learnPace(d, t.of(warm))
+	t.learn(warm, time.Duration(float64(d)/s.paceOf()))
+	s.remember(x.key, now)
 }
--- a/core/balance/seat.go
+++ b/core/balance/seat.go
@@ -8,12 +8,8 @@
 )
 
 const (
-	// firstService is the time that an endpoint is taken to need for a request
-	// before it or its siblings have answered one.
-	firstService = 200 * time.Millisecond
-	// serviceWeight is the weight of the newest answer in the usual time.
-	serviceWeight = 0.1
-	// rateWeight is the same for the rates of failures and rejections.
+	// rateWeight is the weight of the newest result in the rates of failures and
+	// rejections.
 	rateWeight = 0.15
 	// reportAge is how long an endpoint's own word on its load is used.
 	reportAge = 500 * time.Millisecond
@@ -32,6 +28,11 @@
 	restFailures = 2
 	// rejectPause is how long an endpoint that rejected a request gets nothing.
 	rejectPause = 40 * time.Millisecond
+	// strictAfter is how long a queue may be longer than objectives allow: new
+	// objects and short floods pass in this time.
+	strictAfter = time.Second
+	// lastRank is behind all ranks.
+	lastRank = 1 << 30
 	// missFactor is how many times the shortest usual time an answer takes whose
 	// object the endpoint did not have ready.
 	missFactor = 2.2
@@ -75,15 +76,16 @@
 	// overtaken is the number of urgent requests in a row that went before
 	// another rank.
 	overtaken int
-	// reported is the endpoint's own word on its running and waiting requests.
-	reported int
-	// reportedAt is when that came, and reportedFlights what this host had at
-	// the endpoint then.
-	reportedAt      time.Time
-	reportedFlights int
-
-	// service is the usual time in a slot, 0 if not known.
-	service time.Duration
+	// others is the number of other hosts' requests at the endpoint, as its own
+	// word on its load showed at the time reportedAt.
+	others     int
+	reportedAt time.Time
+
+	// pace is how slow the endpoint is beside its siblings, 0 if not known.
+	pace float64
+	// overSince is since when the queue is longer than objectives allow, or
+	// zero.
+	overSince time.Time
 	// failing and rejecting are rates between 0 and 1.
 	failing   float64
 	rejecting float64
@@ -129,19 +131,17 @@
 // running returns the number of requests that are thought to be at the endpoint:
 // those of this host, or what the endpoint itself reported if that is more.
 func (s *seat) running(now time.Time) int {
-	n := len(s.flights)
 	if !s.reportedAt.IsZero() && now.Sub(s.reportedAt) < reportAge {
-		n = max(n, s.reported+len(s.flights)-s.reportedFlights)
+		return len(s.flights) + s.others
 	}
-	return n
+	return len(s.flights)
 }
 
 // suspect reports whether the endpoint has had requests for long without any
 // answer.
 func (s *seat) suspect(now time.Time) bool {
-	limit := max(silentLeast, silentFactor*s.service)
 	for f := range s.flights {
-		if now.Sub(f.sentAt) > limit && s.heard.Before(f.sentAt) {
+		if now.Sub(f.sentAt) > max(silentLeast, silentFactor*f.expected) && s.heard.Before(f.sentAt) {
 			return true
 		}
 	}
@@ -164,16 +164,24 @@
 }
 
 // state returns what an owner tells of the endpoint.
-func (s *seat) state(now time.Time) State {
+func (p *pool) state(s *seat, now time.Time) State {
 	return State{
 		Load:    s.running(now) + len(s.queue),
-		Service: s.service.Round(time.Millisecond),
+		Backlog: p.backlog(s, lastRank, now).Round(time.Millisecond),
+		Pace:    hundredths(s.paceOf()),
+		Strict:  s.strict(now),
 		Failing: hundredths(s.failing),
 		Missing: hundredths(s.missing),
 		Rest:    max(0, s.restUntil.Sub(now)).Round(time.Millisecond),
 	}
 }
 
+// strict reports whether the queue is longer than objectives allow, and not for
+// a moment only. Then every answer would be late but for refusals.
+func (s *seat) strict(now time.Time) bool {
+	return !s.overSince.IsZero() && now.Sub(s.overSince) > strictAfter
+}
+
 func hundredths(x float64) float64 {
 	const n = 100
 	return math.Round(n*x) / n
@@ -195,22 +203,11 @@
 	s.heard = now
 }
 
-func (s *seat) learn(d time.Duration) {
-	if s.service == 0 {
-		s.service = d
-		return
-	}
-	s.service += time.Duration(serviceWeight * float64(d-s.service))
-}
-
-// judgeKey learns from the time that an answer took, beside the shortest usual
-// one, whether the endpoint still had an object that it served before.
-func (s *seat) judgeKey(key uint64, d, fast time.Duration, now time.Time) {
-	if !s.isWarm(key, now) {
-		return
-	}
+// judgeKey learns from the time that an answer took, beside the usual one,
+// whether the endpoint still had an object that it served before.
+func (s *seat) judgeKey(d, usual time.Duration) {
 	x := 0.0
-	if float64(d) > missFactor*float64(fast) {
+	if float64(d) > missFactor*float64(usual)*s.paceOf() {
 		x = 1
 	}
 	s.missing += missWeight * (x - s.missing)
--- a/core/balance/tell.go
+++ b/core/balance/tell.go
@@ -16,7 +16,7 @@
 	m := map[string]State{}
 	for id, s := range b.seats {
 		if s.owner == b.options.Self {
-			m[id] = s.state(now)
+			m[id] = b.pools[s.Upstream].state(s, now)
 		}
 	}
 	return m
@@ -34,7 +34,7 @@
 		s.hint = t
 		s.hintAt = now
 		s.hintPassing = s.passing
-		s.service = t.Service
+		s.pace = t.Pace
 		s.failing = t.Failing
 		s.missing = t.Missing
 		s.restUntil = now.Add(t.Rest)
--- a/core/edge/serve.go
+++ b/core/edge/serve.go
@@ -68,6 +68,8 @@
 	attempts int
 	refusals int
 	hedges   int
+	// first is the endpoint that was chosen first.
+	first string
 	// usual is the time that the first endpoint usually takes.
 	usual time.Duration
 	// unknown is true if a sending may have been run.
@@ -227,8 +229,9 @@
 }
 
 func (r *run) launch(ctx context.Context, c *balance.Choice, now time.Time) {
-	if r.usual == 0 {
+	if r.first == "" {
 		r.usual = c.Usual
+		r.first = c.Target.ID
 	}
 	r.flying++
 	j := &job{
@@ -236,7 +239,6 @@
 		ask:     r.ask,
 		once:    !r.route.Repeatable,
 	}
-	r.ask.Avoid = append(r.ask.Avoid, c.Target.ID)
 	go func() {
 		r.results <- result{
 			choice: c,
@@ -304,19 +306,25 @@
 	switch {
 	case c.Refusal != nil:
 		r.refusals++
+		if c.Refusal.Code == code.RankFull {
+			r.ask.Full = append(r.ask.Full, id)
+		} else {
+			r.ask.Avoid = append(r.ask.Avoid, id)
+		}
 		return r.again(ctx, false, refused(c.Refusal.Code, c.Refusal.Detail, time.Now().Add(c.Refusal.AgainIn)))
 	case c.Failure != nil && !c.Failure.Sent:
 		r.refusals++
+		r.ask.Avoid = append(r.ask.Avoid, id)
 		return r.again(ctx, false, refused(code.NoEndpoint, "endpoint "+id+" cannot be reached", r.soon()))
 	case c.Failure != nil:
-		r.attempts++
+		r.tried(id)
 		r.unknown = true
 		return r.again(ctx, true, unknown(code.AnswerIncomplete, c.Failure.Reason+" at endpoint "+id))
 	case !c.Reply.Ran:
-		r.attempts++
+		r.tried(id)
 		return r.again(ctx, true, refused(code.UpstreamRefused, "endpoint "+id+" did not run it", r.soon()))
 	case !c.Reply.Genuine && c.Reply.Status < redirectStatus:
-		r.attempts++
+		r.tried(id)
 		r.unknown = true
 		return r.again(ctx, true, unknown(code.AnswerForeign, "answer of endpoint "+id+" bears no mark"))
 	default:
@@ -324,6 +332,12 @@
 	}
 }
 
+// tried notes an endpoint that got the request.
+func (r *run) tried(endpoint string) {
+	r.attempts++
+	r.ask.Avoid = append(r.ask.Avoid, endpoint)
+}
+
 // soon returns when a client may come back whose endpoints had no room.
 func (r *run) soon() time.Time {
 	const least, spread = 100 * time.Millisecond, 300 * time.Millisecond
@@ -334,7 +348,7 @@
 // request is tried elsewhere.
 func (r *run) answered(ctx context.Context, x *result) *Answer {
 	p := x.carry.Reply
-	r.attempts++
+	r.tried(x.choice.Target.ID)
 	r.waited = x.carry.Took
 	a := &Answer{
 		Status:   p.Status,
@@ -408,8 +422,10 @@
 	if !r.late(now) || !r.window.Take(now, len(r.edge.View().Live)) {
 		return
 	}
-	r.ask.Retry = true
-	c, refusal := r.edge.balancer.Pick(r.ask, now)
+	a := r.ask
+	a.Retry = true
+	a.Avoid = append(append([]string{}, a.Avoid...), r.first)
+	c, refusal := r.edge.balancer.Pick(a, now)
 	if refusal != nil {
 		return
 	}
