--- a/cmd/heatherford-edge/daemon.go
+++ b/cmd/heatherford-edge/daemon.go
@@ -18,7 +18,7 @@
 
 const (
 	// linesPerSecond bounds the log lines a second of each kind.
-	linesPerSecond = 50
+	linesPerSecond = 100
 	// stayOpen is how long a stopping host still takes requests: callers keep
 	// look-ups for a while.
 	stayOpen = 2500 * time.Millisecond
--- a/core/balance/ask.go
+++ b/core/balance/ask.go
@@ -14,6 +14,9 @@
 	Key uint64
 	// Class names requests that cost endpoints alike, such as those of a route.
 	Class string
+	// Wide requests meet one endpoint of the whole region, others one of their
+	// zone.
+	Wide bool
 	// Rank is 0 for the most urgent work.
 	Rank int
 	// Objective is when an answer stops having its full worth.
--- a/core/balance/gate.go
+++ b/core/balance/gate.go
@@ -135,11 +135,7 @@
 	p := b.pools[s.Upstream]
 	wait := p.backlog(s, a.Rank, now)
 	done := now.Add(wait + p.expect(s, a.Class, true))
-	if !done.After(a.Objective) {
-		s.overSince = time.Time{}
-	} else if s.overSince.IsZero() {
-		s.overSince = now
-	}
+	s.watchQueue(a.Rank, done.After(a.Objective), now)
 	if mayWait(a, wait, done, s.strict(now), now) {
 		return nil
 	}
@@ -147,6 +143,21 @@
 		s.running(now), s.Slots, len(s.queue), wait.Round(time.Millisecond))
 }
 
+// watchQueue notes whether a request that came now would be answered too late.
+// Only one that goes last tells of the whole queue.
+func (s *seat) watchQueue(rank int, late bool, now time.Time) {
+	switch {
+	case s.ahead(rank) < len(s.queue):
+	case !late && s.strict(now):
+		// The refusals hold the queue at its bound. It stays strict until a
+		// slot comes free.
+	case !late:
+		s.overSince = time.Time{}
+	case s.overSince.IsZero():
+		s.overSince = now
+	}
+}
+
 // ahead returns the number of waiting requests that go before one of the rank.
 func (s *seat) ahead(rank int) int {
 	n := 0
--- a/core/balance/place.go
+++ b/core/balance/place.go
@@ -27,7 +27,7 @@
 	// allowance and allowanceRate bound the requests that leave the region
 	// beyond the shares, as parts of all that come.
 	allowance     = 4.0
-	allowanceRate = 0.03
+	allowanceRate = 0.02
 	// deadlineMargin is kept between an expected answer and its deadline.
 	deadlineMargin = 20 * time.Millisecond
 	// retryLeast is the shortest time after which a refused client may come
@@ -89,9 +89,9 @@
 func (b *Balancer) order(p *pool, a *Ask) []Level {
 	x := position(a.Key)
 	switch {
-	case a.Rank == 0 && x < p.shares.Far:
+	case a.Wide && x < p.shares.Far:
 		return []Level{OtherRegion, SameRegion}
-	case a.Rank == 0:
+	case a.Wide:
 		return []Level{SameRegion, OtherRegion}
 	case x < p.shares.Far:
 		return []Level{OtherRegion, SameZone, SameRegion}
@@ -133,9 +133,7 @@
 // best returns the level's endpoint at which the request costs least.
 func (b *Balancer) best(p *pool, l Level, a *Ask, now time.Time) *candidate {
 	order := b.fit(nil, p.seats[l], a, now)
-	if a.Rank == 0 && l == SameRegion {
-		// The most urgent work meets one endpoint of the whole region, since
-		// that has its object ready sooner than one of each zone would.
+	if a.Wide && l == SameRegion {
 		order = b.fit(order, p.seats[SameZone], a, now)
 	}
 	sort.Slice(order, func(i, j int) bool {
@@ -145,11 +143,11 @@
 		return nil
 	}
 	home := b.judge(p, order[0].seat, a, 0, now)
-	full := contains(a.Full, home.seat.ID)
+	full := home.full(a, now)
 	best := home
 	for i, o := range order[1:] {
 		k := b.judge(p, o.seat, a, i+1, now)
-		if contains(a.Full, o.seat.ID) || !k.mayReplace(a, home, now) {
+		if k.full(a, now) || !k.mayReplace(a, home, now) {
 			continue
 		}
 		if (full && best == home) || k.cost < best.cost {
@@ -162,6 +160,12 @@
 	return best
 }
 
+// full reports whether the endpoint's owner has just refused this request or
+// another one like it.
+func (k *candidate) full(a *Ask, now time.Time) bool {
+	return contains(a.Full, k.seat.ID) || (a.Rank >= k.seat.busyRank && now.Before(k.seat.busyUntil))
+}
+
 // mayReplace reports whether a request may go to an endpoint that is not the
 // first one of its object. That takes longer, and makes the endpoint forget
 // another object if it can keep no more, so that work spread in a flood would
@@ -303,6 +307,16 @@
 	}
 }
 
+// Refused notes that an endpoint's owner refused a request of the rank for want
+// of room, until when it expects some.
+func (b *Balancer) Refused(c *Choice, rank int, until time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := c.seat
+	s.busyRank = rank
+	s.busyUntil = until
+}
+
 // refusal says when the request could be admitted.
 func (b *Balancer) refusal(p *pool, a *Ask, found [levels]*candidate, now time.Time) *Refusal {
 	soonest := (*candidate)(nil)
--- a/core/balance/seat.go
+++ b/core/balance/seat.go
@@ -69,6 +69,11 @@
 	hintAt      time.Time
 	hintPassing int
 
+	// busyUntil is when the owner expects room for requests of a rank from
+	// busyRank on, after it refused one.
+	busyUntil time.Time
+	busyRank  int
+
 	// flights are the requests that this host has sent to the endpoint.
 	flights map[*Permit]bool
 	// queue holds the requests that wait for a slot, in order.
--- a/core/balance/spill.go
+++ b/core/balance/spill.go
@@ -6,7 +6,7 @@
 	// farSlope is how much of a zone's work may change its region in a second.
 	// Two seconds of it and of the allowance stay below the least bound that
 	// operators set, 0.15.
-	farSlope = 0.055
+	farSlope = 0.05
 	// nearSlope is the same for other zones of the own region, where nothing
 	// bounds it but that loads are learned with some delay.
 	nearSlope = 0.25
@@ -19,13 +19,13 @@
 	// highMisses and lowMisses are the rates of missing objects at which work
 	// begins to leave and may return, and missGap how much lower they have to
 	// be elsewhere.
-	highMisses = 0.2
-	lowMisses  = 0.08
-	missGap    = 0.08
+	highMisses = 0.12
+	lowMisses  = 0.05
+	missGap    = 0.05
 	// mostSpill leaves some work at home, so that its room is seen.
 	mostSpill = 0.9
 	// startUse is the use of all slots that is assumed before traffic shows it.
-	startUse = 0.6
+	startUse = 0.8
 )
 
 // Shares are the parts of a zone's work for an upstream that leave it.
--- a/core/edge/edge.go
+++ b/core/edge/edge.go
@@ -87,6 +87,7 @@
 	events   chan func(c *control)
 	tomb     tomb.Tomb
 	splits   splits
+	sizes    sizes
 
 	mu      sync.Mutex
 	windows map[string]*budget.Window
--- a/core/edge/serve.go
+++ b/core/edge/serve.go
@@ -31,6 +31,9 @@
 	behindAgain = 300 * time.Millisecond
 	// retryMargin is the least time before the deadline for another sending.
 	retryMargin = 30 * time.Millisecond
+	// busyMost is the longest time for which an owner's refusal stands for
+	// further requests too.
+	busyMost = 200 * time.Millisecond
 	// redirectStatus and errorStatus are the first statuses of answers that are
 	// no success, and of those that report a failure of the endpoint.
 	redirectStatus = http.StatusMultipleChoices
@@ -155,6 +158,7 @@
 		Upstream:  r.upstream,
 		Key:       keyOf(t, q),
 		Class:     t.Name,
+		Wide:      r.edge.sizes.wide(t),
 		Rank:      t.Rank,
 		Objective: q.Arrived.Add(t.Objective),
 		Deadline:  r.deadline,
@@ -308,6 +312,7 @@
 		r.refusals++
 		if c.Refusal.Code == code.RankFull {
 			r.ask.Full = append(r.ask.Full, id)
+			r.edge.balancer.Refused(x.choice, r.ask.Rank, time.Now().Add(min(busyMost, c.Refusal.AgainIn/2)))
 		} else {
 			r.ask.Avoid = append(r.ask.Avoid, id)
 		}
@@ -358,6 +363,7 @@
 		Endpoint: x.choice.Target.ID,
 	}
 	if p.Status < errorStatus {
+		r.edge.sizes.observe(r.route, len(r.request.Body)+len(p.Body))
 		return a
 	}
 	r.unknown = true
