--- a/core/balance/balancer.go
+++ b/core/balance/balancer.go
@@ -41,6 +41,8 @@
 	tokens float64
 	// times are the usual times at endpoints by class of work.
 	times map[string]*times
+	// use is the decayed use of the own zone's slots.
+	use float64
 	// pressed is the decayed part of requests that found no room at home.
 	pressed float64
 }
--- a/core/balance/gate.go
+++ b/core/balance/gate.go
@@ -9,6 +9,9 @@
 )
 
 const (
+	// returnFactor is how many times the usual interval between two slots that
+	// come free lies between two clients who come back, since others come too.
+	returnFactor = 2.0
 	// mostOvertaken is the number of urgent requests in a row after which a
 	// waiting request of another rank gets its turn.
 	mostOvertaken = 4
@@ -33,8 +36,9 @@
 
 // waiter is a request in an endpoint's queue.
 type waiter struct {
-	ask     Ask
-	arrived time.Time
+	endpoint string
+	ask      Ask
+	arrived  time.Time
 	// expected is how long the endpoint is expected to need.
 	expected time.Duration
 	// latest is when the request has to be sent at the latest.
@@ -65,7 +69,7 @@
 	case <-ctx.Done():
 	case <-t.C:
 	}
-	if b.withdraw(id, w) {
+	if b.withdraw(w) {
 		return nil, refuse(code.DeadlinePassed, time.Now().Add(retryLeast), "no slot of %s came free in time", id)
 	}
 	x := <-w.done
@@ -88,7 +92,7 @@
 		}
 	}
 	if s.free(now) && len(s.queue) == 0 {
-		s.overSince = time.Time{}
+		s.relax(now)
 		return nil, decision{
 			permit: b.admit(s, &a, now),
 		}
@@ -99,6 +103,7 @@
 		}
 	}
 	w := &waiter{
+		endpoint: id,
 		ask:      a,
 		arrived:  now,
 		expected: b.pools[s.Upstream].expect(s, a.Class, s.isWarm(a.Key, now)),
@@ -136,28 +141,43 @@
 	wait := p.backlog(s, a.Rank, now)
 	done := now.Add(wait + p.expect(s, a.Class, true))
 	s.watchQueue(a.Rank, done.After(a.Objective), now)
-	if mayWait(a, wait, done, s.strict(now), now) {
+	if mayWait(a, wait, done, s.strict(now), s.ahead(a.Rank) == len(s.queue), now) {
 		return nil
 	}
-	return refuse(code.RankFull, b.again(p, a, wait, now), "endpoint %s has %d of %d and %d wait, a slot in %s", s.ID,
+	s.refusedAt = now
+	return refuse(code.RankFull, s.promise(wait, p.expect(s, a.Class, true), now), "endpoint %s has %d of %d and %d wait, a slot in %s", s.ID,
 		s.running(now), s.Slots, len(s.queue), wait.Round(time.Millisecond))
 }
 
+// promise returns when a refused request will find room: behind what waits and
+// behind those that were told to come back before it.
+func (s *seat) promise(wait, service time.Duration, now time.Time) time.Time {
+	if t := now.Add(max(retryLeast, wait)); s.promised.Before(t) {
+		s.promised = t
+	}
+	s.promised = s.promised.Add(time.Duration(returnFactor * float64(service) / float64(s.Slots)))
+	return s.promised
+}
+
 // watchQueue notes whether a request that came now would be answered too late.
 // Only one that goes last tells of the whole queue.
 func (s *seat) watchQueue(rank int, late bool, now time.Time) {
 	switch {
 	case s.ahead(rank) < len(s.queue):
-	case !late && s.strict(now):
-		// The refusals hold the queue at its bound. It stays strict until a
-		// slot comes free.
 	case !late:
-		s.overSince = time.Time{}
+		s.relax(now)
 	case s.overSince.IsZero():
 		s.overSince = now
 	}
 }
 
+// relax ends the strict state of a queue, unless refusals hold it at its bound.
+func (s *seat) relax(now time.Time) {
+	if !s.strict(now) || now.Sub(s.refusedAt) > relaxAfter {
+		s.overSince = time.Time{}
+	}
+}
+
 // ahead returns the number of waiting requests that go before one of the rank.
 func (s *seat) ahead(rank int) int {
 	n := 0
@@ -181,10 +201,10 @@
 
 // withdraw takes a waiter out of its queue. It reports false if the waiter was
 // decided before.
-func (b *Balancer) withdraw(id string, w *waiter) bool {
+func (b *Balancer) withdraw(w *waiter) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s := b.seats[id]
+	s := b.seats[w.endpoint]
 	if s == nil {
 		return false
 	}
--- a/core/balance/place.go
+++ b/core/balance/place.go
@@ -17,6 +17,15 @@
 	// fewMisses is the rate of forgotten objects below which an endpoint can
 	// keep more of them.
 	fewMisses = 0.04
+	// slackUse is the use of the zone's slots below which requests may go to
+	// endpoints that do not know their object yet.
+	slackUse = 0.6
+	// strictShare is the part of the time that an objective leaves beside the
+	// request itself for which a request may wait in a strict queue.
+	strictShare = 0.4
+	// fullUse is the use of slots elsewhere from which on single requests are
+	// not sent there beyond the shares.
+	fullUse = 0.9
 	// placeCost is added for each place that an endpoint stands behind in the
 	// order of its object's endpoints, as a part of the usual time.
 	placeCost = 0.12
@@ -26,8 +35,8 @@
 	rejectCost = 300 * time.Millisecond
 	// allowance and allowanceRate bound the requests that leave the region
 	// beyond the shares, as parts of all that come.
-	allowance     = 4.0
-	allowanceRate = 0.02
+	allowance     = 1.0
+	allowanceRate = 0.01
 	// deadlineMargin is kept between an expected answer and its deadline.
 	deadlineMargin = 20 * time.Millisecond
 	// retryLeast is the shortest time after which a refused client may come
@@ -60,10 +69,9 @@
 		if !k.admits(&a, now) {
 			continue
 		}
-		if l == OtherRegion && b.exceeds(p, &a, found) {
+		if b.overflows(p, &a, l) && b.exceeds(p, l, found) {
 			continue
 		}
-		p.press(0)
 		return b.choose(k, &a, now), nil
 	}
 	p.press(1)
@@ -102,13 +110,21 @@
 	}
 }
 
-// exceeds reports whether a request would leave the region beyond the shares and
+// overflows reports whether a request would go to a level beyond the shares.
+func (b *Balancer) overflows(p *pool, a *Ask, l Level) bool {
+	return l != b.order(p, a)[0]
+}
+
+// exceeds reports whether a request that has found no room where it belongs may
+// not go to a level: the slots there are used, or it would leave the region beyond
 // the allowance for that. A region without any endpoint is bound by nothing.
-func (b *Balancer) exceeds(p *pool, a *Ask, found [levels]*candidate) bool {
-	if (found[SameZone] == nil && found[SameRegion] == nil) || position(a.Key) < p.shares.Far {
+func (b *Balancer) exceeds(p *pool, l Level, found [levels]*candidate) bool {
+	switch {
+	case l == SameZone || (found[SameZone] == nil && found[SameRegion] == nil):
 		return false
-	}
-	if p.tokens < 1 {
+	case l == SameRegion:
+		return p.shares.RegionUse > fullUse
+	case p.shares.FarUse > fullUse || p.tokens < 1:
 		return true
 	}
 	p.tokens--
@@ -128,6 +144,8 @@
 	done   time.Time
 	cost   time.Duration
 	strict bool
+	// refused is true if the endpoint's owner has just refused the request.
+	refused bool
 }
 
 // best returns the level's endpoint at which the request costs least.
@@ -147,16 +165,14 @@
 	best := home
 	for i, o := range order[1:] {
 		k := b.judge(p, o.seat, a, i+1, now)
-		if k.full(a, now) || !k.mayReplace(a, home, now) {
+		if k.full(a, now) || !k.mayReplace(p, a, home, now) {
 			continue
 		}
 		if (full && best == home) || k.cost < best.cost {
 			best = k
 		}
 	}
-	if full && best == home {
-		return nil
-	}
+	best.refused = full && best == home
 	return best
 }
 
@@ -169,13 +185,13 @@
 // mayReplace reports whether a request may go to an endpoint that is not the
 // first one of its object. That takes longer, and makes the endpoint forget
 // another object if it can keep no more, so that work spread in a flood would
-// make all of it slower. It is no loss where the object is known, or where a slot
-// is free and the endpoint forgets nothing.
-func (k *candidate) mayReplace(a *Ask, home *candidate, now time.Time) bool {
+// make all of it slower. It is no loss where the object is known, or where slots
+// are free and the endpoint forgets nothing.
+func (k *candidate) mayReplace(p *pool, a *Ask, home *candidate, now time.Time) bool {
 	if k.seat.isWarm(a.Key, now) {
 		return true
 	}
-	return k.seat.missing < fewMisses && k.load < k.seat.Slots && home.load >= home.seat.Slots
+	return p.use < slackUse && k.seat.missing < fewMisses && k.load < k.seat.Slots && home.load >= home.seat.Slots
 }
 
 type ordered struct {
@@ -254,18 +270,26 @@
 
 // admits reports whether it makes sense to send the request there.
 func (k *candidate) admits(a *Ask, now time.Time) bool {
-	return k.load < k.seat.Slots || mayWait(a, k.wait, k.done, k.strict, now)
+	if k.refused {
+		return false
+	}
+	return k.load < k.seat.Slots || mayWait(a, k.wait, k.done, k.strict, a.Rank > 0, now)
 }
 
 // mayWait reports whether a request may wait so long for a slot of an endpoint.
 // Where the queue has been too long for a while, the answer has to come while it
-// has its full worth; else it may be late, since a longer queue passes by itself.
-func mayWait(a *Ask, wait time.Duration, done time.Time, strict bool, now time.Time) bool {
+// has its full worth, and what goes last waits for less; else it may be late, since
+// a longer queue passes by itself.
+func mayWait(a *Ask, wait time.Duration, done time.Time, strict, last bool, now time.Time) bool {
 	switch {
 	case a.Retry || done.After(a.Deadline.Add(-deadlineMargin)):
 		return false
-	case strict:
+	case strict && !last:
 		return !done.After(a.Objective)
+	case strict:
+		// What waits at the bound would be late by any request that takes
+		// longer than expected.
+		return wait <= time.Duration(strictShare*float64(a.Objective.Sub(done.Add(-wait))))
 	default:
 		return wait <= time.Duration(patience*float64(a.Deadline.Sub(now)))
 	}
@@ -302,6 +326,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	c.seat.passing--
+	if p := b.pools[c.seat.Upstream]; served && p != nil {
+		p.press(0)
+	}
 	if served && c.seat.owner != b.options.Self {
 		c.seat.remember(c.key, now)
 	}
--- a/core/balance/seat.go
+++ b/core/balance/seat.go
@@ -31,6 +31,9 @@
 	// strictAfter is how long a queue may be longer than objectives allow: new
 	// objects and short floods pass in this time.
 	strictAfter = time.Second
+	// relaxAfter is how long a strict queue has to go without refusals before
+	// it may be longer again.
+	relaxAfter = time.Second
 	// lastRank is behind all ranks.
 	lastRank = 1 << 30
 	// missFactor is how many times the shortest usual time an answer takes whose
@@ -78,6 +81,8 @@
 	flights map[*Permit]bool
 	// queue holds the requests that wait for a slot, in order.
 	queue []*waiter
+	// promised is when the client who was refused last should come back.
+	promised time.Time
 	// overtaken is the number of urgent requests in a row that went before
 	// another rank.
 	overtaken int
@@ -91,6 +96,8 @@
 	// overSince is since when the queue is longer than objectives allow, or
 	// zero.
 	overSince time.Time
+	// refusedAt is when a request was refused last for its wait.
+	refusedAt time.Time
 	// failing and rejecting are rates between 0 and 1.
 	failing   float64
 	rejecting float64
--- a/core/balance/spill.go
+++ b/core/balance/spill.go
@@ -6,7 +6,7 @@
 	// farSlope is how much of a zone's work may change its region in a second.
 	// Two seconds of it and of the allowance stay below the least bound that
 	// operators set, 0.15.
-	farSlope = 0.05
+	farSlope = 0.045
 	// nearSlope is the same for other zones of the own region, where nothing
 	// bounds it but that loads are learned with some delay.
 	nearSlope = 0.25
@@ -34,6 +34,9 @@
 	Near float64 `json:"near,omitempty"`
 	// Far goes to other regions.
 	Far float64 `json:"far,omitempty"`
+	// RegionUse and FarUse are the uses of slots there, of which 1 is all.
+	RegionUse float64 `json:"region_use,omitempty"`
+	FarUse    float64 `json:"far_use,omitempty"`
 }
 
 // Uses are the uses of slots in the places where a zone's work may go, of which
@@ -69,6 +72,8 @@
 // Step returns the shares after a time in which the uses held.
 func (s Shares) Step(u Uses, d time.Duration) Shares {
 	t := d.Seconds()
+	s.RegionUse = u.Region
+	s.FarUse = u.Far
 	s.Far = clamp(s.Far + farSlope*t*farDirection(u))
 	s.Near = min(1-s.Far, clamp(s.Near+nearSlope*t*direction(u.Zone, u.Region)))
 	return s
--- a/core/balance/tell.go
+++ b/core/balance/tell.go
@@ -2,8 +2,9 @@
 
 import "time"
 
-// pressWeight is what a request that found no room adds to the use of slots.
-const pressWeight = 0.6
+// leastServed bounds what the part of requests that found no room adds to the use
+// of slots.
+const leastServed = 0.1
 
 // busyTime is the time constant of the mean load by which work is moved. It is
 // long beside the time of a request.
@@ -48,10 +49,14 @@
 	defer b.mu.Unlock()
 	w := interval.Seconds() / busyTime.Seconds()
 	for _, p := range b.pools {
+		busy, slots := 0.0, 0
 		for _, s := range p.seats[SameZone] {
 			n, _ := s.load(b.options.Self, now)
 			s.busy += w * (float64(n) - s.busy)
+			busy += s.busy
+			slots += s.Slots
 		}
+		p.use = busy / float64(max(1, slots))
 	}
 }
 
@@ -68,7 +73,7 @@
 			u.Used += s.busy
 			u.Missing += s.missing * float64(s.Slots)
 		}
-		u.Used += pressWeight * p.pressed * float64(u.Slots)
+		u.Used /= max(leastServed, 1-p.pressed)
 		m[n] = u
 	}
 	return m
--- /dev/null
+++ b/core/balance/world_test.go
@@ -0,0 +1,533 @@
+package balance
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"heatherford/core/code"
+	"heatherford/core/fleet"
+	"heatherford/core/registry"
+)
+
+// world is a small model of hosts, endpoints and clients by discrete events,
+// without sockets and clocks, in which the balancers decide as they do in hosts.
+// Endpoints run as many requests as they have slots; an object that is among the
+// last few takes less time.
+type world struct {
+	random *rand.Rand
+	now    time.Time
+	events events
+	hosts  []*modelHost
+	// endpoints by their names.
+	endpoints map[string]*modelEndpoint
+	zones     map[string]string
+	limits    map[string]Limits
+	list      []registry.Endpoint
+	results   map[string]*tally
+}
+
+type modelHost struct {
+	fleet.Member
+	balancer *Balancer
+}
+
+// modelEndpoint is an endpoint's own truth.
+type modelEndpoint struct {
+	registry.Endpoint
+	// warm and cold are the times that requests take.
+	warm time.Duration
+	cold time.Duration
+	// keeps is the number of objects that are ready, the last in kept first.
+	keeps int
+	kept  []uint64
+	// running is the number of requests at work, and waiting those behind.
+	running int
+	waiting []func()
+	// most is the most requests that were at the endpoint.
+	most int
+	// arrivals holds when requests came.
+	arrivals []time.Time
+	rejected int
+	// down endpoints cannot be reached.
+	down bool
+}
+
+// tally counts what became of the requests of a client zone and rank.
+type tally struct {
+	asked   int
+	inTime  int
+	late    int
+	refused int
+	// again counts refused requests that had been refused before.
+	again  int
+	region map[string]int
+	// cold counts requests whose object was not ready.
+	cold int
+}
+
+func (t *tally) share() float64 {
+	return float64(t.inTime) / float64(max(1, t.asked))
+}
+
+type event struct {
+	at time.Time
+	n  int
+	f  func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at.Before(e[j].at) || (e[i].at.Equal(e[j].at) && e[i].n < e[j].n)
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	s := *e
+	x := s[len(s)-1]
+	*e = s[:len(s)-1]
+	return x
+}
+
+const modelUpstream = "desk"
+
+// newWorld returns a world with so many hosts and endpoints in each zone.
+func newWorld(seed uint64, zones map[string]string, hosts int, endpoints map[string]int, slots int) *world {
+	w := &world{
+		random:    rand.New(rand.NewPCG(seed, 7)),
+		now:       time.Unix(1_000_000, 0),
+		endpoints: map[string]*modelEndpoint{},
+		zones:     zones,
+		results:   map[string]*tally{},
+		limits: map[string]Limits{
+			modelUpstream: {
+				Connections: 600,
+				ColdRate:    10,
+			},
+		},
+	}
+	for _, z := range zonesOf(zones) {
+		for i := range hosts {
+			w.addHost(z, i)
+		}
+		for i := range endpoints[z] {
+			e := &modelEndpoint{
+				warm:  100 * time.Millisecond,
+				cold:  333 * time.Millisecond,
+				keeps: 40,
+				Endpoint: registry.Endpoint{
+					ID:       fmt.Sprintf("%s-%d", z, i),
+					Upstream: modelUpstream,
+					Address:  netip.MustParseAddrPort("10.0.0.1:80"),
+					Zone:     z,
+					Slots:    slots,
+				},
+			}
+			w.endpoints[e.ID] = e
+			w.list = append(w.list, e.Endpoint)
+		}
+	}
+	w.set()
+	w.every(50*time.Millisecond, w.pump)
+	w.every(100*time.Millisecond, w.tell)
+	w.every(250*time.Millisecond, w.share)
+	return w
+}
+
+func (w *world) addHost(zone string, i int) {
+	m := fleet.Member{
+		Name:   fmt.Sprintf("host-%s-%d", zone, i),
+		Zone:   zone,
+		Region: w.zones[zone],
+	}
+	w.hosts = append(w.hosts, &modelHost{
+		Member: m,
+		balancer: New(Options{
+			Self:     m.Name,
+			Zone:     zone,
+			Region:   m.Region,
+			RegionOf: func(z string) string { return w.zones[z] },
+			Random:   w.random.Float64,
+		}),
+	})
+}
+
+func (w *world) members(zone string) []fleet.Member {
+	s := []fleet.Member{}
+	for _, h := range w.hosts {
+		if h.Zone == zone {
+			s = append(s, h.Member)
+		}
+	}
+	return s
+}
+
+// set hands the endpoints to all hosts.
+func (w *world) set() {
+	for _, h := range w.hosts {
+		h.balancer.Set(w.list, w.limits, func(e *registry.Endpoint) Placement {
+			m := w.members(e.Zone)
+			p := Placement{
+				Owner:   fleet.Owner(m, e.ID),
+				ColdOwn: 0.7,
+			}
+			if e.Zone == h.Zone {
+				p.ColdPart = 0.7 / float64(len(m))
+			}
+			return p
+		}, w.now)
+	}
+}
+
+func (w *world) after(d time.Duration, f func()) {
+	heap.Push(&w.events, event{
+		at: w.now.Add(d),
+		n:  w.random.Int(),
+		f:  f,
+	})
+}
+
+func (w *world) every(d time.Duration, f func()) {
+	w.after(d, func() {
+		f()
+		w.every(d, f)
+	})
+}
+
+func (w *world) run(d time.Duration) {
+	end := w.now.Add(d)
+	for len(w.events) > 0 && !w.events[0].at.After(end) {
+		e := heap.Pop(&w.events).(event)
+		w.now = e.at
+		e.f()
+	}
+	w.now = end
+}
+
+func (w *world) pump() {
+	for _, h := range w.hosts {
+		h.balancer.Sample(50*time.Millisecond, w.now)
+		h.balancer.Pump(w.now)
+	}
+}
+
+// tell has owners tell the hosts of their zone.
+func (w *world) tell() {
+	for _, h := range w.hosts {
+		m := h.balancer.Owned(w.now)
+		for _, o := range w.hosts {
+			if o != h && o.Zone == h.Zone {
+				o.balancer.Tell(m, w.now)
+			}
+		}
+	}
+}
+
+// share has the first host of each zone adjust its shares.
+func (w *world) share() {
+	uses := map[string]Use{}
+	first := map[string]*modelHost{}
+	for _, h := range w.hosts {
+		if first[h.Zone] == nil {
+			first[h.Zone] = h
+			uses[h.Zone] = h.balancer.Uses()[modelUpstream]
+		}
+	}
+	for _, z := range zonesOf(w.zones) {
+		h := first[z]
+		region, far := Use{}, Use{}
+		for _, o := range zonesOf(w.zones) {
+			u := uses[o]
+			switch {
+			case o == z:
+			case w.zones[o] == w.zones[z]:
+				region = region.Add(u)
+			default:
+				far = far.Add(u)
+			}
+		}
+		s := h.balancer.Shares()[modelUpstream].Step(Uses{
+			Zone:       uses[z].Share(),
+			Region:     region.Share(),
+			Far:        far.Share(),
+			ZoneMisses: uses[z].Misses(),
+			FarMisses:  far.Misses(),
+		}, 250*time.Millisecond)
+		for _, o := range w.hosts {
+			if o.Zone == z {
+				o.balancer.SetShares(map[string]Shares{
+					modelUpstream: s,
+				})
+			}
+		}
+	}
+}
+
+// load is a stream of clients' requests.
+type load struct {
+	zone string
+	// perSecond is the mean rate.
+	perSecond float64
+	rank      int
+	objects   int
+	objective time.Duration
+	deadline  time.Duration
+	wide      bool
+	// until ends the stream.
+	until time.Duration
+}
+
+// offer starts a stream of requests that come at random.
+func (w *world) offer(l load) {
+	end := w.now.Add(l.until)
+	next := func() {}
+	next = func() {
+		if w.now.After(end) {
+			return
+		}
+		w.ask(l, uint64(w.random.IntN(l.objects)), false)
+		w.after(time.Duration(w.random.ExpFloat64()/l.perSecond*float64(time.Second)), next)
+	}
+	w.after(0, next)
+}
+
+func (w *world) tallyOf(l load) *tally {
+	k := fmt.Sprintf("%s/%d", l.zone, l.rank)
+	if w.results[k] == nil {
+		w.results[k] = &tally{
+			region: map[string]int{},
+		}
+	}
+	return w.results[k]
+}
+
+// ask has a client ask a random host of its zone. A refused client comes back
+// once, when it was told to.
+func (w *world) ask(l load, object uint64, again bool) {
+	m := []*modelHost{}
+	for _, h := range w.hosts {
+		if h.Zone == l.zone {
+			m = append(m, h)
+		}
+	}
+	t := w.tallyOf(l)
+	if !again {
+		t.asked++
+	}
+	r := &modelRequest{
+		world:  w,
+		load:   l,
+		tally:  t,
+		host:   m[w.random.IntN(len(m))],
+		came:   w.now,
+		object: object,
+		again:  again,
+		ask: Ask{
+			Upstream:  modelUpstream,
+			Key:       mix(object+1, uint64(len(w.zones[l.zone]))*1_000_003+uint64(w.zones[l.zone][0])),
+			Class:     fmt.Sprint("class", l.rank),
+			Wide:      l.wide,
+			Rank:      l.rank,
+			Objective: w.now.Add(l.objective),
+			Deadline:  w.now.Add(l.deadline),
+		},
+	}
+	r.try(0)
+}
+
+type modelRequest struct {
+	world  *world
+	load   load
+	tally  *tally
+	host   *modelHost
+	came   time.Time
+	object uint64
+	again  bool
+	ask    Ask
+}
+
+// try chooses an endpoint and asks its owner, as core/edge does.
+func (r *modelRequest) try(n int) {
+	w := r.world
+	c, refusal := r.host.balancer.Pick(r.ask, w.now)
+	if refusal != nil {
+		r.refused(refusal)
+		return
+	}
+	owner := w.host(c.Target.Owner)
+	x, d := owner.balancer.enter(c.Target.ID, r.ask, w.now)
+	switch {
+	case x != nil:
+		w.wait(owner, x, func(d decision) {
+			r.decided(n, c, owner, d)
+		})
+	default:
+		r.decided(n, c, owner, d)
+	}
+}
+
+func (r *modelRequest) decided(n int, c *Choice, owner *modelHost, d decision) {
+	w := r.world
+	if d.refusal != nil {
+		r.host.balancer.Done(c, false, w.now)
+		if d.refusal.Code == code.RankFull {
+			r.ask.Full = append(r.ask.Full, c.Target.ID)
+			r.host.balancer.Refused(c, r.ask.Rank, w.now.Add(min(200*time.Millisecond, d.refusal.Again.Sub(w.now)/2)))
+		} else {
+			r.ask.Avoid = append(r.ask.Avoid, c.Target.ID)
+		}
+		const most = 2
+		if n >= most {
+			r.refused(d.refusal)
+			return
+		}
+		r.try(n + 1)
+		return
+	}
+	e := w.endpoints[c.Target.ID]
+	e.serve(w, r.ask.Key, func(o Outcome, cold bool) {
+		s := owner.balancer.Leave(d.permit, Result{
+			Outcome: o,
+			Load:    e.running + 1 + len(e.waiting),
+		}, w.now)
+		r.host.balancer.Tell(map[string]State{
+			c.Target.ID: s,
+		}, w.now)
+		r.host.balancer.Done(c, o == Answered, w.now)
+		if o != Answered {
+			r.ask.Avoid = append(r.ask.Avoid, c.Target.ID)
+			r.try(n + 1)
+			return
+		}
+		if cold {
+			r.tally.cold++
+		}
+		r.tally.region[w.zones[e.Zone]]++
+		if w.now.After(r.ask.Objective) {
+			r.tally.late++
+		} else {
+			r.tally.inTime++
+		}
+	})
+}
+
+func (r *modelRequest) refused(x *Refusal) {
+	w := r.world
+	if r.again {
+		r.tally.again++
+		r.tally.refused++
+		return
+	}
+	d := min(max(0, x.Again.Sub(w.now)), r.load.deadline/3)
+	w.after(d, func() {
+		w.ask(r.load, r.object, true)
+	})
+}
+
+func (w *world) host(name string) *modelHost {
+	for _, h := range w.hosts {
+		if h.Name == name {
+			return h
+		}
+	}
+	return nil
+}
+
+// wait looks for a waiter's decision at each event that may have made one.
+func (w *world) wait(h *modelHost, x *waiter, f func(decision)) {
+	var look func()
+	look = func() {
+		select {
+		case d := <-x.done:
+			f(d)
+		default:
+			if w.now.Before(x.latest) {
+				w.after(time.Millisecond, look)
+				return
+			}
+			if h.balancer.withdraw(x) {
+				f(decision{
+					refusal: refuse(code.DeadlinePassed, w.now.Add(retryLeast), "too late"),
+				})
+				return
+			}
+			f(<-x.done)
+		}
+	}
+	w.after(time.Millisecond, look)
+}
+
+// serve runs a request when a slot is free.
+func (e *modelEndpoint) serve(w *world, key uint64, done func(o Outcome, cold bool)) {
+	if e.down {
+		w.after(100*time.Millisecond, func() {
+			done(Unreached, false)
+		})
+		return
+	}
+	e.arrivals = append(e.arrivals, w.now)
+	e.most = max(e.most, e.running+len(e.waiting)+1)
+	if len(e.waiting) >= 3*e.Slots {
+		e.rejected++
+		done(Rejected, false)
+		return
+	}
+	run := func() {
+		e.running++
+		d, cold := e.cold, true
+		if e.has(key) {
+			d, cold = e.warm, false
+		}
+		e.keep(key)
+		d = time.Duration(float64(d) * (0.85 + 0.3*w.random.Float64()))
+		w.after(d, func() {
+			e.running--
+			if len(e.waiting) > 0 {
+				next := e.waiting[0]
+				e.waiting = e.waiting[1:]
+				next()
+			}
+			done(Answered, cold)
+		})
+	}
+	if e.running < e.Slots {
+		run()
+		return
+	}
+	e.waiting = append(e.waiting, run)
+}
+
+func (e *modelEndpoint) has(key uint64) bool {
+	for _, k := range e.kept {
+		if k == key {
+			return true
+		}
+	}
+	return false
+}
+
+func (e *modelEndpoint) keep(key uint64) {
+	s := []uint64{key}
+	for _, k := range e.kept {
+		if k != key && len(s) < e.keeps {
+			s = append(s, k)
+		}
+	}
+	e.kept = s
+}
+
+// mostInASecond returns the most arrivals in any second.
+func (e *modelEndpoint) mostInASecond() int {
+	most, j := 0, 0
+	for i, t := range e.arrivals {
+		for t.Sub(e.arrivals[j]) > time.Second {
+			j++
+		}
+		most = max(most, i-j+1)
+	}
+	return most
+}
--- /dev/null
+++ b/core/budget/window_test.go
@@ -0,0 +1,67 @@
+package budget_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"heatherford/core/budget"
+)
+
+// TestWindowOverAllHosts has 18 hosts use all they may: together they stay within
+// the bound in every window, also after hosts were replaced by new ones.
+func TestWindowOverAllHosts(t *testing.T) {
+	c := qt.New(t)
+	const hosts = 18
+	o := budget.WindowOptions{
+		Ratio:  0.2,
+		Slack:  116,
+		Length: 10 * time.Second,
+	}
+	now := time.Unix(1_000_000, 0)
+	s := []*budget.Window{}
+	for range hosts {
+		s = append(s, budget.NewWindow(o, now))
+	}
+	requests, repeats := []int{}, []int{}
+	for range 300 {
+		n, k := 0, 0
+		for i, w := range s {
+			if i%3 == 0 {
+				w.Count(now)
+				n++
+			}
+			for w.Take(now, hosts) {
+				k++
+			}
+		}
+		requests = append(requests, n)
+		repeats = append(repeats, k)
+		now = now.Add(100 * time.Millisecond)
+	}
+	const steps = 100
+	for i := steps; i < len(repeats); i++ {
+		n, k := 0, 0
+		for j := i - steps; j < i; j++ {
+			n += requests[j]
+			k += repeats[j]
+		}
+		c.Assert(float64(k) <= o.Ratio*float64(n)+o.Slack, qt.IsTrue, qt.Commentf("%d repeats of %d requests", k, n))
+	}
+}
+
+// TestWindowForgets allows repeats again after the window.
+func TestWindowForgets(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1_000_000, 0)
+	w := budget.NewWindow(budget.WindowOptions{
+		Slack:  10,
+		Length: time.Second,
+	}, now)
+	for w.Take(now, 1) {
+	}
+	c.Assert(w.Left(now, 1), qt.Equals, 0)
+	c.Assert(w.Take(now.Add(time.Minute), 1), qt.IsTrue)
+	c.Assert(w.Left(now.Add(time.Minute), 1), qt.Equals, 7)
+}
--- /dev/null
+++ b/core/fleet/fleet_test.go
@@ -0,0 +1,124 @@
+package fleet_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"heatherford/core/fleet"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func member(name, zone string) fleet.Member {
+	return fleet.Member{
+		Name:    name,
+		Zone:    zone,
+		Region:  zone[:1],
+		Started: start,
+	}
+}
+
+func names(s []fleet.Member) map[string]bool {
+	m := map[string]bool{}
+	for _, x := range s {
+		m[x.Name] = true
+	}
+	return m
+}
+
+// TestSilentNeighbour takes a host of the own zone for dead after 700 ms without a
+// word, and for alive again as soon as it is heard.
+func TestSilentNeighbour(t *testing.T) {
+	c := qt.New(t)
+	f := fleet.New(member("a", "z1"))
+	f.Hear(member("b", "z1"), start)
+	c.Assert(names(f.Live(start.Add(600*time.Millisecond))), qt.DeepEquals, map[string]bool{"a": true, "b": true})
+	c.Assert(names(f.Live(start.Add(800*time.Millisecond))), qt.DeepEquals, map[string]bool{"a": true})
+	f.Hear(member("b", "z1"), start.Add(2*time.Second))
+	c.Assert(names(f.Live(start.Add(2*time.Second))), qt.DeepEquals, map[string]bool{"a": true, "b": true})
+}
+
+// TestListedHosts takes hosts of the platform's list for alive for 1.5 s.
+func TestListedHosts(t *testing.T) {
+	c := qt.New(t)
+	f := fleet.New(member("a", "z1"))
+	f.List([]fleet.Member{member("a", "z1"), member("b", "z1"), member("c", "z2")}, start)
+	c.Assert(f.Live(start.Add(1400*time.Millisecond)), qt.HasLen, 3)
+	c.Assert(f.Live(start.Add(1600*time.Millisecond)), qt.HasLen, 1)
+}
+
+// TestFarZone believes the relay of another zone: a host that it leaves out is dead,
+// and so is the whole zone once its relays are silent.
+func TestFarZone(t *testing.T) {
+	c := qt.New(t)
+	f := fleet.New(member("a", "z1"))
+	f.Hear(member("c", "z2"), start)
+	f.Hear(member("d", "z2"), start)
+	f.Tell("z2", []string{"c", "d"}, start.Add(time.Second))
+	c.Assert(f.Live(start.Add(3*time.Second)), qt.HasLen, 3)
+	f.Tell("z2", []string{"c"}, start.Add(3*time.Second))
+	c.Assert(names(f.Live(start.Add(3*time.Second))), qt.DeepEquals, map[string]bool{"a": true, "c": true})
+	c.Assert(f.Live(start.Add(6*time.Second)), qt.HasLen, 1)
+	c.Assert(f.Tell("z2", []string{"c", "e"}, start.Add(6*time.Second)), qt.Equals, "e")
+}
+
+// TestRestarted replaces a host by its next incarnation, and not the other way round.
+func TestRestarted(t *testing.T) {
+	c := qt.New(t)
+	f := fleet.New(member("a", "z1"))
+	old, next := member("b", "z1"), member("b", "z1")
+	old.Leaving = true
+	next.Started = start.Add(time.Second)
+	f.Hear(old, start)
+	f.Hear(next, start)
+	f.Hear(old, start)
+	c.Assert(fleet.Staying(f.Live(start)), qt.HasLen, 2)
+}
+
+// TestOwnerMovesLittle moves only the endpoints of a host that goes.
+func TestOwnerMovesLittle(t *testing.T) {
+	c := qt.New(t)
+	s := []fleet.Member{member("a", "z1"), member("b", "z1"), member("c", "z1"), member("d", "z1")}
+	moved, owned := 0, map[string]int{}
+	const endpoints = 400
+	for i := range endpoints {
+		e := fmt.Sprint("e", i)
+		o := fleet.Owner(s, e)
+		owned[o]++
+		if o != "d" && fleet.Owner(s[:3], e) != o {
+			moved++
+		}
+	}
+	c.Assert(moved, qt.Equals, 0)
+	for n, k := range owned {
+		c.Check(k > endpoints/8, qt.IsTrue, qt.Commentf("%s owns %d of %d", n, k, endpoints))
+	}
+	c.Assert(fleet.Owner(nil, "e"), qt.Equals, "")
+}
+
+// TestReaders gives all hosts the same order, in which a leaving host has no place.
+func TestReaders(t *testing.T) {
+	c := qt.New(t)
+	a, b := fleet.New(member("a", "z1")), fleet.New(member("b", "z2"))
+	a.Hear(member("b", "z2"), start)
+	b.Hear(member("a", "z1"), start)
+	first := a.Live(start)[0].Name
+	c.Assert(b.Live(start)[0].Name, qt.Equals, first)
+	s := a.Live(start)
+	s[0].Leaving = true
+	c.Assert(fleet.Place(s, s[1].Name), qt.Equals, 0)
+	c.Assert(fleet.Place(s, s[0].Name), qt.Equals, 1)
+}
+
+// TestCutZonesFindEachOther tells hosts of a zone that seems dead too.
+func TestCutZonesFindEachOther(t *testing.T) {
+	c := qt.New(t)
+	f := fleet.New(member("a", "z1"))
+	f.Hear(member("c", "z2"), start)
+	late := start.Add(time.Minute)
+	c.Assert(f.Live(late), qt.HasLen, 1)
+	c.Assert(names(f.FarTargets(f.Live(late))), qt.DeepEquals, map[string]bool{"c": true})
+}
