--- a/core/balance/place.go
+++ b/core/balance/place.go
@@ -42,9 +42,9 @@
 	// retryLeast is the shortest time after which a refused client may come
 	// back.
 	retryLeast = 50 * time.Millisecond
-	// spreadBack is the time over which refused clients are spread, in usual
-	// times.
-	spreadBack = 1.0
+	// spreadBack is the time over which refused clients are spread. Their
+	// answers are late by then, so that room counts for more than haste.
+	spreadBack = 300 * time.Millisecond
 	// farWay is the time that a request to another region and its answer are on
 	// their way, at most.
 	farWay = 30 * time.Millisecond
@@ -353,18 +353,17 @@
 		}
 	}
 	if soonest == nil {
-		return refuse(code.NoEndpoint, b.again(p, a, restFirst, now), "no endpoint of %q may be sent to", a.Upstream)
+		return refuse(code.NoEndpoint, b.again(restFirst, now), "no endpoint of %q may be sent to", a.Upstream)
 	}
 	s := soonest.seat
-	return refuse(code.RankFull, b.again(p, a, soonest.wait, now), "endpoint %s has %d of %d, a slot in %s", s.ID, soonest.load, s.Slots,
+	return refuse(code.RankFull, b.again(soonest.wait, now), "endpoint %s has %d of %d, a slot in %s", s.ID, soonest.load, s.Slots,
 		soonest.wait.Round(time.Millisecond))
 }
 
 // again returns when a refused client should come back: after what waits now,
-// spread over the time of a request, so that not all come at once.
-func (b *Balancer) again(p *pool, a *Ask, wait time.Duration, now time.Time) time.Time {
-	spread := b.options.Random() * spreadBack * float64(p.timesOf(a.Class).of(true))
-	return now.Add(max(retryLeast, wait) + time.Duration(spread))
+// spread over some time, so that not all come at once.
+func (b *Balancer) again(wait time.Duration, now time.Time) time.Time {
+	return now.Add(max(retryLeast, wait) + time.Duration(b.options.Random()*float64(spreadBack)))
 }
 
 func contains(names []string, name string) bool {
--- a/core/balance/world_test.go
+++ b/core/balance/world_test.go
@@ -61,6 +61,8 @@
 	inTime  int
 	late    int
 	refused int
+	// told counts those that were told when to come back.
+	told int
 	// again counts refused requests that had been refused before.
 	again  int
 	region map[string]int
@@ -422,6 +424,7 @@
 		r.tally.refused++
 		return
 	}
+	r.tally.told++
 	d := min(max(0, x.Again.Sub(w.now)), r.load.deadline/3)
 	w.after(d, func() {
 		w.ask(r.load, r.object, true)
