--- /dev/null
+++ b/core/edge/cluster_test.go
@@ -0,0 +1,180 @@
+package edge
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"heatherford/core/registry"
+)
+
+// TestNewsReachesAll has one host read, and all others know a change soon after, in
+// other zones too.
+func TestNewsReachesAll(t *testing.T) {
+	k := newCluster(t)
+	s := []*Edge{k.start("a", "z1"), k.start("b", "z1"), k.start("c", "z2"), k.start("d", "z2")}
+	k.ready(s...)
+	k.declare(5, 1)
+	k.within(time.Second, "the new declaration everywhere", func() bool {
+		for _, e := range s {
+			if e.View().Table.Declaration.Version != 5 {
+				return false
+			}
+		}
+		return true
+	})
+	before := usable(s[0]) + usable(s[2])
+	k.unlist("e1")
+	k.within(1500*time.Millisecond, "the endpoint gone everywhere", func() bool {
+		return usable(s[0]) == usable(s[1]) && usable(s[2]) == usable(s[3]) && usable(s[0])+usable(s[2]) == before-3
+	})
+}
+
+// TestFewReads bounds the reads of a quiet time: they do not grow with the hosts.
+func TestFewReads(t *testing.T) {
+	k := newCluster(t)
+	s := []*Edge{}
+	for _, n := range []string{"a", "b", "c", "d", "e", "f"} {
+		s = append(s, k.start(n, "z1"))
+	}
+	k.ready(s...)
+	<-time.After(time.Second)
+	began := k.table.reads.Load()
+	const quiet = 3 * time.Second
+	<-time.After(quiet)
+	reads := k.table.reads.Load() - began
+	// One host reads the endpoints every 450 ms, and the orders every 800 ms.
+	most := int64(quiet/endpointsInterval+quiet/ordersWait) + 4
+	k.c.Check(reads <= most, qt.IsTrue, qt.Commentf("%d reads, at most %d", reads, most))
+}
+
+// TestReaderTurnedAway lets the store turn away the host that reads: another one
+// takes over, and a change is known within 2 s, by the first host too.
+func TestReaderTurnedAway(t *testing.T) {
+	k := newCluster(t)
+	s := []*Edge{k.start("a", "z1"), k.start("b", "z1"), k.start("c", "z2")}
+	k.ready(s...)
+	k.table.turnAway(s[0].View().Live[0].Name, true)
+	k.declare(7, 1)
+	d := k.within(2*time.Second, "the new declaration everywhere", func() bool {
+		for _, e := range s {
+			if e.View().Table.Declaration.Version != 7 {
+				return false
+			}
+		}
+		return true
+	})
+	k.c.Logf("known after %s", d)
+}
+
+// TestCutHostReadsForItself cuts a host off from all others: it reads for itself, and
+// learns a change within 2 s.
+func TestCutHostReadsForItself(t *testing.T) {
+	k := newCluster(t)
+	s := []*Edge{k.start("a", "z1"), k.start("b", "z1"), k.start("c", "z2")}
+	k.ready(s...)
+	name := s[0].View().Live[2].Name
+	k.isolate(name, true)
+	k.declare(9, 1)
+	k.within(2*time.Second, "the new declaration at the host that is cut off", func() bool {
+		return k.edges[name].View().Table.Declaration.Version == 9
+	})
+	k.isolate(name, false)
+	k.within(3*time.Second, "all hosts see each other again", func() bool {
+		for _, e := range s {
+			if len(e.View().Live) != len(s) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// TestStoreAwayFromTheStart starts a host while the store turns it away: it learns
+// all from its peers.
+func TestStoreAwayFromTheStart(t *testing.T) {
+	k := newCluster(t)
+	a := k.start("a", "z1")
+	k.ready(a)
+	// The other hosts hear of b by the list, so that b enters it first.
+	k.table.turnAway("b", false)
+	b := k.start("b", "z1")
+	k.ready(a, b)
+	k.table.turnAway("", true)
+	c := k.start("c", "z1")
+	<-time.After(500 * time.Millisecond)
+	k.c.Assert(c.Ready(), qt.IsFalse)
+	k.c.Assert(c.Serve(t.Context(), request("/look/1")).Status, qt.Equals, 503)
+	k.table.turnAway("", false)
+	k.ready(a, b, c)
+}
+
+// TestHistoryForgotten has the store lose its history: the next reading is whole, and
+// what went meanwhile is gone.
+func TestHistoryForgotten(t *testing.T) {
+	k := newCluster(t)
+	a := k.start("a", "z1")
+	k.ready(a)
+	k.table.mu.Lock()
+	delete(k.table.records[registry.Endpoints], "e1")
+	k.table.mu.Unlock()
+	k.table.forget()
+	k.within(2*time.Second, "the endpoint gone", func() bool {
+		return usable(a) == 3
+	})
+}
+
+// TestLapsedEntriesComeBack takes the store away and lets entries lapse: they are used
+// until two seconds after its return, and no longer if they are not back.
+func TestLapsedEntriesComeBack(t *testing.T) {
+	k := newCluster(t)
+	a := k.start("a", "z1")
+	k.ready(a)
+	k.table.turnAway("", true)
+	<-time.After(1500 * time.Millisecond)
+	k.unlist("e1")
+	k.unlist("e2")
+	k.table.turnAway("", false)
+	<-time.After(time.Second)
+	k.c.Check(usable(a), qt.Equals, 6)
+	k.list("e1", "z1")
+	k.within(4*time.Second, "only the endpoint that is back", func() bool {
+		return usable(a) == 3
+	})
+}
+
+// TestEmptiedZone sends nothing to a zone that is being emptied.
+func TestEmptiedZone(t *testing.T) {
+	k := newCluster(t)
+	a := k.start("a", "z1")
+	k.ready(a)
+	k.table.put(registry.Orders, "z1", registry.Record{
+		EmptiedZone: "z1",
+	})
+	k.within(2*time.Second, "the zone empty", func() bool {
+		return usable(a) == 0
+	})
+	x := a.Serve(t.Context(), request("/look/1"))
+	k.c.Check(x.Status, qt.Equals, 200)
+	k.c.Check(string(x.Body), qt.Matches, "e[34]")
+}
+
+// TestLeavingHost is not ready, is named no more, and still serves.
+func TestLeavingHost(t *testing.T) {
+	k := newCluster(t)
+	a, b := k.start("a", "z1"), k.start("b", "z1")
+	k.ready(a, b)
+	a.Leave()
+	k.within(time.Second, "known as leaving", func() bool {
+		n := 0
+		for _, m := range b.View().Live {
+			if m.Leaving {
+				n++
+			}
+		}
+		return n == 1 && !a.Ready()
+	})
+	k.c.Check(a.Serve(t.Context(), request("/look/1")).Status, qt.Equals, 200)
+	k.c.Check(b.Serve(t.Context(), request("/look/1")).Status, qt.Equals, 200)
+}
--- a/core/edge/reader.go
+++ b/core/edge/reader.go
@@ -34,7 +34,7 @@
 // part: the reader's own interval and wait, and a margin.
 var staleAfter = [registry.Parts]time.Duration{
 	registry.Orders:    ordersWait + 500*time.Millisecond,
-	registry.Endpoints: endpointsInterval + 350*time.Millisecond,
+	registry.Endpoints: endpointsInterval + 450*time.Millisecond,
 }
 
 // placeDelay is what each place in the order of hosts adds to that.
--- /dev/null
+++ b/io/endpoint/sender_test.go
@@ -0,0 +1,310 @@
+package endpoint_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/goleak"
+
+	"heatherford/core/balance"
+	"heatherford/core/edge"
+	"heatherford/io/endpoint"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+var headers = endpoint.Headers{
+	RequestID:  "Id",
+	DeadlineMS: "Left",
+	Expected:   "For",
+	Mark:       "Mark",
+	NotRun:     "Not-Run",
+	Load:       "Load",
+	ColdMS:     "Cold",
+	Object:     "Object",
+}
+
+// script is what an endpoint does with the requests of a connection, one function
+// for each.
+type script []func(c net.Conn, r *http.Request)
+
+// say answers with text, in which ID stands for the request's identifier.
+func say(text string) func(net.Conn, *http.Request) {
+	return func(c net.Conn, r *http.Request) {
+		io.WriteString(c, strings.ReplaceAll(strings.ReplaceAll(text, "ID", r.Header.Get("Id")), "\n", "\r\n"))
+	}
+}
+
+const whole = "HTTP/1.1 200 OK\nId: ID\nMark: m\nLoad: 2,1,3\nContent-Length: 5\n\nwhole"
+
+func reset(c net.Conn, _ *http.Request) {
+	c.(*net.TCPConn).SetLinger(0)
+	c.Close()
+}
+
+// host is an endpoint that follows a script for each connection.
+type host struct {
+	listener net.Listener
+	mu       sync.Mutex
+	seen     []*http.Request
+	opened   int
+}
+
+func listen(c *qt.C, scripts ...script) *host {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	h := &host{
+		listener: l,
+	}
+	done := sync.WaitGroup{}
+	done.Go(func() {
+		for i := 0; ; i++ {
+			x, err := l.Accept()
+			if err != nil {
+				return
+			}
+			h.mu.Lock()
+			h.opened++
+			h.mu.Unlock()
+			done.Go(func() {
+				h.play(x, scripts[min(i, len(scripts)-1)])
+			})
+		}
+	})
+	c.Cleanup(func() {
+		l.Close()
+		done.Wait()
+	})
+	return h
+}
+
+func (h *host) play(c net.Conn, s script) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for _, f := range s {
+		q, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, q.Body); err != nil {
+			return
+		}
+		h.mu.Lock()
+		h.seen = append(h.seen, q)
+		h.mu.Unlock()
+		f(c, q)
+	}
+	// The other side closes.
+	c.SetReadDeadline(time.Now().Add(3 * time.Second))
+	io.Copy(io.Discard, r)
+}
+
+func (h *host) requests() []*http.Request {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return append([]*http.Request{}, h.seen...)
+}
+
+type bench struct {
+	c      *qt.C
+	sender *endpoint.Sender
+	host   *host
+	n      int
+}
+
+func newBench(t *testing.T, scripts ...script) *bench {
+	c := qt.New(t)
+	b := &bench{
+		c:      c,
+		sender: endpoint.New(headers),
+		host:   listen(c, scripts...),
+	}
+	c.Cleanup(b.sender.Close)
+	return b
+}
+
+func (b *bench) send(once bool) (*edge.Reply, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	b.n++
+	return b.sender.Send(ctx, &edge.Sending{
+		Once:     once,
+		Deadline: time.Now().Add(time.Second),
+		Target: balance.Target{
+			ID:      "e1",
+			Address: b.host.listener.Addr().String(),
+		},
+		Request: &edge.Request{
+			ID:     fmt.Sprint("q", b.n),
+			Method: http.MethodPost,
+			Host:   "desk.example",
+			Target: "/look//7%2F8?x=1&&y",
+			Header: http.Header{
+				"Own": {"a", "b"},
+			},
+			Body: []byte("a body"),
+		},
+	})
+}
+
+// TestForwarded sends method, path, query, host and headers unchanged, with the time
+// that is left and the endpoint's name.
+func TestForwarded(t *testing.T) {
+	b := newBench(t, script{say(whole)})
+	a, err := b.send(true)
+	b.c.Assert(err, qt.IsNil)
+	b.c.Check(string(a.Body), qt.Equals, "whole")
+	b.c.Check(a.Ran && a.Genuine, qt.IsTrue)
+	b.c.Check(a.Load, qt.Equals, 3)
+	q := b.host.requests()[0]
+	b.c.Check(q.RequestURI, qt.Equals, "/look//7%2F8?x=1&&y")
+	b.c.Check(q.Host, qt.Equals, "desk.example")
+	b.c.Check(q.Header["Own"], qt.DeepEquals, []string{"a", "b"})
+	b.c.Check(q.Header.Get("For"), qt.Equals, "e1")
+	b.c.Check(q.Header.Get("Left"), qt.Matches, `\d{3}|1000`)
+	b.c.Check(q.Header.Get("User-Agent"), qt.Equals, "")
+}
+
+// TestAnswers tells how each way of answering is understood.
+func TestAnswers(t *testing.T) {
+	for _, k := range []struct {
+		name string
+		do   func(net.Conn, *http.Request)
+		// ran and failed are what is understood; sent is true if the endpoint
+		// may have the request.
+		ran    bool
+		failed string
+	}{
+		{"whole", say(whole), true, ""},
+		{"refused", say("HTTP/1.1 503 Service Unavailable\nId: ID\nNot-Run: 1\nContent-Length: 0\n\n"), false, ""},
+		{"elsewhere", say("HTTP/1.1 421 Misdirected Request\nContent-Length: 0\nId: ID\n\n"), false, ""},
+		{"other request", say("HTTP/1.1 200 OK\nId: other\nMark: m\nContent-Length: 2\n\nno"), false, "foreign"},
+		{"short", func(c net.Conn, r *http.Request) {
+			say("HTTP/1.1 200 OK\nId: ID\nMark: m\nContent-Length: 9\n\nshort")(c, r)
+			reset(c, r)
+		}, false, "incomplete"},
+		{"no answer", reset, false, "reset"},
+		{"no protocol", say("what is that\n\n"), false, "reset"},
+		{"bytes behind", say(whole + "and more"), false, "incomplete"},
+	} {
+		t.Run(k.name, func(t *testing.T) {
+			b := newBench(t, script{k.do})
+			a, err := b.send(true)
+			if k.failed == "" {
+				b.c.Assert(err, qt.IsNil)
+				b.c.Check(a.Ran, qt.Equals, k.ran)
+				return
+			}
+			f := (*edge.Failure)(nil)
+			b.c.Assert(errors.As(err, &f), qt.IsTrue)
+			b.c.Check(f.Sent, qt.IsTrue)
+			b.c.Check(f.Reason, qt.Equals, k.failed)
+		})
+	}
+}
+
+// TestEndsWithConnection takes an answer without a length that ends with its
+// connection, and none that is reset on the way.
+func TestEndsWithConnection(t *testing.T) {
+	const open = "HTTP/1.1 200 OK\nId: ID\nMark: m\n\nall of it"
+	b := newBench(t,
+		script{func(c net.Conn, r *http.Request) {
+			say(open)(c, r)
+			c.Close()
+		}},
+		script{func(c net.Conn, r *http.Request) {
+			say(open)(c, r)
+			<-time.After(20 * time.Millisecond)
+			reset(c, r)
+		}})
+	a, err := b.send(true)
+	b.c.Assert(err, qt.IsNil)
+	b.c.Check(string(a.Body), qt.Equals, "all of it")
+	_, err = b.send(true)
+	b.c.Check(err, qt.IsNotNil)
+}
+
+// TestLateExtraAnswer drops a second answer to an earlier request that comes where the
+// next one is due.
+func TestLateExtraAnswer(t *testing.T) {
+	extra := ""
+	b := newBench(t, script{
+		func(c net.Conn, r *http.Request) {
+			extra = r.Header.Get("Id")
+			say(whole)(c, r)
+		},
+		func(c net.Conn, r *http.Request) {
+			say(strings.ReplaceAll(whole, "ID", extra))(c, r)
+			say(strings.ReplaceAll(whole, "whole", "right"))(c, r)
+		},
+	})
+	_, err := b.send(false)
+	b.c.Assert(err, qt.IsNil)
+	a, err := b.send(true)
+	b.c.Assert(err, qt.IsNil)
+	b.c.Check(string(a.Body), qt.Equals, "right")
+	b.c.Check(b.host.opened, qt.Equals, 1)
+}
+
+// TestKeepAlive does not use a connection that the endpoint is about to close.
+func TestKeepAlive(t *testing.T) {
+	for _, h := range []string{"Connection: close", "Keep-Alive: timeout=0"} {
+		b := newBench(t, script{say(strings.Replace(whole, "Mark: m", "Mark: m\n"+h, 1))})
+		for range 2 {
+			_, err := b.send(false)
+			b.c.Assert(err, qt.IsNil)
+		}
+		b.c.Check(b.host.opened, qt.Equals, 2, qt.Commentf("%s", h))
+	}
+}
+
+// TestUnreachable says that an endpoint cannot have a request if no connection opens.
+func TestUnreachable(t *testing.T) {
+	b := newBench(t, script{})
+	b.host.listener.Close()
+	_, err := b.send(true)
+	f := (*edge.Failure)(nil)
+	b.c.Assert(errors.As(err, &f), qt.IsTrue)
+	b.c.Check(f.Sent, qt.IsFalse)
+}
+
+// TestCancelled closes the connection at once when the request is cancelled.
+func TestCancelled(t *testing.T) {
+	closed := make(chan time.Time, 1)
+	b := newBench(t, script{func(c net.Conn, _ *http.Request) {
+		io.Copy(io.Discard, c)
+		closed <- time.Now()
+	}})
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(50*time.Millisecond, cancel)
+	_, err := b.sender.Send(ctx, &edge.Sending{
+		Deadline: time.Now().Add(time.Minute),
+		Target: balance.Target{
+			ID:      "e1",
+			Address: b.host.listener.Addr().String(),
+		},
+		Request: &edge.Request{
+			ID:     "q",
+			Method: http.MethodGet,
+			Target: "/",
+		},
+	})
+	b.c.Check(err, qt.IsNotNil)
+	select {
+	case <-closed:
+	case <-time.After(500 * time.Millisecond):
+		b.c.Fatal("the connection is still open")
+	}
+}
--- /dev/null
+++ b/io/host/host_test.go
@@ -0,0 +1,199 @@
+package host_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/goleak"
+	"gopkg.in/tomb.v2"
+
+	"heatherford/core/balance"
+	"heatherford/core/code"
+	"heatherford/core/edge"
+	"heatherford/core/fleet"
+	"heatherford/core/registry"
+	"heatherford/io/host"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+type peer struct {
+	link   *host.Link
+	member fleet.Member
+	heard  chan *edge.Tick
+	take   func(ctx context.Context, c *edge.Carried) *edge.Carry
+}
+
+func newPeer(t *testing.T, name string) *peer {
+	c := qt.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	a := netip.MustParseAddrPort(l.Addr().String())
+	l.Close()
+	p := &peer{
+		heard: make(chan *edge.Tick, 16),
+		member: fleet.Member{
+			Name:  name,
+			Peers: a,
+		},
+	}
+	p.link, err = host.Listen(host.Options{
+		Address: a,
+		Hear:    func(t *edge.Tick) { p.heard <- t },
+		Book: func(_ context.Context, since [registry.Parts]uint64) (*edge.Book, error) {
+			return &edge.Book{
+				Updates: []registry.Update{{
+					Part:    registry.Endpoints,
+					Version: since[registry.Endpoints] + 1,
+				}},
+			}, nil
+		},
+		Take: func(ctx context.Context, c *edge.Carried) *edge.Carry { return p.take(ctx, c) },
+		Log:  func(string, ...any) {},
+	})
+	c.Assert(err, qt.IsNil)
+	x := &tomb.Tomb{}
+	c.Assert(p.link.Start(x), qt.IsNil)
+	c.Cleanup(func() {
+		x.Kill(nil)
+		c.Check(x.Wait(), qt.IsNil)
+	})
+	return p
+}
+
+// TestTicks brings a tick to another host, and survives what is none.
+func TestTicks(t *testing.T) {
+	c := qt.New(t)
+	a, b := newPeer(t, "a"), newPeer(t, "b")
+	x, err := net.Dial("udp", b.member.Peers.String())
+	c.Assert(err, qt.IsNil)
+	defer x.Close()
+	x.Write([]byte("no tick"))
+	sent := &edge.Tick{
+		From: a.member,
+		Owned: map[string]balance.State{
+			"e1": {
+				Load:    3,
+				Backlog: 20 * time.Millisecond,
+			},
+		},
+	}
+	a.link.Tell([]fleet.Member{b.member}, sent)
+	select {
+	case got := <-b.heard:
+		c.Check(got.From.Name, qt.Equals, "a")
+		c.Check(got.Owned, qt.DeepEquals, sent.Owned)
+	case <-time.After(time.Second):
+		c.Fatal("nothing heard")
+	}
+}
+
+// TestFetch asks for what is beyond the versions.
+func TestFetch(t *testing.T) {
+	c := qt.New(t)
+	a, b := newPeer(t, "a"), newPeer(t, "b")
+	k, err := a.link.Fetch(t.Context(), b.member, [registry.Parts]uint64{3, 41})
+	c.Assert(err, qt.IsNil)
+	c.Check(k.Updates[0].Version, qt.Equals, uint64(42))
+	gone := b.member
+	gone.Peers = netip.AddrPortFrom(gone.Peers.Addr(), 1)
+	_, err = a.link.Fetch(t.Context(), gone, [registry.Parts]uint64{})
+	c.Check(code.Of(err), qt.Equals, code.PeerUnreachable)
+}
+
+func carried() *edge.Carried {
+	return &edge.Carried{
+		Endpoint: "e1",
+		ID:       "q1.e1",
+		Request:  "q1",
+		Method:   "PUT",
+		Host:     "desk.example",
+		Target:   "/a/?x=\"ü\"",
+		Header: http.Header{
+			"Own": {"ü", "b\"c"},
+		},
+		Body: []byte{0, 1, 2, '\r', '\n'},
+		Once: true,
+		Left: time.Second,
+	}
+}
+
+// TestCarry brings a request to another host and its answer back unchanged.
+func TestCarry(t *testing.T) {
+	c := qt.New(t)
+	a, b := newPeer(t, "a"), newPeer(t, "b")
+	b.take = func(_ context.Context, q *edge.Carried) *edge.Carry {
+		c.Check(q, qt.DeepEquals, carried())
+		return &edge.Carry{
+			Reply: &edge.Reply{
+				Status: http.StatusTeapot,
+				Header: q.Header,
+				Body:   q.Body,
+				Ran:    true,
+			},
+			State: &balance.State{
+				Load: 2,
+			},
+		}
+	}
+	for range 3 {
+		x, err := a.link.Carry(t.Context(), b.member, carried())
+		c.Assert(err, qt.IsNil)
+		c.Check(x.Reply.Status, qt.Equals, http.StatusTeapot)
+		c.Check(x.Reply.Body, qt.DeepEquals, carried().Body)
+		c.Check(x.Reply.Header, qt.DeepEquals, carried().Header)
+		c.Check(x.State.Load, qt.Equals, 2)
+	}
+}
+
+// TestCarryRefused brings back why another host did not send a request.
+func TestCarryRefused(t *testing.T) {
+	c := qt.New(t)
+	a, b := newPeer(t, "a"), newPeer(t, "b")
+	b.take = func(context.Context, *edge.Carried) *edge.Carry {
+		return &edge.Carry{
+			Refusal: &edge.Refusal{
+				Code:    code.RankFull,
+				Detail:  "full",
+				AgainIn: time.Second,
+			},
+		}
+	}
+	x, err := a.link.Carry(t.Context(), b.member, carried())
+	c.Assert(err, qt.IsNil)
+	c.Check(x.Refusal.Code, qt.Equals, code.RankFull)
+	c.Check(x.Reply, qt.IsNil)
+}
+
+// TestCarryFails says whether the other host can have the request, and ends its work
+// when the caller leaves.
+func TestCarryFails(t *testing.T) {
+	c := qt.New(t)
+	a, b := newPeer(t, "a"), newPeer(t, "b")
+	ended := make(chan struct{}, 1)
+	b.take = func(ctx context.Context, _ *edge.Carried) *edge.Carry {
+		<-ctx.Done()
+		ended <- struct{}{}
+		return &edge.Carry{}
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	_, err := a.link.Carry(ctx, b.member, carried())
+	f := (*edge.Failure)(nil)
+	c.Assert(errors.As(err, &f), qt.IsTrue)
+	c.Check(f.Sent, qt.IsTrue)
+	<-ended
+	gone := b.member
+	gone.Peers = netip.AddrPortFrom(gone.Peers.Addr(), 1)
+	_, err = a.link.Carry(t.Context(), gone, carried())
+	c.Assert(errors.As(err, &f), qt.IsTrue)
+	c.Check(f.Sent, qt.IsFalse)
+}
--- /dev/null
+++ b/io/ingress/ingress_test.go
@@ -0,0 +1,418 @@
+package ingress_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/goleak"
+	"gopkg.in/tomb.v2"
+
+	"heatherford/core/budget"
+	"heatherford/core/edge"
+	"heatherford/core/fleet"
+	"heatherford/core/registry"
+	"heatherford/core/route"
+	"heatherford/io/ingress"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+// bench is an ingress before an edge whose endpoint is a function.
+type bench struct {
+	c       *qt.C
+	edge    *edge.Edge
+	ingress *ingress.Ingress
+	callers string
+	ready   string
+	lookups string
+	client  *http.Client
+}
+
+func freeAddress(c *qt.C) netip.AddrPort {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer l.Close()
+	return netip.MustParseAddrPort(l.Addr().String())
+}
+
+func newBench(t *testing.T, send func(ctx context.Context, s *edge.Sending) (*edge.Reply, error)) *bench {
+	c := qt.New(t)
+	o := ingress.Options{
+		ReadyPath:  "/ready",
+		LookupPath: "/hosts",
+		Callers:    freeAddress(c),
+		Ready:      freeAddress(c),
+		Directory:  freeAddress(c),
+		Headers: ingress.Headers{
+			RequestID:  "Id",
+			DeadlineMS: "Left",
+			Object:     "Object",
+			Own:        []string{"For"},
+		},
+		Lookups: ingress.Lookups{
+			TTL: 2 * time.Second,
+			Query: func(r *http.Request) ingress.Query {
+				return ingress.Query{
+					Zone:   r.URL.Query().Get("zone"),
+					Region: r.URL.Query().Get("region"),
+				}
+			},
+			Answer: func(hosts []netip.AddrPort, _ time.Duration) any {
+				return hosts
+			},
+		},
+	}
+	b := &bench{
+		c:       c,
+		edge:    newEdge(o.Callers, send),
+		callers: "http://" + o.Callers.String(),
+		ready:   "http://" + o.Ready.String() + "/ready",
+		lookups: "http://" + o.Directory.String() + "/hosts",
+		client: &http.Client{
+			Transport: &http.Transport{},
+		},
+	}
+	o.Edge = b.edge
+	b.edge.Start()
+	x := &tomb.Tomb{}
+	i, err := ingress.Start(o, x)
+	c.Assert(err, qt.IsNil)
+	b.ingress = i
+	c.Cleanup(func() {
+		b.client.CloseIdleConnections()
+		x.Kill(nil)
+		c.Check(x.Wait(), qt.IsNil)
+		c.Check(b.edge.Stop(), qt.IsNil)
+	})
+	for began := time.Now(); !b.edge.Ready(); <-time.After(5 * time.Millisecond) {
+		c.Assert(time.Since(began) < 3*time.Second, qt.IsTrue)
+	}
+	return b
+}
+
+func newEdge(callers netip.AddrPort, send func(ctx context.Context, s *edge.Sending) (*edge.Reply, error)) *edge.Edge {
+	return edge.New(edge.Options{
+		Self: fleet.Member{
+			Name:    "a",
+			Zone:    "z",
+			Region:  "r",
+			Callers: callers,
+		},
+		Zones: map[string]string{
+			"z": "r",
+		},
+		Repeats: budget.WindowOptions{
+			Slack:  10,
+			Length: 10 * time.Second,
+		},
+		Log:     func(string, ...any) {},
+		Observe: func(*edge.Observation) {},
+		Seams: edge.Seams{
+			Read:      read,
+			Forgotten: func(error) bool { return false },
+			Join: func(context.Context, fleet.Member) ([]fleet.Member, error) {
+				return nil, nil
+			},
+			Tell: func([]fleet.Member, *edge.Tick) {},
+			Fetch: func(context.Context, fleet.Member, [registry.Parts]uint64) (*edge.Book, error) {
+				return nil, errors.New("nobody is there")
+			},
+			Send: send,
+		},
+	})
+}
+
+// read knows one endpoint and one route, and waits for ever for changes.
+func read(ctx context.Context, p registry.Part, since uint64, wait time.Duration) (registry.Update, error) {
+	u := registry.Update{
+		Part:    p,
+		Version: 1,
+	}
+	if since > 0 {
+		select {
+		case <-ctx.Done():
+		case <-time.After(wait):
+		}
+		return u, nil
+	}
+	u.Records = []registry.Record{{
+		Version: 1,
+		Declaration: &route.Declaration{
+			Version: 1,
+			Limits: route.Limits{
+				HeaderBytes: 2000,
+				BodyBytes:   100,
+				IdleTimeout: 300 * time.Millisecond,
+			},
+			Upstreams: map[string]route.Upstream{
+				"desk": {},
+			},
+			Routes: []route.Route{{
+				Name:      "all",
+				Host:      "desk.example",
+				Prefix:    "/a/",
+				Attempts:  2,
+				Objective: time.Second,
+				Parts: []route.Part{{
+					Upstream: "desk",
+					Weight:   1,
+				}},
+			}},
+		},
+	}}
+	if p == registry.Endpoints {
+		u.Records = []registry.Record{{
+			Version: 1,
+			Endpoint: &registry.Endpoint{
+				ID:       "e1",
+				Upstream: "desk",
+				Zone:     "z",
+				Slots:    4,
+			},
+		}}
+	}
+	return u, nil
+}
+
+func (b *bench) request(method, path, body string, header ...string) *http.Request {
+	r, err := http.NewRequest(method, b.callers+path, strings.NewReader(body))
+	b.c.Assert(err, qt.IsNil)
+	r.Host = "desk.example"
+	r.Header.Set("Id", "q1")
+	for i := 0; i < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	return r
+}
+
+// do returns the status, the body and the answer's headers.
+func (b *bench) do(r *http.Request) (int, string, http.Header) {
+	a, err := b.client.Do(r)
+	b.c.Assert(err, qt.IsNil)
+	defer a.Body.Close()
+	s, err := io.ReadAll(a.Body)
+	b.c.Assert(err, qt.IsNil)
+	return a.StatusCode, string(s), a.Header
+}
+
+// echo answers with what it got.
+func echo(_ context.Context, s *edge.Sending) (*edge.Reply, error) {
+	q := s.Request
+	h := http.Header{
+		"Mark":       {"m"},
+		"Connection": {"keep-alive"},
+		"Keep-Alive": {"timeout=9"},
+	}
+	return &edge.Reply{
+		Status:  http.StatusCreated,
+		Header:  h,
+		Body:    fmt.Appendf(nil, "%s %s %s %v %s", q.Method, q.Target, q.Body, q.Header, q.Object),
+		Ran:     true,
+		Genuine: true,
+		Load:    -1,
+	}, nil
+}
+
+// TestForwarding passes a request on unchanged but for headers of the connection, and
+// the answer back likewise.
+func TestForwarding(t *testing.T) {
+	b := newBench(t, echo)
+	status, body, h := b.do(b.request("PUT", "/a//b%2Fc/../d?x=%20&y", "a body",
+		"Object", "7", "Own", "mine", "Connection", "Own-Hop", "Own-Hop", "1", "For", "another", "Accept-Encoding", "x", "User-Agent", "u"))
+	b.c.Check(status, qt.Equals, http.StatusCreated)
+	b.c.Check(body, qt.Equals, "PUT /a//b%2Fc/../d?x=%20&y a body map[Accept-Encoding:[x] Content-Length:[6] Id:[q1] Object:[7] Own:[mine] User-Agent:[u]] 7")
+	b.c.Check(h.Get("Mark"), qt.Equals, "m")
+	b.c.Check(h.Get("Keep-Alive"), qt.Equals, "")
+}
+
+// TestRefusals gives each refusal its status, its code and, where it helps, the time to
+// come back.
+func TestRefusals(t *testing.T) {
+	b := newBench(t, func(context.Context, *edge.Sending) (*edge.Reply, error) {
+		return &edge.Reply{
+			Status: http.StatusServiceUnavailable,
+			Load:   -1,
+		}, nil
+	})
+	for _, k := range []struct {
+		request *http.Request
+		status  int
+		code    string
+	}{
+		{b.request("GET", "/other", ""), http.StatusNotFound, "3002"},
+		{b.request("POST", "/a/", strings.Repeat("x", 101)), http.StatusRequestEntityTooLarge, "3015"},
+		{b.request("GET", "/a/", "", "Own", strings.Repeat("x", 2000)), http.StatusRequestHeaderFieldsTooLarge, "3001"},
+		{b.request("POST", "/a/", "x", "Left", "900"), http.StatusServiceUnavailable, "3010"},
+	} {
+		status, _, h := b.do(k.request)
+		b.c.Check(status, qt.Equals, k.status)
+		b.c.Check(h.Get("Heatherford-Code"), qt.Equals, k.code)
+		b.c.Check(h.Get("Id"), qt.Equals, "q1")
+		if status == http.StatusServiceUnavailable {
+			b.c.Check(h.Get("Retry-After"), qt.Matches, `0\.[0-3]\d\d`)
+		}
+	}
+}
+
+// TestClientLeaves ends the work when a client closes its connection.
+func TestClientLeaves(t *testing.T) {
+	began, ended := make(chan struct{}, 1), make(chan struct{}, 1)
+	b := newBench(t, func(ctx context.Context, _ *edge.Sending) (*edge.Reply, error) {
+		began <- struct{}{}
+		<-ctx.Done()
+		ended <- struct{}{}
+		return nil, &edge.Failure{
+			Sent:   true,
+			Reason: "reset",
+			Cause:  ctx.Err(),
+		}
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-began
+		cancel()
+	}()
+	_, err := b.client.Do(b.request("POST", "/a/", "x").WithContext(ctx))
+	b.c.Assert(err, qt.IsNotNil)
+	select {
+	case <-ended:
+	case <-time.After(500 * time.Millisecond):
+		b.c.Fatal("still at work")
+	}
+}
+
+// TestIdleTimeout closes a caller's unused connection after the declared time, and not
+// before four fifths of it.
+func TestIdleTimeout(t *testing.T) {
+	b := newBench(t, echo)
+	x, err := net.Dial("tcp", strings.TrimPrefix(b.callers, "http://"))
+	b.c.Assert(err, qt.IsNil)
+	defer x.Close()
+	r := bufio.NewReader(x)
+	for range 2 {
+		io.WriteString(x, "GET /a/ HTTP/1.1\r\nHost: desk.example\r\n\r\n")
+		a, err := http.ReadResponse(r, nil)
+		b.c.Assert(err, qt.IsNil)
+		io.Copy(io.Discard, a.Body)
+		<-time.After(240 * time.Millisecond)
+	}
+	b.c.Assert(x.SetReadDeadline(time.Now().Add(time.Second)), qt.IsNil)
+	_, err = r.ReadByte()
+	b.c.Check(err, qt.Equals, io.EOF)
+}
+
+// TestReadyAndLookups answers the two questions, and both change when the host leaves.
+func TestReadyAndLookups(t *testing.T) {
+	b := newBench(t, echo)
+	get := func(url string) (int, string) {
+		r, err := http.NewRequest("GET", url, nil)
+		b.c.Assert(err, qt.IsNil)
+		status, body, _ := b.do(r)
+		return status, strings.TrimSpace(body)
+	}
+	status, _ := get(b.ready)
+	b.c.Check(status, qt.Equals, http.StatusOK)
+	for _, zone := range []string{"z", "unknown"} {
+		_, body := get(b.lookups + "?region=r&zone=" + zone)
+		b.c.Check(body, qt.Equals, `["`+strings.TrimPrefix(b.callers, "http://")+`"]`)
+	}
+	b.edge.Leave()
+	b.ingress.Leave()
+	for began := time.Now(); b.edge.Ready(); <-time.After(5 * time.Millisecond) {
+		b.c.Assert(time.Since(began) < time.Second, qt.IsTrue)
+	}
+	status, _ = get(b.ready)
+	b.c.Check(status, qt.Equals, http.StatusServiceUnavailable)
+	status, _ = get(b.lookups + "?region=r&zone=z")
+	b.c.Check(status, qt.Equals, http.StatusServiceUnavailable)
+	a, err := b.client.Do(b.request("GET", "/a/", ""))
+	b.c.Assert(err, qt.IsNil)
+	defer a.Body.Close()
+	b.c.Check(a.StatusCode, qt.Equals, http.StatusCreated)
+	b.c.Check(a.Close, qt.IsTrue)
+}
+
+// TestStopFinishes lets a request in progress end before the host does.
+func TestStopFinishes(t *testing.T) {
+	began := make(chan struct{}, 1)
+	b := newBench(t, func(ctx context.Context, s *edge.Sending) (*edge.Reply, error) {
+		began <- struct{}{}
+		<-time.After(300 * time.Millisecond)
+		return echo(ctx, s)
+	})
+	done := make(chan int, 1)
+	go func() {
+		a, err := b.client.Do(b.request("POST", "/a/", "x"))
+		if err != nil {
+			done <- 0
+			return
+		}
+		a.Body.Close()
+		done <- a.StatusCode
+	}()
+	<-began
+	b.c.Check(b.ingress.Stop(context.Background()), qt.IsNil)
+	b.c.Check(<-done, qt.Equals, http.StatusCreated)
+}
+
+// TestHostsOfARegion names hosts of the caller's zone, else of its region, else those
+// of regions in which its requests may be served.
+func TestHostsOfARegion(t *testing.T) {
+	c := qt.New(t)
+	at := func(name, zone, region string, leaving bool) fleet.Member {
+		return fleet.Member{
+			Name:    name,
+			Zone:    zone,
+			Region:  region,
+			Leaving: leaving,
+			Callers: netip.MustParseAddrPort("10.0.0." + name + ":80"),
+		}
+	}
+	v := &edge.View{
+		Live: []fleet.Member{
+			at("1", "n1", "north", false),
+			at("2", "n1", "north", false),
+			at("3", "n2", "north", true),
+			at("4", "s1", "south", false),
+			at("5", "w1", "west", false),
+		},
+		Table: route.NewTable(&route.Declaration{
+			Routes: []route.Route{{
+				Host:    "bound.example",
+				Prefix:  "/",
+				Regions: []string{"west"},
+			}},
+		}),
+	}
+	for _, k := range []struct {
+		name   string
+		zone   string
+		region string
+		want   string
+	}{
+		{"any.example", "n1", "north", "[10.0.0.1:80 10.0.0.2:80]"},
+		{"any.example", "n2", "north", "[10.0.0.1:80 10.0.0.2:80]"},
+		{"any.example", "s1", "south", "[10.0.0.4:80]"},
+		{"any.example", "e1", "east", "[10.0.0.1:80 10.0.0.2:80 10.0.0.4:80 10.0.0.5:80]"},
+		{"bound.example", "e1", "east", "[10.0.0.5:80]"},
+		{"bound.example", "n2", "north", "[10.0.0.1:80 10.0.0.2:80]"},
+	} {
+		c.Check(fmt.Sprint(ingress.Hosts(v, ingress.Query{
+			Name:   k.name,
+			Zone:   k.zone,
+			Region: k.region,
+		})), qt.Equals, k.want)
+	}
+}
