io/monitor, cmd/heatherford: metrics of an edge, and explain

Cause: on-call engineers had lines, but no counters and no way from a request's identifier to its lines on two hosts. Change: io/internal/meter (moved from io/collector) and io/monitor serve counters, histograms and ages on the second port between hosts; heatherford explain puts the lines of a request over several hosts in order.

--- a/cmd/heatherford-edge/daemon.go
+++ b/cmd/heatherford-edge/daemon.go
@@ -12,6 +12,7 @@
 	"heatherford/io/endpoint"
 	"heatherford/io/host"
 	"heatherford/io/ingress"
+	"heatherford/io/monitor"
 	"heatherford/io/stdout"
 	"heatherford/platform"
 )
@@ -41,6 +42,7 @@
 	store    *platform.Store
 	ingress  *ingress.Ingress
 	link     *host.Link
+	monitor  *monitor.Monitor
 	tomb     tomb.Tomb
 	// content is the settings file's content that was read last.
 	content string
@@ -59,6 +61,12 @@
 		Default: linesPerSecond,
 	})
 	d.store.Log = d.log.Log
+	m, err := monitor.New()
+	if err != nil {
+		return nil, err
+	}
+	d.monitor = m
+	d.store.Called = m.Called
 	link, err := host.Listen(host.Options{
 		Address: s.Peers,
 		Hear:    d.hear,
@@ -103,6 +111,9 @@
 		return nil, err
 	}
 	d.link = link
+	if err := m.Start(&d.tomb, s.Metrics, d.edge, d.log.LeftOut); err != nil {
+		return nil, err
+	}
 	d.log.Log("start", "zone", s.Zone, "region", s.Region, "callers", s.Callers, "peers", s.Peers)
 	return d, nil
 }
--- a/cmd/heatherford-edge/observe.go
+++ b/cmd/heatherford-edge/observe.go
@@ -21,6 +21,7 @@
 
 // observe logs the end of a request.
 func (d *daemon) observe(o *edge.Observation) {
+	d.monitor.Observe(o)
 	q, a := o.Request, o.Answer
 	name := ""
 	if o.Route != nil {
--- /dev/null
+++ b/cmd/heatherford/explain.go
@@ -0,0 +1,166 @@
+package main
+
+import (
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/go-logfmt/logfmt"
+
+	"heatherford/core/code"
+)
+
+// contextBefore is how long before a request lines on its endpoints are shown.
+const contextBefore = 30 * time.Second
+
+// logLine is a line of a host's log.
+type logLine struct {
+	at     time.Time
+	host   string
+	kind   string
+	fields []field
+}
+
+type field struct {
+	key   string
+	value string
+}
+
+func (l *logLine) get(key string) string {
+	for _, f := range l.fields {
+		if f.key == key {
+			return f.value
+		}
+	}
+	return ""
+}
+
+// explain tells the story of a request from the logs of several hosts.
+func explain(e *environment, args []string) error {
+	f := flag.NewFlagSet("explain", flag.ContinueOnError)
+	f.SetOutput(e.stderr)
+	f.Usage = func() {
+		fmt.Fprint(e.stderr, `usage: heatherford explain REQUEST_ID [FILE...]
+
+Reads logs of one or more hosts, from files or from standard input, and shows the
+lines of a request in order, with what the hosts knew of its endpoints before it.
+
+  heatherford explain 9c41d07be2a35f68 host-1.log host-2.log
+`)
+	}
+	if err := f.Parse(args); err != nil {
+		return err
+	}
+	if f.NArg() == 0 {
+		f.Usage()
+		return code.New(code.OperatorInput, "heatherford: explain needs a request's identifier")
+	}
+	lines, err := readLogs(f.Args()[1:])
+	if err != nil {
+		return err
+	}
+	return tellStory(e.stdout, f.Arg(0), lines)
+}
+
+func readLogs(paths []string) ([]logLine, error) {
+	if len(paths) == 0 {
+		return readLog(os.Stdin)
+	}
+	lines := []logLine{}
+	for _, p := range paths {
+		r, err := os.Open(p)
+		if err != nil {
+			return nil, code.Wrap(code.OperatorInput, err, "heatherford: explain")
+		}
+		s, err := readLog(r)
+		r.Close()
+		if err != nil {
+			return nil, code.Wrap(code.OperatorInput, err, "heatherford: %s", p)
+		}
+		lines = append(lines, s...)
+	}
+	return lines, nil
+}
+
+// readLog reads the lines of a log. Lines of other programs are passed over.
+func readLog(r io.Reader) ([]logLine, error) {
+	lines := []logLine{}
+	d := logfmt.NewDecoder(r)
+	for d.ScanRecord() {
+		l := logLine{}
+		for d.ScanKeyval() {
+			k, v := string(d.Key()), string(d.Value())
+			switch k {
+			case "time":
+				t, err := time.Parse(time.RFC3339Nano, v)
+				if err != nil {
+					continue
+				}
+				l.at = t
+			case "host":
+				l.host = v
+			case "kind":
+				l.kind = v
+			default:
+				l.fields = append(l.fields, field{
+					key:   k,
+					value: v,
+				})
+			}
+		}
+		if l.kind != "" && !l.at.IsZero() {
+			lines = append(lines, l)
+		}
+	}
+	return lines, d.Err()
+}
+
+// tellStory writes the lines of a request in the order of their times.
+func tellStory(w io.Writer, id string, lines []logLine) error {
+	sort.SliceStable(lines, func(i, j int) bool {
+		return lines[i].at.Before(lines[j].at)
+	})
+	story := []logLine{}
+	endpoints := map[string]bool{}
+	left := map[string]bool{}
+	for _, l := range lines {
+		if l.kind == "left_out" {
+			left[l.host+": "+l.get("lines")+" lines of "+l.get("of")] = true
+		}
+		if l.get("request") != id {
+			continue
+		}
+		story = append(story, l)
+		if x := l.get("endpoint"); x != "" {
+			endpoints[x] = true
+		}
+	}
+	if len(story) == 0 {
+		return code.New(code.OperatorInput, "heatherford: no line of request %s; lines left out: %d", id, len(left))
+	}
+	first := story[0].at
+	for _, l := range lines {
+		if l.kind == "endpoint" && endpoints[l.get("endpoint")] && l.at.Before(first) && first.Sub(l.at) < contextBefore {
+			writeLine(w, first, &l)
+		}
+	}
+	for _, l := range story {
+		writeLine(w, first, &l)
+	}
+	return nil
+}
+
+func writeLine(w io.Writer, first time.Time, l *logLine) {
+	s := []string{}
+	for _, f := range l.fields {
+		if f.key == "request" || f.key == "uptime" || f.value == "" {
+			continue
+		}
+		s = append(s, f.key+"="+f.value)
+	}
+	fmt.Fprintf(w, "%+9.1f ms  %-18s %-9s %s\n", float64(l.at.Sub(first))/float64(time.Millisecond), l.host, l.kind, strings.Join(s, " "))
+}
--- /dev/null
+++ b/cmd/heatherford/explain_test.go
@@ -0,0 +1,34 @@
+package main
+
+import (
+	"bytes"
+	"flag"
+	"os"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+var update = flag.Bool("update", false, "rewrite the golden files")
+
+// TestExplain tells the story of a request that hopped between two hosts.
+func TestExplain(t *testing.T) {
+	c := qt.New(t)
+	b := &bytes.Buffer{}
+	e := &environment{
+		stdout: b,
+		stderr: b,
+	}
+	c.Assert(explain(e, []string{"9c41d07be2a35f68", "testdata/explain/host-1.log", "testdata/explain/host-2.log"}), qt.IsNil)
+	const golden = "testdata/explain/story.golden"
+	if *update {
+		const mode = 0o644
+		c.Assert(os.WriteFile(golden, b.Bytes(), mode), qt.IsNil)
+	}
+	want, err := os.ReadFile(golden)
+	c.Assert(err, qt.IsNil)
+	c.Check(b.String(), qt.Equals, string(want))
+	c.Check(explain(e, []string{"other", "testdata/explain/host-1.log"}), qt.ErrorMatches, `heatherford: no line of request other; lines left out: 1 \[2007\]`)
+	c.Check(explain(e, nil), qt.IsNotNil)
+	c.Check(explain(e, []string{"x", "testdata/explain/none.log"}), qt.IsNotNil)
+}
--- a/cmd/heatherford/main.go
+++ b/cmd/heatherford/main.go
@@ -58,6 +58,11 @@
 			about: "show the version in force at every host, and the drains",
 			run:   status,
 		},
+		{
+			name:  "explain",
+			about: "tell the story of a request from the logs of several hosts",
+			run:   explain,
+		},
 		{
 			name:  "report",
 			about: "write the evening page of a day",
--- a/core/balance/bucket.go
+++ b/core/balance/bucket.go
@@ -29,11 +29,9 @@
 	return b.tokens >= 1
 }
 
-// take takes one request and reports whether it is allowed.
-func (b *bucket) take(now time.Time) bool {
-	if !b.has(now) {
-		return false
+// take takes one request if it is allowed.
+func (b *bucket) take(now time.Time) {
+	if b.has(now) {
+		b.tokens--
 	}
-	b.tokens--
-	return true
 }
--- a/core/balance/place.go
+++ b/core/balance/place.go
@@ -75,7 +75,7 @@
 		return b.choose(k, &a, now), nil
 	}
 	p.press(1)
-	return nil, b.refusal(p, &a, found, now)
+	return nil, b.refusal(&a, found, now)
 }
 
 func refuse(c code.Code, again time.Time, format string, args ...any) *Refusal {
@@ -345,7 +345,7 @@
 }
 
 // refusal says when the request could be admitted.
-func (b *Balancer) refusal(p *pool, a *Ask, found [levels]*candidate, now time.Time) *Refusal {
+func (b *Balancer) refusal(a *Ask, found [levels]*candidate, now time.Time) *Refusal {
 	soonest := (*candidate)(nil)
 	for _, k := range found {
 		if k != nil && (soonest == nil || k.done.Before(soonest.done)) {
--- a/core/balance/tell.go
+++ b/core/balance/tell.go
@@ -142,3 +142,37 @@
 	p := b.pools[upstream]
 	return p != nil && p.started
 }
+
+// Summary is what a host knows of an upstream's endpoints in all places.
+type Summary struct {
+	Endpoints int
+	// Resting is the number of endpoints that get nothing after failures.
+	Resting int
+	// Slots and Used are those of the own zone.
+	Slots int
+	Used  float64
+}
+
+// Summaries returns a summary of each upstream.
+func (b *Balancer) Summaries(now time.Time) map[string]Summary {
+	uses := b.Uses()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	m := map[string]Summary{}
+	for n, p := range b.pools {
+		s := Summary{
+			Slots: uses[n].Slots,
+			Used:  uses[n].Used,
+		}
+		for _, l := range p.seats {
+			s.Endpoints += len(l)
+			for _, x := range l {
+				if x.resting(now) {
+					s.Resting++
+				}
+			}
+		}
+		m[n] = s
+	}
+	return m
+}
--- a/core/edge/control.go
+++ b/core/edge/control.go
@@ -137,7 +137,7 @@
 	c.joining = true
 	self := c.fleet.Self()
 	c.edge.tomb.Go(func() error {
-		ctx, cancel := context.WithTimeout(c.edge.tomb.Context(nil), joinTimeout)
+		ctx, cancel := context.WithTimeout(c.edge.tomb.Context(context.Background()), joinTimeout)
 		defer cancel()
 		s, err := c.edge.options.Seams.Join(ctx, self)
 		c.edge.post(func(c *control) {
--- a/core/edge/exchange.go
+++ b/core/edge/exchange.go
@@ -150,7 +150,7 @@
 		since[p] = c.registry.Version(p)
 	}
 	c.edge.tomb.Go(func() error {
-		ctx, cancel := context.WithTimeout(c.edge.tomb.Context(nil), fetchTimeout)
+		ctx, cancel := context.WithTimeout(c.edge.tomb.Context(context.Background()), fetchTimeout)
 		defer cancel()
 		b, err := c.edge.options.Seams.Fetch(ctx, m, since)
 		c.edge.post(func(c *control) {
--- a/core/edge/reader.go
+++ b/core/edge/reader.go
@@ -73,7 +73,7 @@
 	}
 	r.next = now.Add(intervalOf(p))
 	c.edge.tomb.Go(func() error {
-		ctx, cancel := context.WithTimeout(c.edge.tomb.Context(nil), wait+readTimeout)
+		ctx, cancel := context.WithTimeout(c.edge.tomb.Context(context.Background()), wait+readTimeout)
 		defer cancel()
 		u, err := c.edge.options.Seams.Read(ctx, p, since, wait)
 		c.edge.post(func(c *control) {
--- /dev/null
+++ b/core/edge/upstreams.go
@@ -0,0 +1,27 @@
+package edge
+
+import (
+	"time"
+
+	"heatherford/core/balance"
+)
+
+// Upstream is what a host knows of an upstream.
+type Upstream struct {
+	balance.Summary
+	// RepeatsLeft is the number of repeats that the host may send now.
+	RepeatsLeft int
+}
+
+// Upstreams returns what this host knows of each upstream.
+func (e *Edge) Upstreams(now time.Time) map[string]Upstream {
+	m := map[string]Upstream{}
+	hosts := len(e.View().Live)
+	for n, s := range e.balancer.Summaries(now) {
+		m[n] = Upstream{
+			Summary:     s,
+			RepeatsLeft: e.window(n, now).Left(now, hosts),
+		}
+	}
+	return m
+}
--- a/io/collector/metrics.go
+++ b/io/collector/metrics.go
@@ -5,52 +5,14 @@
 	"net/http"
 	"strconv"
 	"sync"
-	"time"
 
-	"github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/uber-go/tally/v4"
-	tallyprometheus "github.com/uber-go/tally/v4/prometheus"
 
 	"heatherford/core/code"
 	"heatherford/core/outcome"
+	"heatherford/io/internal/meter"
 )
 
-const (
-	metricsPrefix = "heatherford"
-	// reportInterval is how old served metrics are at most.
-	reportInterval = time.Second
-)
-
-// latencyBuckets suit answers within milliseconds to seconds.
-var latencyBuckets = tally.DurationBuckets{
-	time.Millisecond,
-	2 * time.Millisecond,
-	5 * time.Millisecond,
-	10 * time.Millisecond,
-	20 * time.Millisecond,
-	50 * time.Millisecond,
-	100 * time.Millisecond,
-	200 * time.Millisecond,
-	500 * time.Millisecond,
-	time.Second,
-	2 * time.Second,
-	5 * time.Second,
-	10 * time.Second,
-}
-
-// sanitizeOptions are tally's for Prometheus, but that values of tags keep the
-// characters that names in declarations have.
-var sanitizeOptions = tally.SanitizeOptions{
-	NameCharacters: tallyprometheus.DefaultSanitizerOpts.NameCharacters,
-	KeyCharacters:  tallyprometheus.DefaultSanitizerOpts.KeyCharacters,
-	ValueCharacters: tally.ValidCharacters{
-		Ranges:     tally.AlphanumericRange,
-		Characters: tally.UnderscoreDashDotCharacters,
-	},
-	ReplacementCharacter: tally.DefaultReplacementCharacter,
-}
-
 // metrics is the daemon's scope and its HTTP handler. It is safe for concurrent
 // use.
 type metrics struct {
@@ -76,32 +38,14 @@
 }
 
 func newMetrics() (*metrics, error) {
-	r := prometheus.NewRegistry()
-	for _, c := range []prometheus.Collector{
-		collectors.NewGoCollector(),
-		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
-	} {
-		if err := r.Register(c); err != nil {
-			return nil, code.Wrap(code.SettingsValue, err, "collector: cannot register")
-		}
+	m, err := meter.New()
+	if err != nil {
+		return nil, err
 	}
-	p := tallyprometheus.NewReporter(tallyprometheus.Options{
-		Registerer: r,
-		Gatherer:   r,
-		OnRegisterError: func(error) {
-			// The metric is then not served; its value is still in the roll-up.
-		},
-	})
-	s, c := tally.NewRootScope(tally.ScopeOptions{
-		Prefix:          metricsPrefix,
-		CachedReporter:  p,
-		Separator:       tallyprometheus.DefaultSeparator,
-		SanitizeOptions: &sanitizeOptions,
-	}, reportInterval)
 	return &metrics{
-		Closer:  c,
-		scope:   s,
-		handler: p.HTTPHandler(),
+		Closer:  m,
+		scope:   m.Scope,
+		handler: m.Handler,
 		kinds:   map[kindCode]kindMetrics{},
 	}, nil
 }
@@ -136,7 +80,7 @@
 			"outcome": string(c.code.Outcome()),
 			"late":    strconv.FormatBool(c.late),
 		}).Counter("requests"),
-		latency: s.Histogram("answer_seconds", latencyBuckets),
+		latency: s.Histogram("answer_seconds", meter.LatencyBuckets),
 	}
 	m.kinds[c] = k
 	return k
--- a/io/endpoint/sender_test.go
+++ b/io/endpoint/sender_test.go
@@ -50,7 +50,7 @@
 const whole = "HTTP/1.1 200 OK\nId: ID\nMark: m\nLoad: 2,1,3\nContent-Length: 5\n\nwhole"
 
 func reset(c net.Conn, _ *http.Request) {
-	c.(*net.TCPConn).SetLinger(0)
+	_ = c.(*net.TCPConn).SetLinger(0)
 	c.Close()
 }
 
@@ -107,8 +107,8 @@
 		f(c, q)
 	}
 	// The other side closes.
-	c.SetReadDeadline(time.Now().Add(3 * time.Second))
-	io.Copy(io.Discard, r)
+	_ = c.SetReadDeadline(time.Now().Add(3 * time.Second))
+	_, _ = io.Copy(io.Discard, r)
 }
 
 func (h *host) requests() []*http.Request {
@@ -284,7 +284,7 @@
 func TestCancelled(t *testing.T) {
 	closed := make(chan time.Time, 1)
 	b := newBench(t, script{func(c net.Conn, _ *http.Request) {
-		io.Copy(io.Discard, c)
+		_, _ = io.Copy(io.Discard, c)
 		closed <- time.Now()
 	}})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/io/host/host_test.go
+++ b/io/host/host_test.go
@@ -76,7 +76,8 @@
 	x, err := net.Dial("udp", b.member.Peers.String())
 	c.Assert(err, qt.IsNil)
 	defer x.Close()
-	x.Write([]byte("no tick"))
+	_, err = x.Write([]byte("no tick"))
+	c.Assert(err, qt.IsNil)
 	sent := &edge.Tick{
 		From: a.member,
 		Owned: map[string]balance.State{
--- a/io/ingress/ingress_test.go
+++ b/io/ingress/ingress_test.go
@@ -305,7 +305,8 @@
 		io.WriteString(x, "GET /a/ HTTP/1.1\r\nHost: desk.example\r\n\r\n")
 		a, err := http.ReadResponse(r, nil)
 		b.c.Assert(err, qt.IsNil)
-		io.Copy(io.Discard, a.Body)
+		_, err = io.Copy(io.Discard, a.Body)
+		b.c.Assert(err, qt.IsNil)
 		<-time.After(240 * time.Millisecond)
 	}
 	b.c.Assert(x.SetReadDeadline(time.Now().Add(time.Second)), qt.IsNil)
--- a/io/internal/wire/exchange.go
+++ b/io/internal/wire/exchange.go
@@ -181,7 +181,7 @@
 func (x *exchange) head() (*http.Response, error) {
 	for n := 0; ; n++ {
 		a, err := x.final()
-		if err != nil || !x.reused || n >= x.pool.options.SkipForeign || x.check(a) != ErrForeign {
+		if err != nil || !x.reused || n >= x.pool.options.SkipForeign || !errors.Is(x.check(a), ErrForeign) {
 			return a, err
 		}
 		if _, err := io.Copy(io.Discard, a.Body); err != nil {
--- /dev/null
+++ b/io/monitor/monitor.go
@@ -0,0 +1,214 @@
+package monitor
+
+import (
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"goji.io"
+	"goji.io/pat"
+	"gopkg.in/tomb.v2"
+
+	"heatherford/core/code"
+	"heatherford/core/edge"
+	"heatherford/core/registry"
+	"heatherford/io/internal/meter"
+)
+
+const (
+	// path is where the metrics are served.
+	path = "/metrics"
+	// sampleInterval is how often gauges are set.
+	sampleInterval = time.Second
+	// headerTimeout bounds the reading of a request's head.
+	headerTimeout = 5 * time.Second
+	// mostRank is the last rank that has a label of its own.
+	mostRank = 9
+)
+
+// partNames are the labels of the parts of a host's knowledge.
+var partNames = [registry.Parts]string{
+	registry.Orders:    "orders",
+	registry.Endpoints: "endpoints",
+}
+
+// Monitor counts. It is safe for concurrent use, and its functions do not block.
+type Monitor struct {
+	meter *meter.Meter
+
+	mu       sync.Mutex
+	requests map[labels]tally.Counter
+	ranks    map[int]*rank
+	calls    map[string]tally.Counter
+	left     map[string]uint64
+}
+
+type labels struct {
+	rank int
+	code code.Code
+	late bool
+}
+
+// rank holds the histograms of a rank.
+type rank struct {
+	answer   tally.Histogram
+	endpoint tally.Histogram
+	attempts tally.Counter
+	hedges   tally.Counter
+}
+
+// New returns a monitor that has counted nothing.
+func New() (*Monitor, error) {
+	m, err := meter.New()
+	if err != nil {
+		return nil, err
+	}
+	return &Monitor{
+		meter:    m,
+		requests: map[labels]tally.Counter{},
+		ranks:    map[int]*rank{},
+		calls:    map[string]tally.Counter{},
+		left:     map[string]uint64{},
+	}, nil
+}
+
+// Observe counts the end of a request.
+func (m *Monitor) Observe(o *edge.Observation) {
+	l := labels{
+		rank: -1,
+		code: o.Answer.Code,
+	}
+	if o.Route != nil {
+		l.rank = min(mostRank, max(0, o.Route.Rank))
+		l.late = o.Answer.Code == code.Answered && o.Ended.After(o.Request.Arrived.Add(o.Route.Objective))
+	}
+	m.mu.Lock()
+	c := m.requests[l]
+	if c == nil {
+		c = m.meter.Scope.Tagged(map[string]string{
+			"rank":    strconv.Itoa(l.rank),
+			"code":    strconv.Itoa(int(l.code)),
+			"outcome": string(l.code.Outcome()),
+			"late":    strconv.FormatBool(l.late),
+		}).Counter("requests")
+		m.requests[l] = c
+	}
+	r := m.rank(l.rank)
+	m.mu.Unlock()
+	c.Inc(1)
+	r.attempts.Inc(int64(o.Attempts))
+	r.hedges.Inc(int64(o.Hedges))
+	r.answer.RecordDuration(o.Ended.Sub(o.Request.Arrived))
+	if o.Answer.Endpoint != "" {
+		r.endpoint.RecordDuration(o.Waited)
+	}
+}
+
+// rank returns the histograms of a rank. The caller holds mu.
+func (m *Monitor) rank(n int) *rank {
+	r := m.ranks[n]
+	if r == nil {
+		s := m.meter.Scope.Tagged(map[string]string{
+			"rank": strconv.Itoa(n),
+		})
+		r = &rank{
+			answer:   s.Histogram("answer_seconds", meter.LatencyBuckets),
+			endpoint: s.Histogram("endpoint_seconds", meter.LatencyBuckets),
+			attempts: s.Counter("attempts"),
+			hedges:   s.Counter("hedges"),
+		}
+		m.ranks[n] = r
+	}
+	return r
+}
+
+// Called counts a call to the platform's table.
+func (m *Monitor) Called(call, outcome string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	c := m.calls[call+" "+outcome]
+	if c == nil {
+		c = m.meter.Scope.Tagged(map[string]string{
+			"call":    call,
+			"outcome": outcome,
+		}).Counter("platform_calls")
+		m.calls[call+" "+outcome] = c
+	}
+	c.Inc(1)
+}
+
+// Start serves the metrics at the address, and samples gauges, in goroutines of t.
+// LeftOut returns the number of log lines that were left out, by kind.
+func (m *Monitor) Start(t *tomb.Tomb, a netip.AddrPort, e *edge.Edge, leftOut func() map[string]uint64) error {
+	l, err := net.Listen("tcp", a.String())
+	if err != nil {
+		return code.Wrap(code.SettingsValue, err, "monitor: cannot listen on %s", a)
+	}
+	x := goji.NewMux()
+	x.Handle(pat.Get(path), m.meter.Handler)
+	s := &http.Server{
+		Handler:           x,
+		ReadHeaderTimeout: headerTimeout,
+	}
+	t.Go(func() error {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	})
+	t.Go(func() error {
+		k := time.NewTicker(sampleInterval)
+		defer k.Stop()
+		for {
+			select {
+			case <-t.Dying():
+				return errors.Join(s.Close(), m.meter.Close())
+			case <-k.C:
+				m.sample(e, leftOut(), time.Now())
+			}
+		}
+	})
+	return nil
+}
+
+// sample sets the gauges.
+func (m *Monitor) sample(e *edge.Edge, leftOut map[string]uint64, now time.Time) {
+	v := e.View()
+	s := m.meter.Scope
+	s.Gauge("hosts_live").Update(float64(len(v.Live)))
+	for p, n := range partNames {
+		age := -1.0
+		if !v.Current[p].IsZero() {
+			age = now.Sub(v.Current[p]).Seconds()
+		}
+		s.Tagged(map[string]string{
+			"part": n,
+		}).Gauge("news_age_seconds").Update(age)
+	}
+	if v.Table != nil {
+		s.Gauge("declaration_version").Update(float64(v.Table.Declaration.Version))
+	}
+	for u, x := range e.Upstreams(now) {
+		t := s.Tagged(map[string]string{
+			"upstream": u,
+		})
+		t.Gauge("slots").Update(float64(x.Slots))
+		t.Gauge("slots_used").Update(x.Used)
+		t.Gauge("endpoints").Update(float64(x.Endpoints))
+		t.Gauge("endpoints_resting").Update(float64(x.Resting))
+		t.Gauge("repeats_left").Update(float64(x.RepeatsLeft))
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for k, n := range leftOut {
+		s.Tagged(map[string]string{
+			"kind": k,
+		}).Counter("lines_left_out").Inc(int64(n - m.left[k]))
+		m.left[k] = n
+	}
+}
