--- a/cmd/heatherford-edge/observe.go
+++ b/cmd/heatherford-edge/observe.go
@@ -27,6 +27,6 @@
 	if o.Route != nil {
 		name = o.Route.Name
 	}
-	d.log.Log("request", "request", q.ID, "route", name, "status", a.Status, "code", int(a.Code), "endpoint", a.Endpoint,
+	d.log.Log("request", "request", q.ID, "route", name, "version", o.Version, "status", a.Status, "code", int(a.Code), "endpoint", a.Endpoint,
 		"attempts", o.Attempts, "hedges", o.Hedges, "took", o.Ended.Sub(q.Arrived), "detail", a.Detail)
 }
--- /dev/null
+++ b/cmd/heatherford-soak/process.go
@@ -0,0 +1,135 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// process is a host as a separate process.
+type process struct {
+	name     string
+	settings string
+	program  string
+	callers  string
+	lookups  string
+
+	mu  sync.Mutex
+	cmd *exec.Cmd
+	// done is closed when the process has ended.
+	done chan struct{}
+	log  *bytes.Buffer
+}
+
+// ports returns n ports in a row that were free.
+func ports(n int) (int, error) {
+	for range 50 {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return 0, err
+		}
+		first := l.Addr().(*net.TCPAddr).Port
+		l.Close()
+		if free(first, n) {
+			return first, nil
+		}
+	}
+	return 0, fmt.Errorf("no %d free ports in a row", n)
+}
+
+func free(first, n int) bool {
+	for p := first; p < first+n; p++ {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", p))
+		if err != nil {
+			return false
+		}
+		l.Close()
+	}
+	return true
+}
+
+// newProcess writes the settings of a host whose table is at an address.
+func newProcess(folder, program, name, zone, region, table string) (*process, error) {
+	const needed = 5
+	p, err := ports(needed)
+	if err != nil {
+		return nil, err
+	}
+	x := &process{
+		name:     name,
+		program:  program,
+		settings: filepath.Join(folder, name+".toml"),
+		callers:  fmt.Sprintf("127.0.0.1:%d", p),
+		lookups:  fmt.Sprintf("127.0.0.1:%d", p+1),
+		log:      &bytes.Buffer{},
+	}
+	const mode = 0o600
+	return x, os.WriteFile(x.settings, fmt.Appendf(nil, `node = %q
+ip = "127.0.0.1"
+zone = %q
+region = %q
+internalPorts = [%d,%d]
+bounds = ["grace=6s","budgetSlack=200"]
+[zones]
+n1 = "north"
+n2 = "north"
+s1 = "south"
+s2 = "south"
+[listen]
+front = %q
+directory = %q
+[limits]
+cpuShare = 1.0
+[platform]
+address = %q
+`, name, zone, region, p+3, p+4, x.callers, x.lookups, table), mode)
+}
+
+// start starts the process.
+func (p *process) start() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c := exec.Command(p.program, "-settings", p.settings)
+	c.Stdout = p.log
+	c.Stderr = p.log
+	if err := c.Start(); err != nil {
+		return err
+	}
+	done := make(chan struct{})
+	p.cmd = c
+	p.done = done
+	go func() {
+		// The exit code tells nothing beside the log.
+		_ = c.Wait()
+		close(done)
+	}()
+	return nil
+}
+
+// signal sends a signal to the process that start started last.
+func (p *process) signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd != nil {
+		_ = p.cmd.Process.Signal(s)
+	}
+}
+
+// end waits for the process to end by itself for up to a time, then kills it.
+func (p *process) end(d time.Duration) {
+	p.mu.Lock()
+	done := p.done
+	p.mu.Unlock()
+	select {
+	case <-done:
+	case <-time.After(d):
+		p.signal(syscall.SIGKILL)
+		<-done
+	}
+}
--- a/cmd/heatherford/explain.go
+++ b/cmd/heatherford/explain.go
@@ -126,6 +126,7 @@
 	})
 	story := []logLine{}
 	endpoints := map[string]bool{}
+	hosts := map[string]bool{}
 	left := map[string]bool{}
 	for _, l := range lines {
 		if l.kind == "left_out" {
@@ -135,6 +136,7 @@
 			continue
 		}
 		story = append(story, l)
+		hosts[l.host] = true
 		if x := l.get("endpoint"); x != "" {
 			endpoints[x] = true
 		}
@@ -144,7 +146,7 @@
 	}
 	first := story[0].at
 	for _, l := range lines {
-		if l.kind == "endpoint" && endpoints[l.get("endpoint")] && l.at.Before(first) && first.Sub(l.at) < contextBefore {
+		if l.kind == "endpoint" && hosts[l.host] && endpoints[l.get("endpoint")] && l.at.Before(first) && first.Sub(l.at) < contextBefore {
 			writeLine(w, first, &l)
 		}
 	}
--- a/core/balance/tell.go
+++ b/core/balance/tell.go
@@ -39,6 +39,9 @@
 		s.failing = t.Failing
 		s.missing = t.Missing
 		s.restUntil = now.Add(t.Rest)
+		if t.Load < s.Slots {
+			s.busyUntil = time.Time{}
+		}
 	}
 }
 
--- a/core/budget/window.go
+++ b/core/budget/window.go
@@ -68,6 +68,16 @@
 	return true
 }
 
+// Return gives back a repeat that was taken and not sent.
+func (w *Window) Return(now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.slide(now)
+	if i := w.step % buckets; w.repeats[i] > 0 {
+		w.repeats[i]--
+	}
+}
+
 // Left returns the number of repeats that are allowed now.
 func (w *Window) Left(now time.Time, hosts int) int {
 	w.mu.Lock()
--- a/core/budget/window_test.go
+++ b/core/budget/window_test.go
@@ -62,6 +62,9 @@
 	for w.Take(now, 1) {
 	}
 	c.Assert(w.Left(now, 1), qt.Equals, 0)
+	w.Return(now)
+	c.Assert(w.Left(now, 1), qt.Equals, 1)
+	c.Assert(w.Take(now, 1), qt.IsTrue)
 	c.Assert(w.Take(now.Add(time.Minute), 1), qt.IsTrue)
 	c.Assert(w.Left(now.Add(time.Minute), 1), qt.Equals, 7)
 }
--- a/core/edge/serve.go
+++ b/core/edge/serve.go
@@ -47,6 +47,9 @@
 	Request *Request
 	Route   *route.Route
 	Answer  *Answer
+	// Version is that of the declaration by which it was served, 0 if none was
+	// known.
+	Version uint64
 	// Attempts is the number of endpoints that the request was sent to.
 	Attempts int
 	// Hedges is the number of those while another one was still at work.
@@ -62,6 +65,7 @@
 	edge     *Edge
 	request  *Request
 	route    *route.Route
+	version  uint64
 	upstream string
 	ask      balance.Ask
 	window   *budget.Window
@@ -89,6 +93,8 @@
 	choice *balance.Choice
 	carry  *Carry
 	sentAt time.Time
+	// repeat is true if the sending was taken from the budget.
+	repeat bool
 }
 
 // Serve serves a request and returns its final answer, or nil if ctx ended
@@ -108,6 +114,7 @@
 	e.options.Observe(&Observation{
 		Request:  q,
 		Route:    r.route,
+		Version:  r.version,
 		Answer:   a,
 		Attempts: r.attempts,
 		Hedges:   r.hedges,
@@ -126,6 +133,7 @@
 	if v.Table == nil || !v.Listed {
 		return refused(code.HostBehind, "no declaration is known yet", time.Now().Add(behindAgain))
 	}
+	r.version = v.Table.Declaration.Version
 	r.route = v.Table.Find(q.Host, q.Path)
 	if r.route == nil {
 		return &Answer{
@@ -180,7 +188,7 @@
 
 // loop sends until there is a final answer.
 func (r *run) loop(ctx context.Context) *Answer {
-	if a := r.send(ctx); a != nil {
+	if a := r.send(ctx, false); a != nil {
 		return a
 	}
 	defer r.abandon()
@@ -218,21 +226,29 @@
 }
 
 // send chooses an endpoint and sends to it. It returns the final answer if the
-// request cannot be sent.
-func (r *run) send(ctx context.Context) *Answer {
+// request cannot be sent. With repeat, the sending was taken from the budget.
+func (r *run) send(ctx context.Context, repeat bool) *Answer {
 	now := time.Now()
 	if !now.Before(r.deadline) {
 		return r.giveUp(refused(code.DeadlinePassed, "no time is left", time.Time{}))
 	}
 	c, refusal := r.edge.balancer.Pick(r.ask, now)
 	if refusal != nil {
+		r.giveBack(repeat, now)
 		return r.giveUp(refused(refusal.Code, refusal.Detail, refusal.Again))
 	}
-	r.launch(ctx, c, now)
+	r.launch(ctx, c, repeat, now)
 	return nil
 }
 
-func (r *run) launch(ctx context.Context, c *balance.Choice, now time.Time) {
+// giveBack gives a repeat back to the budget that no endpoint got.
+func (r *run) giveBack(repeat bool, now time.Time) {
+	if repeat {
+		r.window.Return(now)
+	}
+}
+
+func (r *run) launch(ctx context.Context, c *balance.Choice, repeat bool, now time.Time) {
 	if r.first == "" {
 		r.usual = c.Usual
 		r.first = c.Target.ID
@@ -247,6 +263,7 @@
 		r.results <- result{
 			choice: c,
 			sentAt: now,
+			repeat: repeat,
 			carry:  r.edge.carry(ctx, c.Target, j),
 		}
 	}()
@@ -310,6 +327,7 @@
 	switch {
 	case c.Refusal != nil:
 		r.refusals++
+		r.giveBack(x.repeat, time.Now())
 		if c.Refusal.Code == code.RankFull {
 			r.ask.Full = append(r.ask.Full, id)
 			r.edge.balancer.Refused(x.choice, r.ask.Rank, time.Now().Add(min(busyMost, c.Refusal.AgainIn/2)))
@@ -319,6 +337,7 @@
 		return r.again(ctx, false, refused(c.Refusal.Code, c.Refusal.Detail, time.Now().Add(c.Refusal.AgainIn)))
 	case c.Failure != nil && !c.Failure.Sent:
 		r.refusals++
+		r.giveBack(x.repeat, time.Now())
 		r.ask.Avoid = append(r.ask.Avoid, id)
 		return r.again(ctx, false, refused(code.NoEndpoint, "endpoint "+id+" cannot be reached", r.soon()))
 	case c.Failure != nil:
@@ -389,7 +408,7 @@
 	if !r.mayRepeat() || (repeat && !r.window.Take(time.Now(), len(r.edge.View().Live))) {
 		return r.giveUp(a)
 	}
-	if e := r.send(ctx); e != nil {
+	if e := r.send(ctx, repeat); e != nil {
 		if e.Code.Outcome() == code.NotRun {
 			return r.giveUp(later(a, e))
 		}
@@ -433,10 +452,11 @@
 	a.Avoid = append(append([]string{}, a.Avoid...), r.first)
 	c, refusal := r.edge.balancer.Pick(a, now)
 	if refusal != nil {
+		r.giveBack(true, now)
 		return
 	}
 	r.hedges++
-	r.launch(ctx, c, now)
+	r.launch(ctx, c, true, now)
 }
 
 // late reports whether the request waits for longer than usual.
--- /dev/null
+++ b/standin/desk/endpoint.go
@@ -0,0 +1,245 @@
+package desk
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"heatherford/standin/rows"
+)
+
+// Headers between hosts and endpoints, and between clients and hosts.
+const (
+	HeaderID       = "X-Heatherford-Request-Id"
+	HeaderDeadline = "X-Heatherford-Request-Deadline-Ms"
+	HeaderObject   = "X-Heatherford-Affinity-Key"
+	HeaderSeal     = "X-Heatherford-Response-Seal"
+	headerExpected = "X-Heatherford-Expected-Instance"
+	headerNotRun   = "X-Heatherford-Not-Executed"
+	headerLoad     = "X-Heatherford-Server-Load"
+	headerInstance = "X-Heatherford-Instance-Id"
+)
+
+// reportInterval is how often an endpoint reports.
+const reportInterval = 500 * time.Millisecond
+
+// Runs counts what all endpoints ran. It is safe for concurrent use.
+type Runs struct {
+	mu   sync.Mutex
+	runs map[string]int
+	// arrivals holds the last arrival at each endpoint.
+	arrivals map[string]time.Time
+}
+
+// NewRuns returns an empty count.
+func NewRuns() *Runs {
+	return &Runs{
+		runs:     map[string]int{},
+		arrivals: map[string]time.Time{},
+	}
+}
+
+// Of returns how often the request was run.
+func (r *Runs) Of(id string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.runs[id]
+}
+
+// LastArrival returns when a request last came to the endpoint.
+func (r *Runs) LastArrival(endpoint string) time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.arrivals[endpoint]
+}
+
+// Options describe an endpoint.
+type Options struct {
+	ID      string
+	Service string
+	Zone    string
+	Slots   int
+	// Work is how long a request takes.
+	Work  time.Duration
+	Table *rows.Table
+	Runs  *Runs
+	// Address is registered in place of the endpoint's own if it is not empty,
+	// such as that of a relay.
+	Address func(own string) string
+}
+
+// Endpoint is an endpoint that registers itself. It is safe for concurrent use.
+type Endpoint struct {
+	options  Options
+	listener net.Listener
+	server   *http.Server
+	address  string
+	born     time.Time
+	slots    chan struct{}
+	end      chan struct{}
+	group    sync.WaitGroup
+
+	mu       sync.Mutex
+	sequence int
+	draining bool
+	silent   bool
+}
+
+// Start starts an endpoint.
+func Start(o Options) (*Endpoint, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	e := &Endpoint{
+		options:  o,
+		listener: l,
+		address:  l.Addr().String(),
+		born:     time.Now(),
+		slots:    make(chan struct{}, o.Slots),
+		end:      make(chan struct{}),
+	}
+	if o.Address != nil {
+		e.address = o.Address(e.address)
+	}
+	const headerTimeout = 5 * time.Second
+	e.server = &http.Server{
+		Handler:           e,
+		ReadHeaderTimeout: headerTimeout,
+	}
+	e.group.Go(func() {
+		if err := e.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			panic(err)
+		}
+	})
+	e.group.Go(e.report)
+	return e, nil
+}
+
+// report writes the endpoint's entry from time to time.
+func (e *Endpoint) report() {
+	t := time.NewTicker(reportInterval)
+	defer t.Stop()
+	for {
+		e.write()
+		select {
+		case <-t.C:
+		case <-e.end:
+			return
+		}
+	}
+}
+
+func (e *Endpoint) write() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.silent {
+		return
+	}
+	e.sequence++
+	state := "ready"
+	if e.draining {
+		state = "draining"
+	}
+	b, err := json.Marshal(map[string]any{
+		"address": e.address,
+		"born":    e.born.UnixMilli(),
+		"info": map[string]any{
+			"service": e.options.Service,
+			"version": "v1",
+			"zone":    e.options.Zone,
+			"slots":   e.options.Slots,
+		},
+		"status": map[string]any{
+			"state":         state,
+			"sequence":      e.sequence,
+			"coldRemaining": "0ms",
+		},
+	})
+	if err != nil {
+		panic(err)
+	}
+	e.options.Table.Put("servers", e.options.ID, string(b))
+}
+
+// Drain reports that the endpoint leaves.
+func (e *Endpoint) Drain() {
+	e.mu.Lock()
+	e.draining = true
+	e.mu.Unlock()
+	e.write()
+}
+
+// Stop removes the entry and ends the endpoint.
+func (e *Endpoint) Stop() {
+	e.mu.Lock()
+	e.silent = true
+	e.mu.Unlock()
+	close(e.end)
+	e.options.Table.Remove("servers", e.options.ID)
+	e.server.Close()
+	e.group.Wait()
+}
+
+// ServeHTTP implements http.Handler.
+func (e *Endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get(HeaderID)
+	h := w.Header()
+	h.Set(HeaderID, id)
+	h.Set(headerInstance, e.options.ID)
+	if x := r.Header.Get(headerExpected); x != "" && x != e.options.ID {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if r.URL.Path == "/health" {
+		return
+	}
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return
+	}
+	e.options.Runs.mu.Lock()
+	e.options.Runs.arrivals[e.options.ID] = time.Now()
+	e.options.Runs.mu.Unlock()
+	ms, err := strconv.Atoi(r.Header.Get(HeaderDeadline))
+	if err != nil || id == "" {
+		h.Set(headerNotRun, "1")
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	left := time.After(time.Duration(ms) * time.Millisecond)
+	select {
+	case e.slots <- struct{}{}:
+	case <-left:
+		h.Set(headerNotRun, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	case <-r.Context().Done():
+		return
+	}
+	defer func() { <-e.slots }()
+	e.options.Runs.mu.Lock()
+	e.options.Runs.runs[id]++
+	e.options.Runs.mu.Unlock()
+	select {
+	case <-time.After(e.options.Work):
+	case <-left:
+		w.WriteHeader(http.StatusGatewayTimeout)
+		return
+	case <-r.Context().Done():
+		return
+	}
+	h.Set(HeaderSeal, "seal-of-"+id)
+	h.Set(headerLoad, fmt.Sprintf("%d,0,%d", len(e.slots), e.options.Slots))
+	io.WriteString(w, Body(e.options.Service, id))
+}
+
+// Body returns what an endpoint of the service answers to a request.
+func Body(service, id string) string {
+	return "answer of " + service + " to " + id
+}
