core/fleet, io/endpoint: large zones speak less often; unused connections are not trusted

Cause: read, not seen: in zones of over 24 hosts the interval between messages neared the silence after which a host counts as dead; a request that may not be repeated went out on connections unused for up to 8 s, which endpoints of the grown sites forget. Change: the silence is five intervals at least; such a request takes a connection that was used within 180 ms, or a new one. Figures: TestLargeZone, TestForgottenConnection (the second failed before: 502).

--- /dev/null
+++ b/cmd/heatherford-soak/soak_test.go
@@ -0,0 +1,29 @@
+package main
+
+import (
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestShortRun plays seeds for a few seconds each. A seed that ever failed is kept
+// here, with a line on the cause.
+func TestShortRun(t *testing.T) {
+	c := qt.New(t)
+	program := filepath.Join(t.TempDir(), "heatherford-edge")
+	b, err := exec.Command("go", "build", "-o", program, "heatherford/cmd/heatherford-edge").CombinedOutput()
+	c.Assert(err, qt.IsNil, qt.Commentf("%s", b))
+	for _, seed := range []uint64{1} {
+		r := run(options{
+			Seed:    seed,
+			Length:  3 * time.Second,
+			Hosts:   1,
+			Program: program,
+		})
+		c.Log(r)
+		c.Check(r.Broken, qt.HasLen, 0)
+	}
+}
--- a/core/balance/seat.go
+++ b/core/balance/seat.go
@@ -14,7 +14,7 @@
 	// reportAge is how long an endpoint's own word on its load is used.
 	reportAge = 500 * time.Millisecond
 	// hintAge is how long an owner's word on an endpoint is used.
-	hintAge = 400 * time.Millisecond
+	hintAge = 500 * time.Millisecond
 	// warmAge is how long an endpoint is taken to serve an object faster after
 	// it served it.
 	warmAge = 10 * time.Second
--- a/core/edge/control.go
+++ b/core/edge/control.go
@@ -13,11 +13,6 @@
 const (
 	// step is the interval of the control goroutine's regular work.
 	step = 50 * time.Millisecond
-	// nearInterval is the interval of ticks within a zone of up to nearHosts
-	// hosts; it grows with the hosts beyond, so that a host hears a bounded
-	// number of ticks.
-	nearInterval = 100 * time.Millisecond
-	nearHosts    = 8
 	// farInterval is the interval of a relay's ticks to other zones.
 	farInterval = 500 * time.Millisecond
 	// shareInterval is the interval at which a relay adjusts the shares.
--- a/core/edge/exchange.go
+++ b/core/edge/exchange.go
@@ -12,7 +12,7 @@
 // tellNear sends a tick to the hosts of the own zone.
 func (c *control) tellNear(now time.Time) {
 	hosts := c.fleet.NearTargets()
-	c.nearNext = now.Add(nearInterval * time.Duration(max(1, len(hosts)/nearHosts)))
+	c.nearNext = now.Add(c.fleet.NearInterval())
 	t := c.tick(now)
 	t.Owned = c.edge.balancer.Owned(now)
 	if c.relay() {
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -8,9 +8,15 @@
 )
 
 const (
+	// nearInterval is the interval at which hosts tell those of their zone that
+	// they live, in zones of up to nearHosts hosts. It grows with the hosts
+	// beyond, so that a host hears a bounded number of messages.
+	nearInterval = 100 * time.Millisecond
+	nearHosts    = 12
 	// nearSilence is how long a host of the own zone may be silent before it
-	// counts as dead: six of its messages.
+	// counts as dead, and nearMissed the number of messages that it is at least.
 	nearSilence = 700 * time.Millisecond
+	nearMissed  = 5
 	// farSilence is the same for hosts of other zones, of which relays tell
 	// every 500 ms.
 	farSilence = 2500 * time.Millisecond
@@ -116,7 +122,7 @@
 
 func (f *Fleet) silence(m *Member) time.Duration {
 	if m.Zone == f.self.Zone {
-		return nearSilence
+		return max(nearSilence, nearMissed*f.NearInterval())
 	}
 	return farSilence
 }
@@ -255,6 +261,18 @@
 	return s
 }
 
+// NearInterval returns the interval at which the hosts of the own zone tell each
+// other that they live.
+func (f *Fleet) NearInterval() time.Duration {
+	n := 1
+	for _, p := range f.peers {
+		if p.Zone == f.self.Zone {
+			n++
+		}
+	}
+	return nearInterval * time.Duration(max(1, n/nearHosts))
+}
+
 // NearTargets returns all hosts of the own zone, dead ones too: each finds its
 // way back by what it hears.
 func (f *Fleet) NearTargets() []Member {
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -41,6 +41,19 @@
 	c.Assert(names(f.Live(start.Add(2*time.Second))), qt.DeepEquals, map[string]bool{"a": true, "b": true})
 }
 
+// TestLargeZone lets the hosts of a large zone speak less often, and takes none for dead
+// that misses a few of its messages.
+func TestLargeZone(t *testing.T) {
+	c := qt.New(t)
+	f := fleet.New(member("a", "z1"))
+	for i := range 120 {
+		f.Hear(member(fmt.Sprint("h", i), "z1"), start)
+	}
+	c.Assert(f.NearInterval(), qt.Equals, time.Second)
+	c.Assert(f.Live(start.Add(4*f.NearInterval())), qt.HasLen, 121)
+	c.Assert(f.Live(start.Add(6*f.NearInterval())), qt.HasLen, 1)
+}
+
 // TestListedHosts takes hosts of the platform's list for alive for 1.5 s.
 func TestListedHosts(t *testing.T) {
 	c := qt.New(t)
--- a/io/endpoint/sender.go
+++ b/io/endpoint/sender.go
@@ -24,8 +24,9 @@
 	// a shorter time.
 	idle = 8 * time.Second
 	// onceIdle is the same for requests that may not be repeated: an endpoint
-	// may forget a connection, and what is sent on it then is lost.
-	onceIdle = 8 * time.Second
+	// may forget a connection without notice that was unused for as little as a
+	// fifth of a second, and what is sent on it then is lost.
+	onceIdle = 180 * time.Millisecond
 	// maxAnswerBytes is the longest answer that is taken.
 	maxAnswerBytes = 32 << 20
 	// dialsPerSecond and dialBurst bound a host's new connections to one
--- a/io/endpoint/sender_test.go
+++ b/io/endpoint/sender_test.go
@@ -270,6 +270,18 @@
 	}
 }
 
+// TestForgottenConnection does not send what may not be repeated on a connection that
+// was unused for a while.
+func TestForgottenConnection(t *testing.T) {
+	b := newBench(t, script{say(whole), reset}, script{say(whole)})
+	_, err := b.send(true)
+	b.c.Assert(err, qt.IsNil)
+	<-time.After(250 * time.Millisecond)
+	_, err = b.send(true)
+	b.c.Assert(err, qt.IsNil)
+	b.c.Check(b.host.opened, qt.Equals, 2)
+}
+
 // TestUnreachable says that an endpoint cannot have a request if no connection opens.
 func TestUnreachable(t *testing.T) {
 	b := newBench(t, script{})
