io/internal/wire: idle connections that a call may not use keep it waiting no more

With connections trusted for 180 ms only, a pool full of older idle ones gave neither one of them nor a new one. Change: such a call closes the connection that was idle the longest. TestOnceIdleInAFullPool fails without the change.

--- a/io/internal/wire/pool.go
+++ b/io/internal/wire/pool.go
@@ -140,7 +140,8 @@
 	}
 }
 
-// take returns an idle connection or a new one; with fresh, always a new one.
+// take returns an idle connection that was used within the given time, or a new
+// one; with fresh, always a new one.
 func (p *Pool) take(ctx context.Context, fresh bool, within time.Duration) (*conn, bool, error) {
 	for {
 		wait := p.freedSignal()
@@ -155,7 +156,8 @@
 			return c, false, err
 		default:
 		}
-		if fresh && p.evict() {
+		// Idle connections that this call may not use must not keep it waiting.
+		if (fresh || within < p.options.Idle) && p.evict() {
 			continue
 		}
 		select {
--- a/io/internal/wire/pool_test.go
+++ b/io/internal/wire/pool_test.go
@@ -227,3 +227,33 @@
 	c.Assert(err, qt.IsNil)
 	c.Assert(string(b), qt.Equals, fmt.Sprint(piece*pieces))
 }
+
+// TestOnceIdleInAFullPool has all connections idle for too long for a call that must be
+// sent once: it gets a new one at once, in place of one of them.
+func TestOnceIdleInAFullPool(t *testing.T) {
+	c := qt.New(t)
+	const connections = 3
+	p, _ := newPool(c, echo, wire.Options{
+		Connections:    connections,
+		DialsPerSecond: 100,
+		DialBurst:      2 * connections,
+		Proofless:      true,
+		OnceIdle:       20 * time.Millisecond,
+	})
+	for range connections {
+		group := sync.WaitGroup{}
+		for range connections {
+			group.Go(func() {
+				c.Check(do(p, newCall(false, false)), qt.IsNil)
+			})
+		}
+		group.Wait()
+	}
+	<-time.After(50 * time.Millisecond)
+	start := time.Now()
+	for range 2 * connections {
+		c.Check(do(p, newCall(true, false)), qt.IsNil)
+		<-time.After(30 * time.Millisecond)
+	}
+	c.Check(time.Since(start) < time.Second, qt.IsTrue)
+}
