--- a/cmd/heatherford-edge/daemon.go
+++ b/cmd/heatherford-edge/daemon.go
@@ -24,7 +24,7 @@
 	// look-ups for a while.
 	stayOpen = 2500 * time.Millisecond
 	// stopMargin is kept between the end of the last request and the kill.
-	stopMargin = 400 * time.Millisecond
+	stopMargin = 900 * time.Millisecond
 	// lastLines is how long the last log lines may take.
 	lastLines = 100 * time.Millisecond
 	// settingsInterval is how often the settings file is looked at for changes
