--- a/core/balance/gate.go
+++ b/core/balance/gate.go
@@ -222,14 +222,7 @@
 		s.coldOwn.take(now)
 	}
 	p := &Permit{
-		Target: Target{
-			ID:          s.ID,
-			Upstream:    s.Upstream,
-			Zone:        s.Zone,
-			Address:     s.Address.String(),
-			Connections: s.connections,
-			Owner:       s.owner,
-		},
+		Target: s.target(),
 		Fresh:  s.trying(),
 		seat:   s,
 		key:    a.Key,
--- a/core/balance/pattern_test.go
+++ b/core/balance/pattern_test.go
@@ -265,6 +265,26 @@
 	c.Check(r.share() > 0.8, qt.IsTrue, qt.Commentf("%.2f", r.share()))
 }
 
+// TestLostAnswers has the endpoints of the short region lose two fifths of their
+// answers: what can be repeated is, and hardly anything is refused.
+func TestLostAnswers(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(10, threeRegions(), 3, shortNorth(), 6)
+	for _, z := range zonesOf(w.zones) {
+		w.offer(lookups(z, 40, 15*time.Second))
+	}
+	w.run(8 * time.Second)
+	w.endpoints["n1-0"].loses = 0.4
+	w.endpoints["n2-0"].loses = 0.4
+	w.results = map[string]*tally{}
+	w.run(7 * time.Second)
+	w.log(t)
+	for _, z := range []string{"n1", "n2"} {
+		r := w.results[z+"/1"]
+		c.Check(r.refused*20 < r.asked, qt.IsTrue, qt.Commentf("%d of %d refused", r.refused, r.asked))
+	}
+}
+
 // TestHerdAfterRefusals has a flood that ends: few are refused, and most of those who
 // come back when they are told to are served.
 func TestHerdAfterRefusals(t *testing.T) {
--- a/core/balance/place.go
+++ b/core/balance/place.go
@@ -302,14 +302,7 @@
 	}
 	s.passing++
 	return &Choice{
-		Target: Target{
-			ID:          s.ID,
-			Upstream:    s.Upstream,
-			Zone:        s.Zone,
-			Address:     s.Address.String(),
-			Connections: s.connections,
-			Owner:       s.owner,
-		},
+		Target:  s.target(),
 		Level:   s.level,
 		Place:   k.place,
 		Usual:   k.done.Sub(now),
--- a/core/balance/seat.go
+++ b/core/balance/seat.go
@@ -25,7 +25,7 @@
 	restFirst = 200 * time.Millisecond
 	restMost  = 2 * time.Second
 	// restFailures is the number of failures in a row that make it rest.
-	restFailures = 2
+	restFailures = 3
 	// rejectPause is how long an endpoint that rejected a request gets nothing.
 	rejectPause = 40 * time.Millisecond
 	// strictAfter is how long a queue may be longer than objectives allow: new
@@ -127,6 +127,17 @@
 	}
 }
 
+func (s *seat) target() Target {
+	return Target{
+		ID:          s.ID,
+		Upstream:    s.Upstream,
+		Zone:        s.Zone,
+		Address:     s.Address.String(),
+		Connections: s.connections,
+		Owner:       s.owner,
+	}
+}
+
 // load returns the number of requests that are thought to be at the endpoint and
 // before it, and the age of that figure, negative if it is but this host's own.
 func (s *seat) load(self string, now time.Time) (n int, age time.Duration) {
--- a/io/host/host.go
+++ b/io/host/host.go
@@ -21,6 +21,7 @@
 	"heatherford/core/edge"
 	"heatherford/core/fleet"
 	"heatherford/core/registry"
+	"heatherford/io/internal/listen"
 	"heatherford/io/internal/wire"
 )
 
@@ -100,10 +101,6 @@
 
 // Start serves in goroutines of t until it dies.
 func (l *Link) Start(t *tomb.Tomb) error {
-	a, err := net.Listen("tcp", l.options.Address.String())
-	if err != nil {
-		return code.Wrap(code.SettingsValue, err, "host: cannot listen on %s", l.options.Address)
-	}
 	m := goji.NewMux()
 	m.HandleFunc(pat.Get(bookPath), l.serveBook)
 	m.HandleFunc(pat.Post(carryPath), l.serveCarry)
@@ -113,17 +110,14 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
-	t.Go(func() error {
-		if err := l.server.Serve(a); !errors.Is(err, http.ErrServerClosed) {
-			return err
-		}
-		return nil
-	})
+	if err := listen.Until(t, l.server, l.options.Address); err != nil {
+		return err
+	}
 	t.Go(l.receive)
 	t.Go(func() error {
 		<-t.Dying()
 		l.client.CloseIdleConnections()
-		return errors.Join(l.server.Close(), l.udp.Close())
+		return l.udp.Close()
 	})
 	return nil
 }
--- a/io/ingress/ingress.go
+++ b/io/ingress/ingress.go
@@ -14,8 +14,8 @@
 	"goji.io/pat"
 	"gopkg.in/tomb.v2"
 
-	"heatherford/core/code"
 	"heatherford/core/edge"
+	"heatherford/io/internal/listen"
 )
 
 const (
@@ -69,7 +69,7 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 		ConnState:         n.idle.change,
 	}
-	if err := listen(t, n.traffic, o.Callers); err != nil {
+	if err := listen.Until(t, n.traffic, o.Callers); err != nil {
 		return nil, err
 	}
 	ready := goji.NewMux()
@@ -92,7 +92,7 @@
 			IdleTimeout:       lookupIdle,
 			MaxHeaderBytes:    maxHeaderBytes,
 		}
-		if err := listen(t, s, a); err != nil {
+		if err := listen.Until(t, s, a); err != nil {
 			return nil, err
 		}
 		n.others = append(n.others, s)
@@ -100,24 +100,6 @@
 	return n, nil
 }
 
-func listen(t *tomb.Tomb, s *http.Server, a netip.AddrPort) error {
-	l, err := net.Listen("tcp", a.String())
-	if err != nil {
-		return code.Wrap(code.SettingsValue, err, "ingress: cannot listen on %s", a)
-	}
-	t.Go(func() error {
-		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			return err
-		}
-		return nil
-	})
-	t.Go(func() error {
-		<-t.Dying()
-		return s.Close()
-	})
-	return nil
-}
-
 func (n *Ingress) ready(w http.ResponseWriter, _ *http.Request) {
 	if !n.options.Edge.Ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/io/monitor/monitor.go
+++ b/io/monitor/monitor.go
@@ -1,8 +1,6 @@
 package monitor
 
 import (
-	"errors"
-	"net"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -17,6 +15,7 @@
 	"heatherford/core/code"
 	"heatherford/core/edge"
 	"heatherford/core/registry"
+	"heatherford/io/internal/listen"
 	"heatherford/io/internal/meter"
 )
 
@@ -145,29 +144,22 @@
 // Start serves the metrics at the address, and samples gauges, in goroutines of t.
 // LeftOut returns the number of log lines that were left out, by kind.
 func (m *Monitor) Start(t *tomb.Tomb, a netip.AddrPort, e *edge.Edge, leftOut func() map[string]uint64) error {
-	l, err := net.Listen("tcp", a.String())
-	if err != nil {
-		return code.Wrap(code.SettingsValue, err, "monitor: cannot listen on %s", a)
-	}
 	x := goji.NewMux()
 	x.Handle(pat.Get(path), m.meter.Handler)
 	s := &http.Server{
 		Handler:           x,
 		ReadHeaderTimeout: headerTimeout,
 	}
-	t.Go(func() error {
-		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			return err
-		}
-		return nil
-	})
+	if err := listen.Until(t, s, a); err != nil {
+		return err
+	}
 	t.Go(func() error {
 		k := time.NewTicker(sampleInterval)
 		defer k.Stop()
 		for {
 			select {
 			case <-t.Dying():
-				return errors.Join(s.Close(), m.meter.Close())
+				return m.meter.Close()
 			case <-k.C:
 				m.sample(e, leftOut(), time.Now())
 			}
