core/balance: a strict queue ends when slots are free again

Cause: TestHerdAfterRefusals: 22 of 35 refused twice, all of them at 60% of what the endpoints bear: a strict queue refuses at 80 ms, which happens by chance, and each such refusal kept it strict. Ruled out: three free slots in a row (in a flood 3,979 in time instead of 5,881). Change: six requests in a row that find a free slot end it; a queue that shrinks does not become strict. Figures (the model): TestAfterAFlood refuses nothing at half load; TestFloodKeepsObjects 5,817 in time, 221 late.

--- a/core/balance/gate.go
+++ b/core/balance/gate.go
@@ -92,7 +92,7 @@
 		}
 	}
 	if s.free(now) && len(s.queue) == 0 {
-		s.relax(now)
+		s.foundFree()
 		return nil, decision{
 			permit: b.admit(s, &a, now),
 		}
@@ -140,11 +140,11 @@
 	p := b.pools[s.Upstream]
 	wait := p.backlog(s, a.Rank, now)
 	done := now.Add(wait + p.expect(s, a.Class, true))
-	s.watchQueue(a.Rank, done.After(a.Objective), now)
-	if mayWait(a, wait, done, s.strict(now), s.ahead(a.Rank) == len(s.queue), now) {
+	s.freeRun = 0
+	s.watchQueue(a.Rank, wait, done.After(a.Objective), now)
+	if mayWait(a, wait, done, s.strict, s.ahead(a.Rank) == len(s.queue), now) {
 		return nil
 	}
-	s.refusedAt = now
 	return refuse(code.RankFull, s.promise(wait, p.expect(s, a.Class, true), now), "endpoint %s has %d of %d and %d wait, a slot in %s", s.ID,
 		s.running(now), s.Slots, len(s.queue), wait.Round(time.Millisecond))
 }
@@ -160,20 +160,29 @@
 }
 
 // watchQueue notes whether a request that came now would be answered too late.
-// Only one that goes last tells of the whole queue.
-func (s *seat) watchQueue(rank int, late bool, now time.Time) {
+// Only one that goes last tells of the whole queue. The queue becomes strict if that
+// lasts and the queue does not shrink.
+func (s *seat) watchQueue(rank int, wait time.Duration, late bool, now time.Time) {
 	switch {
 	case s.ahead(rank) < len(s.queue):
+	case !late && s.strict:
 	case !late:
-		s.relax(now)
-	case s.overSince.IsZero():
+		s.overSince = time.Time{}
+	case s.overSince.IsZero() || float64(wait) < shrinking*float64(s.overMost):
 		s.overSince = now
+		s.overMost = wait
+	default:
+		s.overMost = max(s.overMost, wait)
+		s.strict = s.strict || now.Sub(s.overSince) > strictAfter
 	}
 }
 
-// relax ends the strict state of a queue, unless refusals hold it at its bound.
-func (s *seat) relax(now time.Time) {
-	if !s.strict(now) || now.Sub(s.refusedAt) > relaxAfter {
+// foundFree notes that a request found a free slot, which ends the strict state of a
+// queue if it happens some times in a row.
+func (s *seat) foundFree() {
+	s.freeRun++
+	if !s.strict || s.freeRun >= relaxRun {
+		s.strict = false
 		s.overSince = time.Time{}
 	}
 }
--- a/core/balance/place.go
+++ b/core/balance/place.go
@@ -237,7 +237,7 @@
 		strict: s.hint.Strict && age >= 0,
 	}
 	if s.owner == b.options.Self {
-		k.strict = s.strict(now)
+		k.strict = s.strict
 	}
 	k.cost += time.Duration(s.failing*float64(failCost) + s.rejecting*float64(rejectCost))
 	if s.level == OtherRegion {
--- a/core/balance/seat.go
+++ b/core/balance/seat.go
@@ -31,9 +31,11 @@
 	// strictAfter is how long a queue may be longer than objectives allow: new
 	// objects and short floods pass in this time.
 	strictAfter = time.Second
-	// relaxAfter is how long a strict queue has to go without refusals before
-	// it may be longer again.
-	relaxAfter = time.Second
+	// shrinking is the part of its longest wait below which a queue shrinks.
+	shrinking = 0.6
+	// relaxRun is the number of requests in a row that find a free slot, after
+	// which a strict queue may be longer again. In a flood hardly one does.
+	relaxRun = 6
 	// lastRank is behind all ranks.
 	lastRank = 1 << 30
 	// missFactor is how many times the shortest usual time an answer takes whose
@@ -93,11 +95,15 @@
 
 	// pace is how slow the endpoint is beside its siblings, 0 if not known.
 	pace float64
-	// overSince is since when the queue is longer than objectives allow, or
-	// zero.
+	// overSince is since when the queue is longer than objectives allow and does
+	// not shrink, or zero, and overMost the longest wait since then.
 	overSince time.Time
-	// refusedAt is when a request was refused last for its wait.
-	refusedAt time.Time
+	overMost  time.Duration
+	// strict is true if that has lasted. Then every answer would be late but for
+	// refusals.
+	strict bool
+	// freeRun is the number of requests in a row that found a free slot.
+	freeRun int
 	// failing and rejecting are rates between 0 and 1.
 	failing   float64
 	rejecting float64
@@ -192,19 +198,13 @@
 		Load:    s.running(now) + len(s.queue),
 		Backlog: p.backlog(s, lastRank, now).Round(time.Millisecond),
 		Pace:    hundredths(s.paceOf()),
-		Strict:  s.strict(now),
+		Strict:  s.strict,
 		Failing: hundredths(s.failing),
 		Missing: hundredths(s.missing),
 		Rest:    max(0, s.restUntil.Sub(now)).Round(time.Millisecond),
 	}
 }
 
-// strict reports whether the queue is longer than objectives allow, and not for
-// a moment only. Then every answer would be late but for refusals.
-func (s *seat) strict(now time.Time) bool {
-	return !s.overSince.IsZero() && now.Sub(s.overSince) > strictAfter
-}
-
 func hundredths(x float64) float64 {
 	const n = 100
 	return math.Round(n*x) / n
