core/fleet: zones that have not met find each other at once

Cause: TestNewsReachesAll, 1 of 16 runs: zones did not know each other for 3 s. A host that takes itself for the relay, since it has not met its neighbour yet, leaves that out; the listed neighbour counted as dead at once and was told nothing, and it was the relay. Found by the peers that each host knew at the failure. Ruled out: load alone (it stands for 3 s, not a little over). Figures: TestListedButLeftOut fails without the change.

--- a/core/edge/world_test.go
+++ b/core/edge/world_test.go
@@ -384,6 +384,15 @@
 }
 
 func (k *cluster) ready(s ...*Edge) {
+	defer func() {
+		if !k.c.Failed() {
+			return
+		}
+		for _, e := range s {
+			v := e.View()
+			k.c.Logf("%s: ready %v, declaration %v, endpoints %v, knows of %v", e.options.Self.Name, e.Ready(), v.Table != nil, v.Listed, v.Live)
+		}
+	}()
 	k.within(3*time.Second, "ready", func() bool {
 		for _, e := range s {
 			if !e.Ready() || len(e.View().Live) != len(s) {
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -56,9 +56,7 @@
 func (f *Fleet) List(s []Member, now time.Time) {
 	for _, m := range s {
 		if f.learn(m) {
-			p := f.peers[m.Name]
-			p.heard = now.Add(startGrace - f.silence(&p.Member))
-			p.told = p.heard
+			f.peers[m.Name].listed = now.Add(startGrace)
 		}
 	}
 }
@@ -128,6 +126,9 @@
 }
 
 func (f *Fleet) alive(p *peer, now time.Time) bool {
+	if now.Before(p.listed) {
+		return true
+	}
 	t := p.heard
 	if p.Zone != f.self.Zone && p.told.After(t) {
 		t = p.told
@@ -222,25 +223,30 @@
 	return n
 }
 
-// FarTargets returns the hosts of other zones that a relay tells of its zone.
-// Hosts that seem dead are told too if a zone has none that lives, so that two
-// parts of a fleet that were cut find each other again.
+// FarTargets returns the hosts of other zones that a relay tells of its zone: the
+// first ones that live, and the first one of all, so that two parts of a fleet that
+// were cut, or that have not met yet, find each other.
 func (f *Fleet) FarTargets(live []Member) []Member {
-	zones := map[string][]Member{}
-	for _, m := range live {
-		zones[m.Zone] = append(zones[m.Zone], m)
+	told := map[string]bool{}
+	s := []Member{}
+	add := func(members []Member) {
+		for _, m := range members {
+			if !told[m.Name] {
+				told[m.Name] = true
+				s = append(s, m)
+			}
+		}
 	}
+	zones := map[string]bool{}
 	for _, p := range f.peers {
-		if len(zones[p.Zone]) == 0 {
-			zones[p.Zone] = f.all(p.Zone)
-		}
+		zones[p.Zone] = p.Zone != f.self.Zone
 	}
-	s := []Member{}
-	for z, members := range zones {
-		if z == f.self.Zone {
-			continue
+	for z, other := range zones {
+		if other {
+			m := Zone(live, z)
+			add(m[:min(relays, len(m))])
+			add(f.all(z)[:1])
 		}
-		s = append(s, members[:min(relays, len(members))]...)
 	}
 	sort.Slice(s, func(i, j int) bool {
 		return s[i].Name < s[j].Name
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -126,6 +126,19 @@
 	c.Assert(fleet.Place(s, s[0].Name), qt.Equals, 1)
 }
 
+// TestListedButLeftOut has a host that was listed just now, which another host of its
+// zone leaves out since it has not met it: both are told, so that the zones find each
+// other at once.
+func TestListedButLeftOut(t *testing.T) {
+	c := qt.New(t)
+	f := fleet.New(member("a", "z1"))
+	f.List([]fleet.Member{member("c", "z2"), member("d", "z2")}, start)
+	f.Hear(member("c", "z2"), start.Add(time.Millisecond))
+	f.Tell("z2", []string{"c"}, start.Add(time.Millisecond))
+	now := start.Add(500 * time.Millisecond)
+	c.Assert(names(f.FarTargets(f.Live(now))), qt.DeepEquals, map[string]bool{"c": true, "d": true})
+}
+
 // TestCutZonesFindEachOther tells hosts of a zone that seems dead too.
 func TestCutZonesFindEachOther(t *testing.T) {
 	c := qt.New(t)
--- a/core/fleet/member.go
+++ b/core/fleet/member.go
@@ -36,6 +36,8 @@
 	Member
 	// heard is when the host itself was heard last, or was taken to live.
 	heard time.Time
+	// listed is until when the host is taken to live because it was listed.
+	listed time.Time
 	// told is when the relay of its zone last said that it lives.
 	told time.Time
 	// absent is when the relay of its zone first left it out, or zero.
