--- a/cmd/heatherford-soak/process.go
+++ b/cmd/heatherford-soak/process.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -27,15 +28,19 @@
 	log  *bytes.Buffer
 }
 
-// ports returns n ports in a row that were free.
+const (
+	// firstPort and lastPort bound the ports of hosts. They lie below those that
+	// the kernel gives to outgoing connections, which would take them between
+	// the look and the start.
+	firstPort = 15_000
+	lastPort  = 32_000
+)
+
+// ports returns the first of n ports in a row that were free.
 func ports(n int) (int, error) {
-	for range 50 {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return 0, err
-		}
-		first := l.Addr().(*net.TCPAddr).Port
-		l.Close()
+	const tries = 200
+	for range tries {
+		first := firstPort + rand.IntN(lastPort-firstPort-n)
 		if free(first, n) {
 			return first, nil
 		}
