--- a/core/balance/gate.go
+++ b/core/balance/gate.go
@@ -305,10 +305,3 @@
 		b.pump(s, now)
 	}
 }
-
-// Usable reports whether a permit's endpoint may still get work.
-func (b *Balancer) Usable(p *Permit) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.seats[p.Target.ID] == p.seat
-}
--- a/core/edge/serve.go
+++ b/core/edge/serve.go
@@ -176,8 +176,9 @@
 	r.results = make(chan result, t.Attempts+maxRefusals+2)
 }
 
-// keyOf returns a number by which requests of one object meet, where that matters. Requests of
-// other routes that concern an object of the same name are of another one.
+// keyOf returns a number by which requests of one object meet, where that
+// matters. Requests of other routes that concern an object of the same name are
+// of another one.
 func keyOf(t *route.Route, q *Request) uint64 {
 	if q.Object == "" || !t.Affinity {
 		return rand.Uint64()
--- a/io/endpoint/sender.go
+++ b/io/endpoint/sender.go
@@ -62,8 +62,6 @@
 	Load string
 	// ColdMS carries how long the endpoint stays cold, in milliseconds.
 	ColdMS string
-	// Object names what a request concerns.
-	Object string
 }
 
 // Sender sends requests to endpoints. It is safe for concurrent use.
--- a/io/endpoint/sender_test.go
+++ b/io/endpoint/sender_test.go
@@ -33,7 +33,6 @@
 	NotRun:     "Not-Run",
 	Load:       "Load",
 	ColdMS:     "Cold",
-	Object:     "Object",
 }
 
 // script is what an endpoint does with the requests of a connection, one function
