--- a/core/dispatch/send_test.go
+++ b/core/dispatch/send_test.go
@@ -226,3 +226,47 @@
 	_, err = d.Do(context.Background(), r)
 	c.Assert(err, qt.IsNil)
 }
+
+// TestCapRemembersWhatAnotherHostPassedOn has a cap keep out a request that
+// another host passed on and that may not wait here. Less urgent ranks keep to
+// their floor at that cap for a while, as they would for a caller's own request:
+// without that, urgent and batch work got the same in a flood over a link
+// (session region_loss).
+func TestCapRemembersWhatAnotherHostPassedOn(t *testing.T) {
+	c := qt.New(t)
+	now := time.Now()
+	d := newDispatcher(func() time.Time { return now }, func(intent.Endpoint, *work.Request) (*work.Answer, error) {
+		return whole()
+	})
+	r := newRequest(now)
+	r.Caller = netip.MustParseAddr("10.9.1.1")
+	r.Hop = true
+	r.Immediate = true
+	_, err := d.Do(context.Background(), r)
+	c.Assert(code.Of(err), qt.Equals, code.HopRefused)
+
+	link := quota.Link("there", "here")
+	wide := quota.Limits{
+		Slots: 3,
+		Parts: []quota.Part{
+			{
+				Name:  link,
+				Limit: 3,
+			},
+		},
+	}
+	l := d.Ledger("e1")
+	l.Set(quota.Right{
+		Full:    wide,
+		Lasting: wide,
+		Smaller: wide,
+	})
+	batch := quota.Request{
+		Deadline: now.Add(time.Second),
+		Caps:     []quota.Name{link},
+		Rank:     1,
+	}
+	_, refusal := l.Enter(now, batch)
+	c.Assert(refusal, qt.Equals, quota.Allowed)
+	c.Assert(l.Allows(now, batch), qt.Equals, quota.NoPart)
+}
