cmd/heatherford: check settings and the deploy folder

Cause: settings were checked by heatherford-edge alone, which named the first fault and no line; the deploy folder was checked by nobody; a rest of an endpoint had to be read off the lines before it; metrics had no test, and neither the time in queues nor endpoints by state.

Change: heatherford check prints each fault with file, line, field and code; heatherford-edge -check uses the same. Log line rest, which explain shows.

--- a/cmd/heatherford-edge/main.go
+++ b/cmd/heatherford-edge/main.go
@@ -33,15 +33,14 @@
 }
 
 func run(path string, check bool) int {
+	if check {
+		return checkSettings(path)
+	}
 	s, err := platform.Load(path)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitSettings
 	}
-	if check {
-		fmt.Println("settings are valid")
-		return exitOK
-	}
 	debug.SetGCPercent(gcPercent)
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
@@ -54,3 +53,16 @@
 	}
 	return d.wait(signals, reloads)
 }
+
+// checkSettings prints all that is wrong with the settings.
+func checkSettings(path string) int {
+	problems := platform.CheckSettings(path)
+	for _, p := range problems {
+		fmt.Fprintln(os.Stderr, p)
+	}
+	if len(problems) > 0 {
+		return exitSettings
+	}
+	fmt.Println("settings are valid")
+	return exitOK
+}
--- a/cmd/heatherford/explain.go
+++ b/cmd/heatherford/explain.go
@@ -146,7 +146,7 @@
 	}
 	first := story[0].at
 	for _, l := range lines {
-		if l.kind == "endpoint" && hosts[l.host] && endpoints[l.get("endpoint")] && l.at.Before(first) && first.Sub(l.at) < contextBefore {
+		if (l.kind == "endpoint" || l.kind == "rest") && hosts[l.host] && endpoints[l.get("endpoint")] && l.at.Before(first) && first.Sub(l.at) < contextBefore {
 			writeLine(w, first, &l)
 		}
 	}
--- a/cmd/heatherford/main.go
+++ b/cmd/heatherford/main.go
@@ -43,6 +43,11 @@
 			about: "check a declaration without speaking to a host",
 			run:   validate,
 		},
+		{
+			name:  "check",
+			about: "check a host's settings and the deploy folder",
+			run:   check,
+		},
 		{
 			name:  "plan",
 			about: "say what a declaration would change",
--- a/core/balance/tell.go
+++ b/core/balance/tell.go
@@ -149,8 +149,13 @@
 // Summary is what a host knows of an upstream's endpoints in all places.
 type Summary struct {
 	Endpoints int
-	// Resting is the number of endpoints that get nothing after failures.
+	// Resting is the number of endpoints that get nothing after failures, and
+	// Cold of the others that are cold.
 	Resting int
+	Cold    int
+	// Strict is the number of endpoints whose queue is strict, as far as this
+	// host owns them.
+	Strict int
 	// Slots and Used are those of the own zone.
 	Slots int
 	Used  float64
@@ -170,8 +175,14 @@
 		for _, l := range p.seats {
 			s.Endpoints += len(l)
 			for _, x := range l {
-				if x.resting(now) {
+				switch {
+				case x.resting(now):
 					s.Resting++
+				case x.cold(now):
+					s.Cold++
+				}
+				if x.strict && x.owner == b.options.Self {
+					s.Strict++
 				}
 			}
 		}
--- a/core/edge/carry.go
+++ b/core/edge/carry.go
@@ -193,9 +193,21 @@
 	e.options.Log("sent", "request", j.request.ID, "object", j.request.Object, "upstream", p.Target.Upstream,
 		"endpoint", p.Target.ID, "queued", p.Waited, "took", c.Took, "load", s.Load, "reported", r.Load,
 		"outcome", o, "failure", reasonOf(c.Failure))
+	e.logRest(p, o, j, c)
 	return c
 }
 
+// logRest writes a line if the endpoint rests after this sending, or is back.
+func (e *Edge) logRest(p *balance.Permit, o balance.Outcome, j *job, c *Carry) {
+	switch {
+	case o == balance.Answered && p.Fresh:
+		e.options.Log("rest", "endpoint", p.Target.ID, "upstream", p.Target.Upstream, "state", "back", "request", j.request.ID)
+	case c.State.Rest > 0 && (o == balance.Broken || o == balance.Unreached || o == balance.Misplaced):
+		e.options.Log("rest", "endpoint", p.Target.ID, "upstream", p.Target.Upstream, "state", "resting", "request", j.request.ID,
+			"by", o, "failure", reasonOf(c.Failure), "failing", c.State.Failing, "for", c.State.Rest)
+	}
+}
+
 // outcomeOf returns what a sending says of its endpoint.
 func outcomeOf(ctx context.Context, c *Carry) balance.Outcome {
 	switch {
--- a/core/edge/judge.go
+++ b/core/edge/judge.go
@@ -115,6 +115,7 @@
 	p := x.carry.Reply
 	r.tried(x.choice.Target.ID)
 	r.waited = x.carry.Took
+	r.queued = x.carry.Queued
 	a := &Answer{
 		Status:   p.Status,
 		Header:   p.Header,
--- a/core/edge/serve.go
+++ b/core/edge/serve.go
@@ -55,8 +55,10 @@
 	Hedges int
 	// Ended is when the answer was ready.
 	Ended time.Time
-	// Waited is the time at endpoints of the sending that was answered.
+	// Waited is the time at endpoints of the sending that was answered, and
+	// Queued its time in the queue of the endpoint's owner.
 	Waited time.Duration
+	Queued time.Duration
 }
 
 // run is a request in progress. Only one goroutine uses it.
@@ -86,6 +88,7 @@
 	flying  int
 	results chan result
 	waited  time.Duration
+	queued  time.Duration
 }
 
 type result struct {
@@ -119,6 +122,7 @@
 		Hedges:   r.hedges,
 		Ended:    time.Now(),
 		Waited:   r.waited,
+		Queued:   r.queued,
 	})
 	if a.Code == code.RequestCancelled {
 		return nil
--- a/io/monitor/monitor.go
+++ b/io/monitor/monitor.go
@@ -57,6 +57,7 @@
 type rank struct {
 	answer   tally.Histogram
 	endpoint tally.Histogram
+	queue    tally.Histogram
 	attempts tally.Counter
 	hedges   tally.Counter
 }
@@ -105,6 +106,7 @@
 	r.answer.RecordDuration(o.Ended.Sub(o.Request.Arrived))
 	if o.Answer.Endpoint != "" {
 		r.endpoint.RecordDuration(o.Waited)
+		r.queue.RecordDuration(o.Queued)
 	}
 }
 
@@ -118,6 +120,7 @@
 		r = &rank{
 			answer:   s.Histogram("answer_seconds", meter.LatencyBuckets),
 			endpoint: s.Histogram("endpoint_seconds", meter.LatencyBuckets),
+			queue:    s.Histogram("queue_seconds", meter.LatencyBuckets),
 			attempts: s.Counter("attempts"),
 			hedges:   s.Counter("hedges"),
 		}
@@ -191,8 +194,16 @@
 		})
 		t.Gauge("slots").Update(float64(x.Slots))
 		t.Gauge("slots_used").Update(x.Used)
-		t.Gauge("endpoints").Update(float64(x.Endpoints))
-		t.Gauge("endpoints_resting").Update(float64(x.Resting))
+		for k, n := range map[string]int{
+			"serving": x.Endpoints - x.Resting - x.Cold,
+			"resting": x.Resting,
+			"cold":    x.Cold,
+		} {
+			t.Tagged(map[string]string{
+				"state": k,
+			}).Gauge("endpoints").Update(float64(n))
+		}
+		t.Gauge("endpoints_strict").Update(float64(x.Strict))
 		t.Gauge("repeats_left").Update(float64(x.RepeatsLeft))
 	}
 	m.mu.Lock()
