core/edge, core/fleet: pass news on in large zones

Cause: each host told all others of its zone every 100 ms (200 ms from 24 hosts on).

Ruled out: a longer interval, since hints on loads are used for 500 ms and a dead host has to be known soon; a star by way of the relay, which may be the weakest host.

Change: in zones of more than 12 hosts each tells three others every 100 ms, in turn, and passes on what it heard of others in the last 300 ms. Relays and the reader tell all at once when something changed, and relays tell of other zones twice a second. Zones of up to 12 hosts work as before.

--- a/core/balance/tell.go
+++ b/core/balance/tell.go
@@ -23,22 +23,23 @@
 	return m
 }
 
-// Tell takes in what the owners of endpoints tell, as of the time.
-func (b *Balancer) Tell(m map[string]State, now time.Time) {
+// Tell takes in what the owners of endpoints tell, as of the time. What is older than
+// what is known is passed over.
+func (b *Balancer) Tell(m map[string]State, at time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for id, t := range m {
 		s := b.seats[id]
-		if s == nil || s.owner == b.options.Self {
+		if s == nil || s.owner == b.options.Self || at.Before(s.hintAt) {
 			continue
 		}
 		s.hint = t
-		s.hintAt = now
+		s.hintAt = at
 		s.hintPassing = s.passing
 		s.pace = t.Pace
 		s.failing = t.Failing
 		s.missing = t.Missing
-		s.restUntil = now.Add(t.Rest)
+		s.restUntil = at.Add(t.Rest)
 		if t.Load < s.Slots {
 			s.busyUntil = time.Time{}
 		}
--- a/core/edge/cluster_test.go
+++ b/core/edge/cluster_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -183,6 +184,63 @@
 	})
 }
 
+// TestLargeZone has the hosts of a large zone hear a bounded number of ticks, know of
+// each other, of a removed endpoint and of a dead host soon, and of the loads that
+// owners tell.
+func TestLargeZone(t *testing.T) {
+	k := newCluster(t)
+	s := []*Edge{}
+	for i := range 24 {
+		s = append(s, k.start(fmt.Sprint("a", i), "z1"))
+	}
+	for i := range 3 {
+		s = append(s, k.start(fmt.Sprint("b", i), "z2"))
+	}
+	k.ready(s...)
+	<-time.After(time.Second)
+	began := k.ticks.Load()
+	const quiet = 2 * time.Second
+	<-time.After(quiet)
+	perHost := float64(k.ticks.Load()-began) / quiet.Seconds() / float64(len(s))
+	k.c.Logf("%.1f ticks a second at each host", perHost)
+	// Three a round, and what relays tell.
+	k.c.Check(perHost < 40, qt.IsTrue, qt.Commentf("%.1f ticks a second", perHost))
+	before := usable(s[0])
+	k.unlist("e1")
+	d := k.within(1500*time.Millisecond, "the endpoint gone everywhere", func() bool {
+		for _, e := range s[:24] {
+			if usable(e) != before-3 {
+				return false
+			}
+		}
+		return true
+	})
+	k.c.Logf("removed everywhere after %s", d)
+	// Any host but the one that reads dies.
+	dead := ""
+	for _, m := range s[0].View().Live[1:] {
+		if m.Zone == "z1" {
+			dead = m.Name
+		}
+	}
+	k.isolate(dead, true)
+	d = k.within(2*time.Second, "the host known as dead", func() bool {
+		for _, e := range s[:24] {
+			if e.options.Self.Name == dead {
+				continue
+			}
+			for _, m := range e.View().Live {
+				if m.Name == dead {
+					return false
+				}
+			}
+		}
+		return true
+	})
+	k.c.Logf("known as dead after %s", d)
+	k.c.Check(d > 700*time.Millisecond, qt.IsTrue, qt.Commentf("silent hosts were taken for dead after %s", d))
+}
+
 // TestEmptiedZone sends nothing to a zone that is being emptied.
 func TestEmptiedZone(t *testing.T) {
 	k := newCluster(t)
--- a/core/edge/control.go
+++ b/core/edge/control.go
@@ -49,7 +49,14 @@
 	joinNext time.Time
 	fetching bool
 
+	// heard is what hosts of the own zone told last of themselves, directly or by
+	// others.
+	heard map[string]heardHost
+	// round counts the ticks to hosts of the own zone.
+	round int
+
 	nearNext  time.Time
+	zonesNext time.Time
 	farNext   time.Time
 	shareNext time.Time
 	sharesLog time.Time
@@ -63,6 +70,14 @@
 	usable map[string]registry.Endpoint
 }
 
+// heardHost is what a host told of itself.
+type heardHost struct {
+	at      time.Time
+	started time.Time
+	leaving bool
+	owned   map[string]balance.State
+}
+
 type zoneState struct {
 	at   time.Time
 	live []string
@@ -76,6 +91,7 @@
 		registry: registry.New(),
 		fleet:    fleet.New(e.options.Self),
 		zones:    map[string]zoneState{},
+		heard:    map[string]heardHost{},
 		changes:  1,
 	}
 	now := time.Now()
@@ -167,6 +183,7 @@
 		delete(before, m.Name)
 	}
 	for n, m := range before {
+		delete(c.heard, n)
 		c.edge.options.Log("host", "name", n, "zone", m.Zone, "state", "silent")
 	}
 	c.live = live
@@ -288,7 +305,7 @@
 	now := time.Now()
 	c.watchFleet(now)
 	c.publish(now)
-	c.tellNear(now)
+	c.tellAll(now)
 	c.tellFar(now)
 }
 
--- a/core/edge/exchange.go
+++ b/core/edge/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sort"
 	"time"
 
 	"heatherford/core/balance"
@@ -9,23 +10,135 @@
 	"heatherford/core/registry"
 )
 
-// tellNear sends a tick to the hosts of the own zone.
+const (
+	// passAge is the age up to which news of others is passed on in a large zone:
+	// by then others have passed it on three times.
+	passAge = 300 * time.Millisecond
+	// passMost is the most hosts that a tick tells of, so that it stays under 10 KB.
+	passMost = 24
+	// zonesInterval is the interval at which the relay of a large zone tells its
+	// hosts of other zones and of shares.
+	zonesInterval = 500 * time.Millisecond
+)
+
+// tellNear sends a tick to hosts of the own zone.
 func (c *control) tellNear(now time.Time) {
-	hosts := c.fleet.NearTargets()
-	c.nearNext = now.Add(c.fleet.NearInterval())
+	c.nearNext = now.Add(fleet.NearInterval)
+	if !c.fleet.Large() {
+		c.tellAll(now)
+		return
+	}
+	t := c.nearTick(now)
+	t.Others = c.others(now)
+	c.edge.options.Seams.Tell(c.fleet.NearTargets(c.round), t)
+	c.round++
+	if c.relay() && !now.Before(c.zonesNext) {
+		c.tellAll(now)
+	}
+}
+
+// tellAll sends a tick to all hosts of the own zone.
+func (c *control) tellAll(now time.Time) {
+	t := c.nearTick(now)
+	if c.relay() {
+		c.zonesNext = now.Add(zonesInterval)
+		c.addZones(t, now)
+	}
+	c.edge.options.Seams.Tell(c.fleet.Neighbours(), t)
+}
+
+// nearTick returns a tick for hosts of the own zone.
+func (c *control) nearTick(now time.Time) *Tick {
 	t := c.tick(now)
 	t.Owned = c.edge.balancer.Owned(now)
-	if c.relay() {
-		t.Shares = c.edge.balancer.Shares()
-		for z, s := range c.zones {
-			t.Zones = append(t.Zones, ZoneNews{
-				Zone: z,
-				Live: s.live,
-				Age:  now.Sub(s.at),
-			})
+	return t
+}
+
+// tellChange tells the own zone at once of something that changed. In a large zone
+// only its relay and a host that reads tell all, since each host that learns of it
+// tells others.
+func (c *control) tellChange(now time.Time) {
+	if c.relay() || c.acting() {
+		c.tellAll(now)
+		return
+	}
+	c.tellNear(now)
+}
+
+func (c *control) acting() bool {
+	for p := range registry.Parts {
+		if c.readers[p].acting {
+			return true
 		}
 	}
-	c.edge.options.Seams.Tell(hosts, t)
+	return false
+}
+
+// addZones adds what a relay tells of zones and shares.
+func (c *control) addZones(t *Tick, now time.Time) {
+	t.Shares = c.edge.balancer.Shares()
+	for z, s := range c.zones {
+		t.Zones = append(t.Zones, ZoneNews{
+			Zone: z,
+			Live: s.live,
+			Age:  now.Sub(s.at),
+		})
+	}
+}
+
+// others returns what was heard lately of other hosts of the zone, the newest first.
+func (c *control) others(now time.Time) []HostNews {
+	s := []HostNews{}
+	for n, h := range c.heard {
+		age := now.Sub(h.at)
+		if age > passAge {
+			continue
+		}
+		s = append(s, HostNews{
+			Name:    n,
+			Started: h.started,
+			Leaving: h.leaving,
+			Age:     age,
+			Owned:   h.owned,
+		})
+	}
+	sort.Slice(s, func(i, j int) bool {
+		return s[i].Age < s[j].Age
+	})
+	return s[:min(passMost, len(s))]
+}
+
+// hearOthers takes in what a host of the own zone passes on of others. It reports
+// whether it names a host that this one does not know.
+func (c *control) hearOthers(t *Tick, now time.Time) bool {
+	unknown := false
+	for i := range t.Others {
+		o := &t.Others[i]
+		if o.Name == c.fleet.Self().Name {
+			continue
+		}
+		at := now.Add(-o.Age - transit)
+		if !c.fleet.Vouch(o.Name, o.Started, o.Leaving, at) {
+			unknown = true
+			continue
+		}
+		c.note(o.Name, heardHost{
+			at:      at,
+			started: o.Started,
+			leaving: o.Leaving,
+			owned:   o.Owned,
+		})
+	}
+	return unknown
+}
+
+// note keeps what a host of the own zone told of itself, unless newer is known.
+func (c *control) note(name string, h heardHost) {
+	if !h.at.After(c.heard[name].at) {
+		return
+	}
+	c.heard[name] = h
+	c.edge.balancer.Tell(h.owned, h.at)
 }
 
 // tellFar sends a tick to the relays of the other zones.
@@ -84,7 +197,13 @@
 	}
 	unknown := c.hearZones(t, now)
 	if t.From.Zone == c.fleet.Self().Zone {
-		c.edge.balancer.Tell(t.Owned, now)
+		c.note(t.From.Name, heardHost{
+			at:      now,
+			started: t.From.Started,
+			leaving: t.From.Leaving,
+			owned:   t.Owned,
+		})
+		unknown = c.hearOthers(t, now) || unknown
 		if len(t.Shares) > 0 && !c.relay() {
 			c.edge.balancer.SetShares(t.Shares)
 		}
@@ -126,13 +245,14 @@
 			unknown = true
 		}
 		if o := c.zones[z.Zone]; at.After(o.at) {
-			if z.Uses == nil {
-				z.Uses = o.uses
+			uses := z.Uses
+			if uses == nil {
+				uses = o.uses
 			}
 			c.zones[z.Zone] = zoneState{
 				at:   at,
 				live: z.Live,
-				uses: z.Uses,
+				uses: uses,
 			}
 		}
 	}
@@ -185,7 +305,7 @@
 	}
 	c.publish(now)
 	if changed {
-		c.tellNear(now)
+		c.tellChange(now)
 	}
 }
 
--- a/core/edge/reader.go
+++ b/core/edge/reader.go
@@ -124,7 +124,7 @@
 	changed := c.registry.Apply(u, currentOf(p, began, now), now)
 	c.publish(now)
 	if changed {
-		c.tellNear(now)
+		c.tellChange(now)
 	}
 	if changed || p == registry.Endpoints {
 		c.tellFar(now)
--- a/core/edge/tick.go
+++ b/core/edge/tick.go
@@ -18,12 +18,25 @@
 	// Owned is what the host tells of the endpoints that it owns. Only hosts of
 	// its zone get it.
 	Owned map[string]balance.State `json:"owned,omitempty"`
+	// Others is what the host has heard lately of others of its zone. Only hosts
+	// of a large zone tell it.
+	Others []HostNews `json:"others,omitempty"`
 	// Shares are those in force in the zone. Only its relay tells them.
 	Shares map[string]balance.Shares `json:"shares,omitempty"`
 	// Zones is what relays know of zones.
 	Zones []ZoneNews `json:"zones,omitempty"`
 }
 
+// HostNews is what a host has told of itself.
+type HostNews struct {
+	Name    string    `json:"name"`
+	Started time.Time `json:"started"`
+	Leaving bool      `json:"leaving,omitempty"`
+	// Age is how long ago it told.
+	Age   time.Duration            `json:"age"`
+	Owned map[string]balance.State `json:"owned,omitempty"`
+}
+
 // News is how much a host knows of a part.
 type News struct {
 	Version uint64 `json:"version"`
--- a/core/edge/world_test.go
+++ b/core/edge/world_test.go
@@ -147,6 +147,8 @@
 	cut map[string]bool
 	// send answers for endpoints.
 	send func(ctx context.Context, s *Sending) (*Reply, error)
+	// ticks counts those that arrived.
+	ticks atomic.Int64
 	// observed holds the ends of requests.
 	observed []Observation
 }
@@ -344,6 +346,7 @@
 	return func(to []fleet.Member, t *Tick) {
 		for _, m := range to {
 			if e := k.reach(name, m.Name); e != nil {
+				k.ticks.Add(1)
 				go e.Hear(t)
 			}
 		}
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -8,15 +8,20 @@
 )
 
 const (
-	// nearInterval is the interval at which hosts tell those of their zone that
-	// they live, in zones of up to nearHosts hosts. It grows with the hosts
-	// beyond, so that a host hears a bounded number of messages.
-	nearInterval = 100 * time.Millisecond
-	nearHosts    = 12
-	// nearSilence is how long a host of the own zone may be silent before it
-	// counts as dead, and nearMissed the number of messages that it is at least.
+	// NearInterval is the interval at which hosts tell those of their zone that
+	// they live.
+	NearInterval = 100 * time.Millisecond
+	// nearHosts is the most hosts of a zone of which each tells all others each
+	// time. In larger zones it tells nearTargets of them in turn, which pass it
+	// on, so that a host hears a bounded number of messages.
+	nearHosts   = 12
+	nearTargets = 3
+	// nearSilence is how long nothing may be heard of a host of the own zone
+	// before it counts as dead: seven times the interval.
 	nearSilence = 700 * time.Millisecond
-	nearMissed  = 5
+	// passedSilence is the same where news is passed on, which takes up to six
+	// rounds in a zone of 60.
+	passedSilence = 1200 * time.Millisecond
 	// farSilence is the same for hosts of other zones, of which relays tell
 	// every 500 ms.
 	farSilence = 2500 * time.Millisecond
@@ -90,6 +95,22 @@
 	p.heard = now
 }
 
+// Vouch notes that another host of the zone has heard of a host, as of the time. It
+// reports false if this host does not know it, or an earlier start of it.
+func (f *Fleet) Vouch(name string, started time.Time, leaving bool, at time.Time) bool {
+	p := f.peers[name]
+	switch {
+	case name == f.self.Name:
+		return true
+	case p == nil || p.Started.Before(started):
+		return false
+	case p.Started.Equal(started) && at.After(p.heard):
+		p.heard = at
+		p.Leaving = leaving
+	}
+	return true
+}
+
 // Tell notes what the relay of another zone says of its zone: the names of the
 // hosts that live there, as of the time. It returns a name that this host does
 // not know, or an empty string.
@@ -119,10 +140,14 @@
 }
 
 func (f *Fleet) silence(m *Member) time.Duration {
-	if m.Zone == f.self.Zone {
-		return max(nearSilence, nearMissed*f.NearInterval())
+	switch {
+	case m.Zone != f.self.Zone:
+		return farSilence
+	case f.Large():
+		return passedSilence
+	default:
+		return nearSilence
 	}
-	return farSilence
 }
 
 func (f *Fleet) alive(p *peer, now time.Time) bool {
@@ -267,20 +292,38 @@
 	return s
 }
 
-// NearInterval returns the interval at which the hosts of the own zone tell each
-// other that they live.
-func (f *Fleet) NearInterval() time.Duration {
+// Large reports whether the own zone has so many hosts that news is passed on.
+func (f *Fleet) Large() bool {
 	n := 1
 	for _, p := range f.peers {
 		if p.Zone == f.self.Zone {
 			n++
 		}
 	}
-	return nearInterval * time.Duration(max(1, n/nearHosts))
+	return n > nearHosts
 }
 
-// NearTargets returns all hosts of the own zone, dead ones too: each finds its
-// way back by what it hears.
-func (f *Fleet) NearTargets() []Member {
+// Neighbours returns all hosts of the own zone, dead ones too: each finds its way back
+// by what it hears.
+func (f *Fleet) Neighbours() []Member {
 	return f.all(f.self.Zone)
 }
+
+// NearTargets returns the hosts of the own zone that are told in a round: all of them,
+// or some in turn if the zone is large.
+func (f *Fleet) NearTargets(round int) []Member {
+	s := f.Neighbours()
+	if !f.Large() {
+		return s
+	}
+	// Each host begins behind its own place, so that all hear as much.
+	self := f.self.place()
+	first := sort.Search(len(s), func(i int) bool {
+		return s[i].place() > self
+	})
+	t := []Member{}
+	for i := range nearTargets {
+		t = append(t, s[(first+round*nearTargets+i)%len(s)])
+	}
+	return t
+}
