io/stdout: gather lines into one write, and keep room for failures

Cause: each line was a write and a wake-up of its own, both of which cost more than the line; in a flood over 100 requests a second, lines of answers used up the bound of those of refusals. Logs could not be turned off to measure them.

Change: lines are gathered for 50 ms and bear the time at which they were logged; lines of failed requests have a bound of their own and a quarter of the queue; flag -lines bounds the lines a second, 0 writes none. Lines that the reader does not take are counted.

--- a/cmd/heatherford-edge/daemon.go
+++ b/cmd/heatherford-edge/daemon.go
@@ -18,7 +18,8 @@
 )
 
 const (
-	// linesPerSecond bounds the log lines a second of each kind.
+	// linesPerSecond bounds the log lines a second of each kind, unless a flag
+	// says otherwise.
 	linesPerSecond = 100
 	// stayOpen is how long a stopping host still takes requests: callers keep
 	// look-ups for a while.
@@ -48,7 +49,7 @@
 	content string
 }
 
-func start(s *platform.Settings, path string) (*daemon, error) {
+func start(s *platform.Settings, path string, lines int) (*daemon, error) {
 	d := &daemon{
 		settings: s,
 		path:     path,
@@ -58,7 +59,7 @@
 	d.log = stdout.New(stdout.Options{
 		Writer:  os.Stdout,
 		Host:    s.Host,
-		Default: linesPerSecond,
+		Default: lines,
 	})
 	d.store.Log = d.log.Log
 	m, err := monitor.New()
--- a/cmd/heatherford-edge/logs_test.go
+++ b/cmd/heatherford-edge/logs_test.go
@@ -14,7 +14,7 @@
 func TestLogKinds(t *testing.T) {
 	c := qt.New(t)
 	code := map[string]bool{}
-	used := regexp.MustCompile(`\bLog\("([a-z_]+)"`)
+	used := regexp.MustCompile(`\b[Ll]og\("([a-z_]+)"`)
 	for _, folder := range []string{".", "../../core/edge", "../../io/host", "../../platform"} {
 		files, err := filepath.Glob(folder + "/*.go")
 		c.Assert(err, qt.IsNil)
--- a/cmd/heatherford-edge/main.go
+++ b/cmd/heatherford-edge/main.go
@@ -28,11 +28,31 @@
 func main() {
 	path := flag.String("settings", os.Getenv(platform.EnvSettings), "`file` with the host's settings")
 	check := flag.Bool("check", false, "validate the settings and exit")
+	lines := flag.Int("lines", linesPerSecond, "log `lines` a second of each kind at most; 0 writes none")
+	flag.Usage = usage
 	flag.Parse()
-	os.Exit(run(*path, *check))
+	if flag.NArg() > 0 || *lines < 0 {
+		usage()
+		os.Exit(exitSettings)
+	}
+	os.Exit(run(*path, *check, *lines))
+}
+
+func usage() {
+	fmt.Fprintf(flag.CommandLine.Output(), `usage: heatherford-edge [flags]
+
+Runs on a host of the platform: takes callers' requests, chooses endpoints for them
+and answers look-ups. SIGTERM ends it after the last request, SIGHUP has it read its
+settings again. Log lines go to standard output.
+
+  heatherford-edge -settings /etc/heatherford/local.toml
+  heatherford-edge -check -settings /etc/heatherford/local.toml
+
+`)
+	flag.PrintDefaults()
 }
 
-func run(path string, check bool) int {
+func run(path string, check bool, lines int) int {
 	if check {
 		return checkSettings(path)
 	}
@@ -46,7 +66,7 @@
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
 	reloads := make(chan os.Signal, 1)
 	signal.Notify(reloads, syscall.SIGHUP)
-	d, err := start(s, path)
+	d, err := start(s, path, lines)
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "heatherford-edge: cannot start: %s [%d]\n", code.Text(err), code.Of(err))
 		return exitFailed
--- a/cmd/heatherford-edge/observe.go
+++ b/cmd/heatherford-edge/observe.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"heatherford/core/code"
 	"heatherford/core/edge"
 	"heatherford/core/registry"
 )
@@ -27,6 +28,10 @@
 	if o.Route != nil {
 		name = o.Route.Name
 	}
-	d.log.Log("request", "request", q.ID, "route", name, "version", o.Version, "status", a.Status, "code", int(a.Code), "endpoint", a.Endpoint,
+	log := d.log.Log
+	if a.Code != code.Answered {
+		log = d.log.Urgent
+	}
+	log("request", "request", q.ID, "route", name, "version", o.Version, "status", a.Status, "code", int(a.Code), "endpoint", a.Endpoint,
 		"attempts", o.Attempts, "hedges", o.Hedges, "took", o.Ended.Sub(q.Arrived), "detail", a.Detail)
 }
--- a/io/stdout/logger.go
+++ b/io/stdout/logger.go
@@ -1,18 +1,23 @@
 package stdout
 
 import (
+	"bufio"
 	"io"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
-	"github.com/go-kit/log/level"
 )
 
 const (
-	// queueLength is the number of lines that wait for the writer.
+	// queueLength is the number of lines that wait for the writer, and kept how
+	// many of its places are for urgent lines only.
 	queueLength = 2048
+	kept        = queueLength / 4
+	// gather is how long lines are gathered into one write: a write and a wake-up
+	// cost more than many lines.
+	gather = 50 * time.Millisecond
 	// tellInterval is how often left out lines are told.
 	tellInterval = time.Second
 )
@@ -35,17 +40,25 @@
 type Logger struct {
 	options Options
 	lines   chan []any
+	closing chan struct{}
 	done    chan struct{}
 	start   time.Time
 
-	mu    sync.Mutex
-	kinds map[string]*kind
+	mu sync.Mutex
+	// kinds holds the counts of each kind, and those of its urgent lines.
+	kinds map[bound]*kind
 	// closed is true once no more lines are taken.
 	closed bool
 	// dropped is the number of lines that found the queue full.
 	dropped atomic.Uint64
 }
 
+// bound names what is bounded: a kind's lines, or those of them that are urgent.
+type bound struct {
+	kind   string
+	urgent bool
+}
+
 // kind counts the lines of a kind in the current second.
 type kind struct {
 	second int64
@@ -58,9 +71,10 @@
 	l := &Logger{
 		options: o,
 		lines:   make(chan []any, queueLength),
+		closing: make(chan struct{}),
 		done:    make(chan struct{}),
 		start:   time.Now(),
-		kinds:   map[string]*kind{},
+		kinds:   map[bound]*kind{},
 	}
 	go l.write()
 	return l
@@ -68,19 +82,39 @@
 
 // Log writes a line of a kind with pairs of keys and values, unless the kind's
 // lines of this second are used up or the writer lags.
-func (l *Logger) Log(k string, pairs ...any) {
+func (l *Logger) Log(kind string, pairs ...any) {
+	l.log(bound{
+		kind: kind,
+	}, pairs)
+}
+
+// Urgent is Log for lines that tell of a failure. They have a bound of their own, and
+// find a place in the queue when other lines no longer do.
+func (l *Logger) Urgent(kind string, pairs ...any) {
+	l.log(bound{
+		kind:   kind,
+		urgent: true,
+	}, pairs)
+}
+
+func (l *Logger) log(k bound, pairs []any) {
 	now := time.Now()
 	if !l.admit(k, now) {
 		return
 	}
-	s := make([]any, 0, len(pairs)+4)
-	s = append(s, "uptime", now.Sub(l.start).Round(time.Millisecond), "kind", k)
+	const more = 8
+	s := make([]any, 0, len(pairs)+more)
+	s = append(s, "time", now.UTC(), "host", l.options.Host, "uptime", now.Sub(l.start).Round(time.Millisecond), "kind", k.kind)
 	s = append(s, pairs...)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.closed {
 		return
 	}
+	if !k.urgent && len(l.lines) >= queueLength-kept {
+		l.dropped.Add(1)
+		return
+	}
 	select {
 	case l.lines <- s:
 	default:
@@ -88,7 +122,7 @@
 	}
 }
 
-func (l *Logger) admit(k string, now time.Time) bool {
+func (l *Logger) admit(k bound, now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	x := l.kinds[k]
@@ -100,7 +134,7 @@
 		x.second = s
 		x.lines = 0
 	}
-	limit, ok := l.options.Limits[k]
+	limit, ok := l.options.Limits[k.kind]
 	if !ok {
 		limit = l.options.Default
 	}
@@ -120,7 +154,7 @@
 	m := map[string]uint64{}
 	for n, k := range l.kinds {
 		if k.left > 0 {
-			m[n] = k.left
+			m[n.kind] += k.left
 		}
 	}
 	if n := l.dropped.Load(); n > 0 {
@@ -137,6 +171,7 @@
 		return
 	}
 	l.closed = true
+	close(l.closing)
 	close(l.lines)
 	l.mu.Unlock()
 	select {
@@ -148,28 +183,59 @@
 // write writes lines until Close.
 func (l *Logger) write() {
 	defer close(l.done)
-	w := log.NewLogfmtLogger(l.options.Writer)
+	b := bufio.NewWriter(l.options.Writer)
+	w := log.NewLogfmtLogger(b)
 	if l.options.Format == "json" {
-		w = log.NewJSONLogger(l.options.Writer)
+		w = log.NewJSONLogger(b)
 	}
-	w = log.With(w, "time", log.DefaultTimestampUTC, "host", l.options.Host)
 	told := map[string]uint64{}
 	next := time.Now().Add(tellInterval)
 	for s := range l.lines {
 		w.Log(s...)
+		n := 1 + l.drain(w)
 		if now := time.Now(); now.After(next) {
 			next = now.Add(tellInterval)
 			l.tell(w, told)
 		}
+		l.flush(b, n)
+		select {
+		case <-time.After(gather):
+		case <-l.closing:
+		}
 	}
 	l.tell(w, told)
+	l.flush(b, 0)
+}
+
+// drain writes the lines that wait, and returns their number.
+func (l *Logger) drain(w log.Logger) int {
+	for n := 0; ; n++ {
+		select {
+		case s, ok := <-l.lines:
+			if !ok {
+				return n
+			}
+			w.Log(s...)
+		default:
+			return n
+		}
+	}
+}
+
+// flush hands the number of lines over to the reader. Those that it does not take
+// count as dropped, as a line on that would be.
+func (l *Logger) flush(b *bufio.Writer, lines int) {
+	if err := b.Flush(); err != nil {
+		l.dropped.Add(uint64(lines))
+		b.Reset(l.options.Writer)
+	}
 }
 
 // tell writes how many lines were left out since the last time.
 func (l *Logger) tell(w log.Logger, told map[string]uint64) {
 	for k, n := range l.LeftOut() {
 		if n > told[k] {
-			level.Warn(w).Log("kind", "left_out", "of", k, "lines", n-told[k])
+			w.Log("time", time.Now().UTC(), "host", l.options.Host, "kind", "left_out", "of", k, "lines", n-told[k])
 			told[k] = n
 		}
 	}
