core/balance: say for each place why a request is refused

The time to come back was taken from the same endpoint.

Ruled out: that free slots were passed by.

Change: the detail names for each level its endpoint, why it is closed, the load and the wait; the time to come back is that of a place that the request may go to.

--- a/core/balance/place.go
+++ b/core/balance/place.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"sort"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -66,18 +67,36 @@
 			continue
 		}
 		found[l] = k
-		if !k.admits(&a, now) {
-			continue
+		k.bar = k.admits(&a, now)
+		if k.bar == open && b.overflows(p, &a, l) {
+			k.bar = b.exceeds(p, l, found)
 		}
-		if b.overflows(p, &a, l) && b.exceeds(p, l, found) {
-			continue
+		if k.bar == open {
+			return b.choose(k, &a, now), nil
 		}
-		return b.choose(k, &a, now), nil
 	}
 	p.press(1)
 	return nil, b.refusal(&a, found, now)
 }
 
+// bar is why an endpoint does not get a request.
+type bar string
+
+// The bars.
+const (
+	// open is none.
+	open bar = ""
+	// barRefused: the endpoint's owner has just refused this request or one like
+	// it.
+	barRefused bar = "full"
+	// barLate: its answer would come too late.
+	barLate bar = "late"
+	// barUse: the slots there are used.
+	barUse bar = "use"
+	// barAllowance: too many requests have left the region beyond its share.
+	barAllowance bar = "allowance"
+)
+
 func refuse(c code.Code, again time.Time, format string, args ...any) *Refusal {
 	return &Refusal{
 		Code:   c,
@@ -115,20 +134,24 @@
 	return l != b.order(p, a)[0]
 }
 
-// exceeds reports whether a request that has found no room where it belongs may
-// not go to a level: the slots there are used, or it would leave the region beyond
-// the allowance for that. A region without any endpoint is bound by nothing.
-func (b *Balancer) exceeds(p *pool, l Level, found [levels]*candidate) bool {
+// exceeds returns why a request that has found no room where it belongs may not go
+// to a level: the slots there are used, or it would leave the region beyond the
+// allowance for that. A region without any endpoint is bound by nothing.
+func (b *Balancer) exceeds(p *pool, l Level, found [levels]*candidate) bar {
 	switch {
 	case l == SameZone || (found[SameZone] == nil && found[SameRegion] == nil):
-		return false
+		return open
+	case l == SameRegion && p.shares.RegionUse > fullUse:
+		return barUse
 	case l == SameRegion:
-		return p.shares.RegionUse > fullUse
-	case p.shares.FarUse > fullUse || p.tokens < 1:
-		return true
+		return open
+	case p.shares.FarUse > fullUse:
+		return barUse
+	case p.tokens < 1:
+		return barAllowance
 	}
 	p.tokens--
-	return false
+	return open
 }
 
 // candidate is an endpoint that a request could go to.
@@ -146,6 +169,8 @@
 	strict bool
 	// refused is true if the endpoint's owner has just refused the request.
 	refused bool
+	// bar is why the endpoint does not get the request.
+	bar bar
 }
 
 // best returns the level's endpoint at which the request costs least.
@@ -268,12 +293,16 @@
 	return time.Duration(float64(service) * float64(n) / float64(slots))
 }
 
-// admits reports whether it makes sense to send the request there.
-func (k *candidate) admits(a *Ask, now time.Time) bool {
-	if k.refused {
-		return false
+// admits returns why it makes no sense to send the request there, or open.
+func (k *candidate) admits(a *Ask, now time.Time) bar {
+	switch {
+	case k.refused:
+		return barRefused
+	case k.load < k.seat.Slots || mayWait(a, k.wait, k.done, k.strict, a.Rank > 0, now):
+		return open
+	default:
+		return barLate
 	}
-	return k.load < k.seat.Slots || mayWait(a, k.wait, k.done, k.strict, a.Rank > 0, now)
 }
 
 // mayWait reports whether a request may wait so long for a slot of an endpoint.
@@ -337,20 +366,51 @@
 	s.busyUntil = until
 }
 
-// refusal says when the request could be admitted.
+// refusal says why a request got no endpoint and when it could be admitted: where it
+// may wait, if there is such a place.
 func (b *Balancer) refusal(a *Ask, found [levels]*candidate, now time.Time) *Refusal {
 	soonest := (*candidate)(nil)
-	for _, k := range found {
-		if k != nil && (soonest == nil || k.done.Before(soonest.done)) {
+	reasons := []string{}
+	for l, k := range found {
+		if k == nil {
+			continue
+		}
+		reasons = append(reasons, fmt.Sprintf("%s %s %s", Level(l), k.seat.ID, k.reason()))
+		if soonest == nil || k.sooner(soonest) {
 			soonest = k
 		}
 	}
 	if soonest == nil {
 		return refuse(code.NoEndpoint, b.again(restFirst, now), "no endpoint of %q may be sent to", a.Upstream)
 	}
-	s := soonest.seat
-	return refuse(code.RankFull, b.again(soonest.wait, now), "endpoint %s has %d of %d, a slot in %s", s.ID, soonest.load, s.Slots,
-		soonest.wait.Round(time.Millisecond))
+	return refuse(code.RankFull, b.again(soonest.wait, now), "%s", strings.Join(reasons, "; "))
+}
+
+// sooner reports whether a refused request has better prospects at k than at o: what
+// is closed to it frees no slot for it.
+func (k *candidate) sooner(o *candidate) bool {
+	if k.closed() != o.closed() {
+		return o.closed()
+	}
+	return k.done.Before(o.done)
+}
+
+// closed reports whether the request may not go there however many slots are free.
+func (k *candidate) closed() bool {
+	return k.bar == barUse || k.bar == barAllowance
+}
+
+// reason says for logs what the decision on an endpoint was based on.
+func (k *candidate) reason() string {
+	load := "unknown"
+	if k.age >= 0 {
+		load = fmt.Sprint(k.load)
+	}
+	s := fmt.Sprintf("%s: %s of %d, wait %s", k.bar, load, k.seat.Slots, k.wait.Round(time.Millisecond))
+	if k.strict {
+		s += ", strict"
+	}
+	return s
 }
 
 // again returns when a refused client should come back: after what waits now,
