core/fleet: hear a host whose time of day was set back before its restart

Cause: a run of a host is told from the one before by when it started, in the host's time of day. Set back by some seconds before a restart, the new run seemed the older one, and no other host heard it until it started once more.

Ruled out: other uses of the time of day: endpoints are ordered by the table's version, all else goes by the steady clock.

Change: a run that seems older is believed once nothing was heard of the other one for 500 ms.

--- a/core/edge/cluster_test.go
+++ b/core/edge/cluster_test.go
@@ -275,3 +275,103 @@
 	k.c.Check(a.Serve(t.Context(), request("/look/1")).Status, qt.Equals, 200)
 	k.c.Check(b.Serve(t.Context(), request("/look/1")).Status, qt.Equals, 200)
 }
+
+// TestHostsAdded adds hosts to a fleet that works: they are known everywhere, own a
+// part of the endpoints, and the hosts agree on it.
+func TestHostsAdded(t *testing.T) {
+	k := newCluster(t)
+	s := []*Edge{k.start("a", "z1"), k.start("c", "z2")}
+	k.ready(s...)
+	for i := range 30 {
+		k.list(fmt.Sprint("more", i), "z1")
+	}
+	s = append(s, k.start("b", "z1"), k.start("d", "z2"))
+	k.ready(s...)
+	k.within(2*time.Second, "owners that the hosts agree on", func() bool {
+		a, b := s[0].balancer.Owned(time.Now()), s[2].balancer.Owned(time.Now())
+		for id := range a {
+			if _, both := b[id]; both {
+				return false
+			}
+		}
+		return len(a) > 5 && len(b) > 5 && len(a)+len(b) == 32
+	})
+}
+
+// TestBridgeCut cuts two zones off from each other, with their endpoints, that a third
+// one reaches. All zones go on serving, learn changes, and meet again. A zone takes
+// hosts that it does not reach for dead, whatever others hear of them: it cannot pass
+// work on to them.
+func TestBridgeCut(t *testing.T) {
+	k := newCluster(t)
+	k.zones["z3"] = "west"
+	s := []*Edge{k.start("a", "z1"), k.start("b", "z2"), k.start("c", "z3")}
+	k.ready(s...)
+	k.cutZones("z1", "z2", true)
+	serve := func() {
+		for i := range 30 {
+			for _, e := range s {
+				for _, path := range []string{"/look/", "/charge/"} {
+					x := e.Serve(t.Context(), request(fmt.Sprint(path, i)))
+					k.c.Assert(x.Status, qt.Equals, 200, qt.Commentf("%s at %s: %s", path, e.options.Self.Name, x.Detail))
+				}
+			}
+		}
+	}
+	serve()
+	k.declare(11, 1)
+	k.within(2*time.Second, "the new declaration everywhere", func() bool {
+		for _, e := range s {
+			if e.View().Table.Declaration.Version != 11 {
+				return false
+			}
+		}
+		return true
+	})
+	k.within(3500*time.Millisecond, "each side sees the third only", func() bool {
+		return len(s[0].View().Live) == 2 && len(s[1].View().Live) == 2 && len(s[2].View().Live) == 3
+	})
+	serve()
+	k.unlist("e2")
+	k.within(2*time.Second, "the endpoint gone everywhere", func() bool {
+		return usable(s[0]) == 3 && usable(s[1]) == 6
+	})
+	k.cutZones("z1", "z2", false)
+	k.ready(s...)
+	serve()
+}
+
+// TestDeclarationsInQuickSuccession has hosts in three zones end at the last one soon,
+// and none goes back on the way.
+func TestDeclarationsInQuickSuccession(t *testing.T) {
+	k := newCluster(t)
+	k.zones["z3"] = "west"
+	s := []*Edge{k.start("a", "z1"), k.start("b", "z1"), k.start("c", "z2"), k.start("d", "z3")}
+	k.ready(s...)
+	const last = 40
+	newest := map[*Edge]uint64{}
+	watch := func() {
+		for _, e := range s {
+			v := e.View().Table.Declaration.Version
+			k.c.Assert(v >= newest[e], qt.IsTrue, qt.Commentf("%s went back from %d to %d", e.options.Self.Name, newest[e], v))
+			newest[e] = v
+		}
+	}
+	for v := uint64(2); v <= last; v++ {
+		k.declare(v, 1)
+		for range 4 {
+			watch()
+			<-time.After(10 * time.Millisecond)
+		}
+	}
+	d := k.within(time.Second, "the last declaration everywhere", func() bool {
+		watch()
+		for _, e := range s {
+			if newest[e] != last {
+				return false
+			}
+		}
+		return true
+	})
+	k.c.Logf("in force after %s", d)
+}
--- a/core/edge/world_test.go
+++ b/core/edge/world_test.go
@@ -145,6 +145,8 @@
 	edges map[string]*Edge
 	// cut holds the hosts that no other host reaches.
 	cut map[string]bool
+	// apart holds pairs of zones whose hosts do not reach each other.
+	apart map[[2]string]bool
 	// send answers for endpoints.
 	send func(ctx context.Context, s *Sending) (*Reply, error)
 	// ticks counts those that arrived.
@@ -163,6 +165,7 @@
 		},
 		edges: map[string]*Edge{},
 		cut:   map[string]bool{},
+		apart: map[[2]string]bool{},
 		send:  answer,
 	}
 	k.declare(1, 1)
@@ -293,6 +296,12 @@
 			Tell:  k.tell(name),
 			Fetch: k.fetch(name),
 			Send: func(ctx context.Context, s *Sending) (*Reply, error) {
+				if !k.reaches(zone, s.Target.Zone) {
+					return nil, &Failure{
+						Reason: "unreachable",
+						Cause:  errStore,
+					}
+				}
 				return k.sender()(ctx, s)
 			},
 			Carry: k.carry(name),
@@ -332,14 +341,29 @@
 	k.cut[name] = cut
 }
 
+func (k *cluster) cutZones(a, b string, cut bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.apart[[2]string{a, b}] = cut
+	k.apart[[2]string{b, a}] = cut
+}
+
+// reaches reports whether hosts of a zone reach endpoints of another.
+func (k *cluster) reaches(from, to string) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return !k.apart[[2]string{from, to}]
+}
+
 // reach returns a host that another one reaches, or nil.
 func (k *cluster) reach(from, to string) *Edge {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.cut[from] || k.cut[to] {
+	a, b := k.edges[from], k.edges[to]
+	if k.cut[from] || k.cut[to] || b == nil || k.apart[[2]string{a.options.Self.Zone, b.options.Self.Zone}] {
 		return nil
 	}
-	return k.edges[to]
+	return b
 }
 
 func (k *cluster) tell(name string) func([]fleet.Member, *Tick) {
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -25,6 +25,10 @@
 	// farSilence is the same for hosts of other zones, of which relays tell
 	// every 500 ms.
 	farSilence = 2500 * time.Millisecond
+	// runGap is how long nothing has been heard of a host's run before another run
+	// is believed that seems to have started earlier: the host's time of day was set
+	// back. It is five times the interval, and datagrams are not on their way as long.
+	runGap = 500 * time.Millisecond
 	// startGrace is how long hosts of the platform's list count as alive before
 	// they are heard.
 	startGrace = 1500 * time.Millisecond
@@ -87,6 +91,9 @@
 
 // Hear notes a message that came from the host itself.
 func (f *Fleet) Hear(m Member, now time.Time) {
+	if p := f.peers[m.Name]; p != nil && m.Started.Before(p.Started) && now.Sub(p.heard) > runGap {
+		delete(f.peers, m.Name)
+	}
 	f.learn(m)
 	p := f.peers[m.Name]
 	if p == nil || p.Started.After(m.Started) {
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -174,3 +174,33 @@
 	c.Assert(f.Live(late), qt.HasLen, 1)
 	c.Assert(names(f.FarTargets(f.Live(late))), qt.DeepEquals, map[string]bool{"c": true})
 }
+
+// TestClockSetBack restarts a host whose time of day was set back, so that it seems to
+// have started before it ended: it is heard as soon as nothing is heard of its last
+// run, and late words of that change nothing.
+func TestClockSetBack(t *testing.T) {
+	c := qt.New(t)
+	f := fleet.New(member("a", "z1"))
+	b := member("b", "z1")
+	f.Hear(b, start)
+	again := b
+	again.Started = start.Add(-5 * time.Second)
+	again.Leaving = true
+	f.Hear(again, start.Add(100*time.Millisecond))
+	c.Check(fleet.Staying(f.Live(start.Add(100*time.Millisecond))), qt.HasLen, 2)
+	again.Leaving = false
+	for d := 600 * time.Millisecond; d <= 1500*time.Millisecond; d += 100 * time.Millisecond {
+		f.Hear(again, start.Add(d))
+	}
+	s := f.Live(start.Add(1600 * time.Millisecond))
+	c.Assert(s, qt.HasLen, 2)
+	for _, m := range s {
+		if m.Name == "b" {
+			c.Check(m.Started, qt.Equals, again.Started)
+		}
+	}
+	// The table's list may still name the last run.
+	f.List([]fleet.Member{b}, start.Add(1600*time.Millisecond))
+	f.Hear(again, start.Add(1700*time.Millisecond))
+	c.Check(f.Live(start.Add(2300*time.Millisecond)), qt.HasLen, 2)
+}
