--- a/core/balance/pattern_test.go
+++ b/core/balance/pattern_test.go
@@ -288,6 +288,56 @@
 	}
 }
 
+// TestFlappingEndpoints has two of the south's endpoints go down and up by turns, each
+// for a second and a half: connections to them fail at once, and what was sent to
+// nobody goes elsewhere, so that hardly anything is refused.
+func TestFlappingEndpoints(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(12, threeRegions(), 3, shortNorth(), 6)
+	for _, z := range zonesOf(w.zones) {
+		w.offer(lookups(z, 30, 25*time.Second))
+	}
+	w.run(8 * time.Second)
+	down := false
+	w.every(1500*time.Millisecond, func() {
+		down = !down
+		w.endpoints["s1-0"].down = down
+		w.endpoints["s2-1"].down = !down
+	})
+	w.results = map[string]*tally{}
+	w.run(15 * time.Second)
+	w.log(t)
+	for _, z := range []string{"s1", "s2"} {
+		r := w.results[z+"/1"]
+		c.Check(r.refused*50 < r.asked, qt.IsTrue, qt.Commentf("%d of %d refused", r.refused, r.asked))
+		c.Check(r.share() > 0.8, qt.IsTrue, qt.Commentf("%.2f", r.share()))
+	}
+}
+
+// TestLyingHealth has an endpoint fail half of its requests while its entry and its
+// health answers say that it is well: hosts go by what requests show, so that its
+// siblings get most of what it would have got.
+func TestLyingHealth(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(13, threeRegions(), 3, shortNorth(), 6)
+	for _, z := range zonesOf(w.zones) {
+		w.offer(lookups(z, 30, 20*time.Second))
+	}
+	w.run(8 * time.Second)
+	before := len(w.endpoints["s1-0"].arrivals)
+	w.run(4 * time.Second)
+	usual := len(w.endpoints["s1-0"].arrivals) - before
+	w.endpoints["s1-0"].loses = 0.9
+	before = len(w.endpoints["s1-0"].arrivals)
+	w.results = map[string]*tally{}
+	w.run(4 * time.Second)
+	w.log(t)
+	lying := len(w.endpoints["s1-0"].arrivals) - before
+	c.Check(2*lying < usual, qt.IsTrue, qt.Commentf("%d requests while it lies, %d before", lying, usual))
+	r := w.results["s1/1"]
+	c.Check(r.refused*50 < r.asked, qt.IsTrue, qt.Commentf("%d of %d refused", r.refused, r.asked))
+}
+
 // TestHerdAfterRefusals has a flood that ends: few are refused, and most of those who
 // come back when they are told to are served.
 func TestHerdAfterRefusals(t *testing.T) {
