--- /dev/null
+++ b/core/edge/rounds_test.go
@@ -0,0 +1,139 @@
+package edge
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"heatherford/core/budget"
+	"heatherford/core/fleet"
+	"heatherford/core/registry"
+)
+
+// TestRounds plays the rounds of large zones without goroutines: one tick in fifty is
+// lost, and yet no host is taken for dead, and one that ends is known as dead to all
+// soon after. The largest zone is that of 3,000 hosts in 32 zones.
+func TestRounds(t *testing.T) {
+	for _, hosts := range []int{13, 20, 50, 94} {
+		t.Run(fmt.Sprint(hosts), func(t *testing.T) {
+			c := qt.New(t)
+			z := newRounds(hosts)
+			const calm = 6 * time.Second
+			z.run(calm)
+			for _, h := range z.hosts {
+				c.Assert(len(h.fleet.Live(z.now)), qt.Equals, hosts)
+			}
+			c.Check(z.lapses, qt.Equals, 0)
+			c.Logf("oldest word %s, %.0f ticks a second at each host, at most %d hosts in one", z.oldest,
+				float64(z.arrived)/calm.Seconds()/float64(hosts), z.longest)
+			z.dead = z.hosts[hosts/2].fleet.Self().Name
+			const known = 2 * time.Second
+			z.run(known)
+			for _, h := range z.hosts {
+				if h.fleet.Self().Name != z.dead {
+					c.Assert(len(h.fleet.Live(z.now)), qt.Equals, hosts-1)
+				}
+			}
+		})
+	}
+}
+
+// rounds is a zone of hosts whose control is stepped by the test.
+type rounds struct {
+	random *rand.Rand
+	now    time.Time
+	hosts  []*control
+	byName map[string]*control
+	// dead is a host that has ended.
+	dead string
+	// lapses counts how often a host took another for dead.
+	lapses  int
+	oldest  time.Duration
+	arrived int
+	longest int
+}
+
+func newRounds(hosts int) *rounds {
+	z := &rounds{
+		random: rand.New(rand.NewPCG(1, uint64(hosts))),
+		now:    time.Unix(1_000_000, 0),
+		byName: map[string]*control{},
+	}
+	members := []fleet.Member{}
+	for i := range hosts {
+		members = append(members, fleet.Member{
+			Name:    fmt.Sprint("h", i),
+			Zone:    "z1",
+			Region:  "r",
+			Started: z.now,
+		})
+	}
+	for _, m := range members {
+		e := New(Options{
+			Self: m,
+			Zones: map[string]string{
+				"z1": "r",
+			},
+			Seams: Seams{
+				Tell: z.tell,
+			},
+			Repeats: budget.WindowOptions{},
+		})
+		h := &control{
+			edge:  e,
+			fleet: fleet.New(m),
+			zones: map[string]zoneState{},
+			heard: map[string]heardHost{},
+		}
+		h.registry = registry.New()
+		h.fleet.List(members, z.now)
+		h.live = h.fleet.Live(z.now)
+		z.hosts = append(z.hosts, h)
+		z.byName[m.Name] = h
+		h.nearNext = z.now.Add(time.Duration(z.random.IntN(100)) * time.Millisecond)
+	}
+	return z
+}
+
+func (z *rounds) tell(to []fleet.Member, t *Tick) {
+	z.longest = max(z.longest, len(t.Others))
+	for _, m := range to {
+		const lost = 0.02
+		if m.Name == z.dead || z.random.Float64() < lost {
+			continue
+		}
+		z.arrived++
+		z.byName[m.Name].hear(t, z.now.Add(time.Millisecond))
+	}
+}
+
+// run steps the hosts every 10 ms.
+func (z *rounds) run(d time.Duration) {
+	const step = 10 * time.Millisecond
+	for end := z.now.Add(d); z.now.Before(end); z.now = z.now.Add(step) {
+		for _, h := range z.hosts {
+			if h.fleet.Self().Name == z.dead || z.now.Before(h.nearNext) {
+				continue
+			}
+			h.live = h.fleet.Live(z.now)
+			if z.dead == "" {
+				z.lapses += len(z.hosts) - len(h.live)
+				z.age(h)
+			}
+			h.tellNear(z.now)
+		}
+	}
+}
+
+// age notes the oldest word that a host goes by.
+func (z *rounds) age(h *control) {
+	const start = 2 * time.Second
+	for _, o := range h.heard {
+		if z.now.Sub(time.Unix(1_000_000, 0)) > start {
+			z.oldest = max(z.oldest, z.now.Sub(o.at))
+		}
+	}
+}
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -12,9 +12,10 @@
 	// they live.
 	NearInterval = 100 * time.Millisecond
 	// nearHosts is the most hosts of a zone of which each tells all others each
-	// time. In larger zones it tells nearTargets of them in turn, which pass it
-	// on, so that a host hears a bounded number of messages.
+	// time. In larger zones it tells one in nearPart of them in turn, at least
+	// nearTargets, and these pass it on.
 	nearHosts   = 12
+	nearPart    = 12
 	nearTargets = 3
 	// nearSilence is how long nothing may be heard of a host of the own zone
 	// before it counts as dead: seven times the interval.
@@ -329,8 +330,9 @@
 		return s[i].place() > self
 	})
 	t := []Member{}
-	for i := range nearTargets {
-		t = append(t, s[(first+round*nearTargets+i)%len(s)])
+	n := max(nearTargets, len(s)/nearPart)
+	for i := range n {
+		t = append(t, s[(first+round*n+i)%len(s)])
 	}
 	return t
 }
