--- a/standin/rows/table.go
+++ b/standin/rows/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
 	"sort"
 	"strconv"
@@ -124,6 +125,10 @@
 	}
 	switch {
 	case f.Silent:
+		// The server notices the end of a connection only after the body.
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
 		<-r.Context().Done()
 		return
 	case f.Status != 0:
