core/edge: few hosts read the table when a fleet starts

Change: a host that has just started lets others tell it for 0.7 to 1.5 s unless it is the first; others answer its first word at once. The places of hosts in their order are kept, not worked out for each comparison 20 times a second; the garbage collector runs at Go's own pace.

--- a/cmd/heatherford-edge/main.go
+++ b/cmd/heatherford-edge/main.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"syscall"
 
 	"heatherford/core/code"
@@ -22,9 +21,6 @@
 	exitSettings = 2
 )
 
-// gcPercent trades processor time, of which there is plenty, for memory.
-const gcPercent = 50
-
 func main() {
 	path := flag.String("settings", os.Getenv(platform.EnvSettings), "`file` with the host's settings")
 	check := flag.Bool("check", false, "validate the settings and exit")
@@ -61,7 +57,6 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitSettings
 	}
-	debug.SetGCPercent(gcPercent)
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
 	reloads := make(chan os.Signal, 1)
--- a/core/edge/cluster_test.go
+++ b/core/edge/cluster_test.go
@@ -375,3 +375,17 @@
 	})
 	k.c.Logf("in force after %s", d)
 }
+
+// TestFewReadsAtStart starts many hosts at once: few of them read the table, the others
+// learn from these.
+func TestFewReadsAtStart(t *testing.T) {
+	k := newCluster(t)
+	s := []*Edge{}
+	const hosts = 24
+	for i := range hosts {
+		s = append(s, k.start(fmt.Sprint("h", i), "z1"))
+	}
+	k.ready(s...)
+	reads := k.table.reads.Load()
+	k.c.Check(reads < hosts, qt.IsTrue, qt.Commentf("%d reads of %d hosts", reads, hosts))
+}
--- a/core/edge/control.go
+++ b/core/edge/control.go
@@ -31,6 +31,12 @@
 	// coldPart is the part of a cold endpoint's allowance that the hosts of its
 	// zone use together. The rest is for hosts that do not hear each other.
 	coldPart = 0.7
+	// startWait is how long a host that knows nothing waits for what others know
+	// before it reads for itself: seven rounds of ticks. startEach is added for each
+	// host before it, up to startMost.
+	startWait = 700 * time.Millisecond
+	startEach = 20 * time.Millisecond
+	startMost = 1500 * time.Millisecond
 	// pauseGap is a gap between two steps that shows that the host did not run.
 	pauseGap = time.Second
 )
@@ -43,7 +49,9 @@
 	readers  [registry.Parts]reader
 	// zones is what relays told of their zones.
 	zones map[string]zoneState
-	// joined is true once the platform lists this host.
+	// began is when the host started, and joined is true once the platform lists
+	// it.
+	began    time.Time
 	joined   bool
 	joining  bool
 	joinNext time.Time
@@ -95,6 +103,7 @@
 		changes:  1,
 	}
 	now := time.Now()
+	c.began = now
 	c.stepped = now
 	c.live = c.fleet.Live(now)
 	t := time.NewTicker(step)
--- a/core/edge/exchange.go
+++ b/core/edge/exchange.go
@@ -211,6 +211,15 @@
 	if behind || unknown {
 		c.fetch(t.From)
 	}
+	if t.blank() && c.registry.Version(registry.Endpoints) > 0 {
+		// It has just started.
+		c.edge.options.Seams.Tell([]fleet.Member{t.From}, c.nearTick(now))
+	}
+}
+
+// blank reports whether the host that sent the tick knows of no endpoints yet.
+func (t *Tick) blank() bool {
+	return t.News[registry.Endpoints].Age < 0
 }
 
 // hearNews reports whether the other host knows something of a part that this
--- a/core/edge/reader.go
+++ b/core/edge/reader.go
@@ -91,15 +91,25 @@
 }
 
 // turn reports whether this host should read: the first host does, and others
-// once the news is older the further behind they stand.
+// once the news is older the further behind they stand. A host that has just started
+// lets others tell it what they know: in a fleet that starts, few are to read.
 func (c *control) turn(p registry.Part, now time.Time) bool {
 	r := &c.readers[p]
-	place := fleet.Place(c.live, c.fleet.Self().Name)
-	if place == 0 || r.acting {
+	if r.acting {
 		return true
 	}
+	place := fleet.Place(c.live, c.fleet.Self().Name)
 	current := c.registry.Current(p)
-	return current.IsZero() || now.Sub(current) > staleAfter[p]+time.Duration(place)*placeDelay
+	switch {
+	case current.IsZero() && !c.joined:
+		return now.Sub(c.began) > startMost
+	case place == 0:
+		return true
+	case current.IsZero():
+		return now.Sub(c.began) > min(startMost, startWait+time.Duration(place)*startEach)
+	default:
+		return now.Sub(current) > staleAfter[p]+time.Duration(place)*placeDelay
+	}
 }
 
 // haveRead takes in the result of a read that began at the time.
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"cmp"
+	"slices"
 	"sort"
 	"time"
 
@@ -39,7 +41,9 @@
 
 // Fleet is a host's view of the hosts. Only one goroutine may use it.
 type Fleet struct {
-	self  Member
+	self Member
+	// order is the place of this host.
+	order uint64
 	peers map[string]*peer
 }
 
@@ -47,6 +51,7 @@
 func New(self Member) *Fleet {
 	return &Fleet{
 		self:  self,
+		order: self.place(),
 		peers: map[string]*peer{},
 	}
 }
@@ -81,6 +86,7 @@
 	if p == nil || p.Started.Before(m.Started) {
 		f.peers[m.Name] = &peer{
 			Member: m,
+			order:  m.place(),
 		}
 		return true
 	}
@@ -175,20 +181,28 @@
 // Live returns the hosts that live, this one among them, in the order that all
 // hosts know.
 func (f *Fleet) Live(now time.Time) []Member {
-	s := []Member{f.self}
+	s := []*peer{{
+		Member: f.self,
+		order:  f.order,
+	}}
 	for _, p := range f.peers {
 		if f.alive(p, now) {
-			s = append(s, p.Member)
+			s = append(s, p)
 		}
 	}
-	sort.Slice(s, func(i, j int) bool {
-		a, b := s[i].place(), s[j].place()
-		if a != b {
-			return a < b
-		}
-		return s[i].Name < s[j].Name
+	return inOrder(s)
+}
+
+// inOrder returns the members of peers in the order that all hosts know.
+func inOrder(s []*peer) []Member {
+	slices.SortFunc(s, func(a, b *peer) int {
+		return cmp.Or(cmp.Compare(a.order, b.order), cmp.Compare(a.Name, b.Name))
 	})
-	return s
+	m := make([]Member, len(s))
+	for i, p := range s {
+		m[i] = p.Member
+	}
+	return m
 }
 
 // Known returns all hosts that this one has heard of.
@@ -288,16 +302,13 @@
 }
 
 func (f *Fleet) all(zone string) []Member {
-	s := []Member{}
+	s := []*peer{}
 	for _, p := range f.peers {
 		if p.Zone == zone {
-			s = append(s, p.Member)
+			s = append(s, p)
 		}
 	}
-	sort.Slice(s, func(i, j int) bool {
-		return s[i].place() < s[j].place()
-	})
-	return s
+	return inOrder(s)
 }
 
 // Large reports whether the own zone has so many hosts that news is passed on.
@@ -325,9 +336,8 @@
 		return s
 	}
 	// Each host begins behind its own place, so that all hear as much.
-	self := f.self.place()
 	first := sort.Search(len(s), func(i int) bool {
-		return s[i].place() > self
+		return s[i].place() > f.order
 	})
 	t := []Member{}
 	n := max(nearTargets, len(s)/nearPart)
--- a/core/fleet/member.go
+++ b/core/fleet/member.go
@@ -34,6 +34,8 @@
 // peer is what this host knows of another one.
 type peer struct {
 	Member
+	// order is the member's place.
+	order uint64
 	// heard is when the host itself was heard last, or was taken to live.
 	heard time.Time
 	// listed is until when the host is taken to live because it was listed.
