core/internal/hash: one copy of the mix of two hashes

Ruled out: one of the two packages using the other's: they do not know each other.

The function and the order of its arguments are the same, so that owners and places stay where they were.

--- a/core/balance/place.go
+++ b/core/balance/place.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"heatherford/core/code"
+	"heatherford/core/internal/hash"
 )
 
 const (
@@ -109,7 +110,7 @@
 // the shares leaves the zone, so that few objects move when shares change.
 func position(key uint64) float64 {
 	const mask = 1<<53 - 1
-	return float64(mix(key, 0x9e3779b97f4a7c15)&mask) / (mask + 1)
+	return float64(hash.Mix(key, 0x9e3779b97f4a7c15)&mask) / (mask + 1)
 }
 
 // order returns the levels in the order in which a request asks them for room.
@@ -235,7 +236,7 @@
 		}
 		r = append(r, ordered{
 			seat:   x,
-			weight: mix(a.Key, xxhash.Sum64String(x.ID)),
+			weight: hash.Mix(a.Key, xxhash.Sum64String(x.ID)),
 		})
 	}
 	return r
@@ -427,13 +428,3 @@
 	}
 	return false
 }
-
-// mix returns a hash of two hashes.
-func mix(a, b uint64) uint64 {
-	x := a ^ (b * 0xff51afd7ed558ccd)
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	x ^= x >> 29
-	x *= 0x9e3779b97f4a7c15
-	return x ^ x>>32
-}
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"heatherford/core/internal/hash"
 )
 
 const (
@@ -253,7 +255,7 @@
 	most := uint64(0)
 	e := xxhash.Sum64String(endpoint)
 	for i := range s {
-		if h := mix(s[i].place(), e); best == "" || h > most {
+		if h := hash.Mix(s[i].place(), e); best == "" || h > most {
 			best = s[i].Name
 			most = h
 		}
@@ -261,16 +263,6 @@
 	return best
 }
 
-// mix returns a hash of two hashes.
-func mix(a, b uint64) uint64 {
-	x := a ^ (b * 0xff51afd7ed558ccd)
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	x ^= x >> 29
-	x *= 0x9e3779b97f4a7c15
-	return x ^ x>>32
-}
-
 // Place returns the position of the named host among the members that do not
 // leave, or the number of these if it is not among them.
 func Place(s []Member, name string) int {
