core/edge, io/monitor: tell which sendings are repeats, and where news came from

The hypotheses on BUDGET need to know of each sending whether endpoints had got its request before and whether it was taken from the budget (try: before, repeat; metric heatherford_repeats). Those on DRAIN need to know when each host learned what changed, from whom and how long that took (line news), and how old the owner's news was when it sent (sent: news_age). Ruled out as enough: the lines endpoint and fetch, which say neither the source nor the time of a fetch that succeeds. No decision is changed; core/edge, io/monitor and cmd/heatherford-edge pass.

--- a/core/edge/carry.go
+++ b/core/edge/carry.go
@@ -8,6 +8,7 @@
 	"heatherford/core/balance"
 	"heatherford/core/code"
 	"heatherford/core/fleet"
+	"heatherford/core/registry"
 )
 
 // unreachableFor is how long a host that could not be reached is passed by.
@@ -192,7 +193,7 @@
 	c.Took = now.Sub(began)
 	e.options.Log("sent", "request", j.request.ID, "object", j.request.Object, "upstream", p.Target.Upstream,
 		"endpoint", p.Target.ID, "queued", p.Waited, "took", c.Took, "load", s.Load, "reported", r.Load,
-		"outcome", o, "failure", reasonOf(c.Failure))
+		"news_age", ageOf(e.View().Current[registry.Endpoints], began), "outcome", o, "failure", reasonOf(c.Failure))
 	e.logRest(p, o, j, c)
 	return c
 }
--- a/core/edge/exchange.go
+++ b/core/edge/exchange.go
@@ -216,6 +216,7 @@
 	for p := range registry.Parts {
 		since[p] = c.registry.Version(p)
 	}
+	began := time.Now()
 	c.edge.tomb.Go(func() error {
 		ctx, cancel := context.WithTimeout(c.edge.tomb.Context(context.Background()), fetchTimeout)
 		defer cancel()
@@ -226,14 +227,14 @@
 				c.edge.options.Log("fetch", "from", m.Name, "outcome", "failed", "err", err)
 				return
 			}
-			c.learn(b, time.Now())
+			c.learn(b, m.Name, began, time.Now())
 		})
 		return nil
 	})
 }
 
-// learn takes in what another host knew.
-func (c *control) learn(b *Book, now time.Time) {
+// learn takes in what another host knew when it was asked at the time.
+func (c *control) learn(b *Book, from string, began, now time.Time) {
 	c.fleet.List(b.Members, now)
 	changed := false
 	for _, u := range b.Updates {
@@ -248,7 +249,10 @@
 		if current.After(c.registry.Current(p)) {
 			c.readers[p].source = b.Readers[p]
 		}
-		changed = c.registry.Apply(u, current, now) || changed
+		if c.registry.Apply(u, current, now) {
+			changed = true
+			c.logNews(p, from, len(u.Records), now.Sub(began), now)
+		}
 	}
 	c.publish(now)
 	if changed {
@@ -256,6 +260,13 @@
 	}
 }
 
+// logNews writes a line for news that matter to traffic: whom they came from and how
+// long they took.
+func (c *control) logNews(p registry.Part, from string, records int, took time.Duration, now time.Time) {
+	c.edge.options.Log("news", "part", int(p), "version", c.registry.Version(p), "from", from, "records", records,
+		"took", took, "age", ageOf(c.registry.Current(p), now))
+}
+
 // book returns what this host knows beyond the versions.
 func (c *control) book(since [registry.Parts]uint64, now time.Time) *Book {
 	b := &Book{
--- a/core/edge/judge.go
+++ b/core/edge/judge.go
@@ -147,7 +147,7 @@
 		return nil
 	}
 	r.ask.Retry = r.ask.Retry || repeat
-	if !r.mayRepeat() || (repeat && !r.window.Take(time.Now(), len(r.edge.View().Live))) {
+	if !r.mayRepeat() || (repeat && !r.takeRepeat(time.Now())) {
 		return r.giveUp(a)
 	}
 	if e := r.send(ctx, repeat); e != nil {
@@ -159,6 +159,15 @@
 	return nil
 }
 
+// takeRepeat takes a repeat from the budget and reports whether there was one.
+func (r *run) takeRepeat(now time.Time) bool {
+	if !r.window.Take(now, len(r.edge.View().Live)) {
+		return false
+	}
+	r.repeats++
+	return true
+}
+
 // later returns the refusal a with the time to come back of e.
 func later(a, e *Answer) *Answer {
 	if a.Again.Before(e.Again) {
@@ -186,7 +195,7 @@
 		return
 	}
 	now := time.Now()
-	if !r.late(now) || !r.window.Take(now, len(r.edge.View().Live)) {
+	if !r.late(now) || !r.takeRepeat(now) {
 		return
 	}
 	a := r.ask
@@ -215,7 +224,7 @@
 	t := x.choice
 	r.edge.options.Log("try", "request", r.request.ID, "object", r.request.Object, "upstream", r.upstream,
 		"endpoint", t.Target.ID, "owner", t.Target.Owner, "level", t.Level, "place", t.Place, "load", t.Load,
-		"load_age", t.LoadAge, "took", now.Sub(x.sentAt), "outcome", c.outcome())
+		"load_age", t.LoadAge, "took", now.Sub(x.sentAt), "before", x.before, "repeat", x.repeat, "outcome", c.outcome())
 }
 
 // outcome returns a word for logs.
--- a/core/edge/reader.go
+++ b/core/edge/reader.go
@@ -134,6 +134,7 @@
 	changed := c.registry.Apply(u, currentOf(p, began, now), now)
 	c.publish(now)
 	if changed {
+		c.logNews(p, "platform", len(u.Records), now.Sub(began), now)
 		c.tellChange(now)
 	}
 	if changed || p == registry.Endpoints {
--- a/core/edge/serve.go
+++ b/core/edge/serve.go
@@ -53,6 +53,8 @@
 	Attempts int
 	// Hedges is the number of those while another one was still at work.
 	Hedges int
+	// Repeats is the number of sendings that were taken from the budget.
+	Repeats int
 	// Ended is when the answer was ready.
 	Ended time.Time
 	// Waited is the time at endpoints of the sending that was answered, and
@@ -76,6 +78,8 @@
 	attempts int
 	refusals int
 	hedges   int
+	// repeats is the number of sendings that were taken from the budget.
+	repeats int
 	// first is the endpoint that was chosen first.
 	first string
 	// usual is the time that the first endpoint usually takes.
@@ -97,6 +101,9 @@
 	sentAt time.Time
 	// repeat is true if the sending was taken from the budget.
 	repeat bool
+	// before is the number of endpoints that had got the request, or might get it,
+	// when it was sent.
+	before int
 }
 
 // Serve serves a request and returns its final answer, or nil if ctx ended
@@ -120,6 +127,7 @@
 		Answer:   a,
 		Attempts: r.attempts,
 		Hedges:   r.hedges,
+		Repeats:  r.repeats,
 		Ended:    time.Now(),
 		Waited:   r.waited,
 		Queued:   r.queued,
@@ -248,6 +256,7 @@
 // giveBack gives a repeat back to the budget that no endpoint got.
 func (r *run) giveBack(repeat bool, now time.Time) {
 	if repeat {
+		r.repeats--
 		r.window.Return(now)
 	}
 }
@@ -257,6 +266,7 @@
 		r.usual = c.Usual
 		r.first = c.Target.ID
 	}
+	before := r.attempts + r.flying
 	r.flying++
 	j := &job{
 		request: r.request,
@@ -268,6 +278,7 @@
 			choice: c,
 			sentAt: now,
 			repeat: repeat,
+			before: before,
 			carry:  r.edge.carry(ctx, c.Target, j),
 		}
 	}()
--- a/io/monitor/monitor.go
+++ b/io/monitor/monitor.go
@@ -60,6 +60,7 @@
 	queue    tally.Histogram
 	attempts tally.Counter
 	hedges   tally.Counter
+	repeats  tally.Counter
 }
 
 // New returns a monitor that has counted nothing.
@@ -103,6 +104,7 @@
 	c.Inc(1)
 	r.attempts.Inc(int64(o.Attempts))
 	r.hedges.Inc(int64(o.Hedges))
+	r.repeats.Inc(int64(o.Repeats))
 	r.answer.RecordDuration(o.Ended.Sub(o.Request.Arrived))
 	if o.Answer.Endpoint != "" {
 		r.endpoint.RecordDuration(o.Waited)
@@ -123,6 +125,7 @@
 			queue:    s.Histogram("queue_seconds", meter.LatencyBuckets),
 			attempts: s.Counter("attempts"),
 			hedges:   s.Counter("hedges"),
+			repeats:  s.Counter("repeats"),
 		}
 		m.ranks[n] = r
 	}
