--- /dev/null
+++ b/core/edge/repeats_test.go
@@ -0,0 +1,90 @@
+package edge
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"heatherford/core/budget"
+)
+
+// TestRepeatAfterAnOwnersRefusal guards against sendings that no budget counts: those of
+// requests that an endpoint has rejected and that the owner of a second endpoint then
+// refused.
+func TestRepeatAfterAnOwnersRefusal(t *testing.T) {
+	c := qt.New(t)
+	k := newCluster(t)
+	const slack, hosts = 99, 3
+	k.repeats = budget.WindowOptions{
+		Slack:  slack,
+		Length: 10 * time.Second,
+	}
+	for i := range 40 {
+		k.list(fmt.Sprint("more", i), "z1")
+	}
+	a, b, d := k.start("a", "z1"), k.start("b", "z1"), k.start("d", "z1")
+	k.ready(a, b, d)
+	set(k, k.refusing, "b", true)
+	set(k, k.refusing, "d", true)
+	mu := sync.Mutex{}
+	arrivals := map[string]int{}
+	k.answerBy(func(_ context.Context, s *Sending) (*Reply, error) {
+		mu.Lock()
+		defer mu.Unlock()
+		arrivals[s.Request.ID]++
+		return rejected(), nil
+	})
+	for i := range 600 {
+		q := request("/charge/")
+		q.Object = fmt.Sprint("o", i)
+		a.Serve(t.Context(), q)
+	}
+	repeats := 0
+	for _, n := range arrivals {
+		repeats += n - 1
+	}
+	c.Check(repeats <= slack/hosts, qt.IsTrue, qt.Commentf("%d repeats arrived, %d are this host's part", repeats, slack/hosts))
+}
+
+// TestBudgetOfHostsThatSeeFew guards against parts of the budget that add up to more than
+// the whole: hosts that hear nothing of the others take no larger part than before.
+func TestBudgetOfHostsThatSeeFew(t *testing.T) {
+	c := qt.New(t)
+	k := newCluster(t)
+	const slack = 60
+	k.repeats = budget.WindowOptions{
+		Slack:  slack,
+		Length: time.Second,
+	}
+	s := []*Edge{}
+	for i := range 6 {
+		s = append(s, k.start(fmt.Sprint("a", i), "z1"))
+	}
+	k.ready(s...)
+	left := func() int {
+		n := 0
+		for _, e := range s {
+			n += e.Upstreams(time.Now())["desk"].RepeatsLeft
+		}
+		return n
+	}
+	k.within(3*time.Second, "most of the budget in use", func() bool {
+		return left() >= slack/2
+	})
+	for _, e := range s {
+		set(k, k.cut, e.options.Self.Name, true)
+	}
+	k.within(3*time.Second, "each host alone", func() bool {
+		for _, e := range s {
+			if len(e.View().Live) > 1 {
+				return false
+			}
+		}
+		return true
+	})
+	c.Check(left() <= slack, qt.IsTrue, qt.Commentf("%d repeats are left to all hosts, %d are allowed", left(), slack))
+}
--- a/core/edge/world_test.go
+++ b/core/edge/world_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
@@ -15,6 +16,7 @@
 	"go.uber.org/goleak"
 
 	"heatherford/core/budget"
+	"heatherford/core/code"
 	"heatherford/core/fleet"
 	"heatherford/core/registry"
 	"heatherford/core/route"
@@ -147,6 +149,18 @@
 	cut map[string]bool
 	// apart holds pairs of zones whose hosts do not reach each other.
 	apart map[[2]string]bool
+	// repeats bounds the repeats of hosts that are started.
+	repeats budget.WindowOptions
+	// unread holds the hosts from which no book can be fetched; the empty name stands
+	// for all.
+	unread map[string]bool
+	// deaf holds pairs of hosts of which the first one's ticks do not reach the second.
+	deaf map[[2]string]bool
+	// refusing holds the hosts whose endpoints rest, so that they refuse what others
+	// pass on.
+	refusing map[string]bool
+	// longest is the length of the longest tick, in bytes.
+	longest atomic.Int64
 	// send answers for endpoints.
 	send func(ctx context.Context, s *Sending) (*Reply, error)
 	// ticks counts those that arrived.
@@ -166,7 +180,15 @@
 		edges: map[string]*Edge{},
 		cut:   map[string]bool{},
 		apart: map[[2]string]bool{},
-		send:  answer,
+		repeats: budget.WindowOptions{
+			Ratio:  0.2,
+			Slack:  100,
+			Length: 10 * time.Second,
+		},
+		unread:   map[string]bool{},
+		deaf:     map[[2]string]bool{},
+		refusing: map[string]bool{},
+		send:     answer,
 	}
 	k.declare(1, 1)
 	for i, z := range []string{"z1", "z1", "z2", "z2"} {
@@ -279,12 +301,8 @@
 			Region:  k.zones[zone],
 			Started: time.Now(),
 		},
-		Zones: k.zones,
-		Repeats: budget.WindowOptions{
-			Ratio:  0.2,
-			Slack:  100,
-			Length: 10 * time.Second,
-		},
+		Zones:   k.zones,
+		Repeats: k.repeats,
 		Log:     func(string, ...any) {},
 		Observe: k.observe,
 		Seams: Seams{
@@ -368,8 +386,9 @@
 
 func (k *cluster) tell(name string) func([]fleet.Member, *Tick) {
 	return func(to []fleet.Member, t *Tick) {
+		k.measure(t)
 		for _, m := range to {
-			if e := k.reach(name, m.Name); e != nil {
+			if e := k.reach(name, m.Name); e != nil && !k.isDeaf(name, m.Name) {
 				k.ticks.Add(1)
 				go e.Hear(t)
 			}
@@ -379,6 +398,10 @@
 
 func (k *cluster) fetch(name string) func(context.Context, fleet.Member, [registry.Parts]uint64) (*Book, error) {
 	return func(ctx context.Context, m fleet.Member, since [registry.Parts]uint64) (*Book, error) {
+		if k.noBook(m.Name) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
 		if e := k.reach(name, m.Name); e != nil {
 			return e.Book(ctx, since)
 		}
@@ -386,8 +409,49 @@
 	}
 }
 
+// measure notes the length of a tick.
+func (k *cluster) measure(t *Tick) {
+	b, err := json.Marshal(t)
+	k.c.Check(err, qt.IsNil)
+	if n := int64(len(b)); n > k.longest.Load() {
+		k.longest.Store(n)
+	}
+}
+
+func (k *cluster) isDeaf(from, to string) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.deaf[[2]string{from, to}]
+}
+
+func (k *cluster) noBook(name string) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.unread[name] || k.unread[""]
+}
+
+func (k *cluster) isRefusing(name string) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.refusing[name]
+}
+
+// set changes a fault of the cluster.
+func set[K comparable](k *cluster, m map[K]bool, key K, on bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	m[key] = on
+}
+
 func (k *cluster) carry(name string) func(context.Context, fleet.Member, *Carried) (*Carry, error) {
 	return func(ctx context.Context, m fleet.Member, c *Carried) (*Carry, error) {
+		if k.isRefusing(m.Name) {
+			return &Carry{
+				Refusal: &Refusal{
+					Code: code.NoEndpoint,
+				},
+			}, nil
+		}
 		if e := k.reach(name, m.Name); e != nil {
 			return e.Take(ctx, c), nil
 		}
--- a/core/registry/registry_test.go
+++ b/core/registry/registry_test.go
@@ -100,6 +100,33 @@
 	c.Assert(usable(r), qt.DeepEquals, []string{"a"})
 }
 
+// TestLapsedIsPassedOn guards against sending to endpoints that are gone: a host that
+// believed their entries for a while after the platform's return passes on that they are
+// gone after all.
+func TestLapsedIsPassedOn(t *testing.T) {
+	c := qt.New(t)
+	a, b := registry.New(), registry.New()
+	first := update(registry.Endpoints, 5, listed("a", 3, 1), listed("b", 4, 1))
+	a.Apply(first, start, start)
+	b.Apply(first, start, start)
+	a.Returned(start)
+	a.Apply(update(registry.Endpoints, 8, gone("a", 7)), start, start)
+	pass := func(now time.Time) {
+		if p := registry.Endpoints; !b.Confirm(p, a.Version(p), a.Changed(p), now) {
+			b.Apply(a.Since(p, b.Version(p), now), now, now)
+		}
+	}
+	pass(start)
+	c.Check(usable(a), qt.DeepEquals, []string{"a", "b"})
+	c.Check(usable(b), qt.DeepEquals, []string{"a", "b"})
+	late := start.Add(2 * time.Second)
+	a.Expire(late)
+	b.Expire(late)
+	pass(late)
+	c.Check(usable(a), qt.DeepEquals, []string{"b"})
+	c.Check(usable(b), qt.DeepEquals, []string{"b"})
+}
+
 // TestWholeReading takes what a whole reading does not hold as gone.
 func TestWholeReading(t *testing.T) {
 	c := qt.New(t)
