core/budget, core/fleet: divide the slack by the hosts that are known, not by those seen

Cause: each host divided the slack of the retry budget by the hosts that it saw alive. Change: silent hosts keep their part for ten minutes, and a host has no part of the slack for one window after its start.

--- a/core/budget/window.go
+++ b/core/budget/window.go
@@ -26,7 +26,9 @@
 // Window bounds the repeats for one upstream over a sliding window, as this
 // host's part of a bound over all hosts: each host counts its own requests and
 // has an equal part of the slack, so that the parts keep the bound together
-// without a word between hosts. It is safe for concurrent use.
+// without a word between hosts. A host has no part of the slack for one length
+// after its start: the run before may have used it. Window is safe for
+// concurrent use.
 type Window struct {
 	options WindowOptions
 
@@ -38,11 +40,12 @@
 	begun time.Time
 }
 
-// NewWindow returns a window in which nothing was counted.
-func NewWindow(o WindowOptions, now time.Time) *Window {
+// NewWindow returns a window of a host that started at the time, in which nothing
+// was counted.
+func NewWindow(o WindowOptions, started time.Time) *Window {
 	return &Window{
 		options: o,
-		begun:   now,
+		begun:   started,
 	}
 }
 
@@ -55,13 +58,12 @@
 }
 
 // Take takes one repeat and reports whether it is allowed while so many hosts
-// live.
+// have a part of the slack.
 func (w *Window) Take(now time.Time, hosts int) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.slide(now)
-	bound := spare * (w.options.Ratio*float64(sum(w.requests)) + w.options.Slack/float64(max(1, hosts)))
-	if float64(sum(w.repeats)+1) > bound {
+	if float64(sum(w.repeats)+1) > w.bound(now, hosts) {
 		return false
 	}
 	w.repeats[w.step%buckets]++
@@ -83,8 +85,16 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.slide(now)
-	bound := spare * (w.options.Ratio*float64(sum(w.requests)) + w.options.Slack/float64(max(1, hosts)))
-	return max(0, int(bound)-sum(w.repeats))
+	return max(0, int(w.bound(now, hosts))-sum(w.repeats))
+}
+
+// bound returns the most repeats that the window may hold.
+func (w *Window) bound(now time.Time, hosts int) float64 {
+	slack := 0.0
+	if now.Sub(w.begun) >= w.options.Length {
+		slack = w.options.Slack / float64(max(1, hosts))
+	}
+	return spare * (w.options.Ratio*float64(sum(w.requests)) + slack)
 }
 
 // slide empties the buckets that the window has left.
--- a/core/edge/control.go
+++ b/core/edge/control.go
@@ -219,6 +219,7 @@
 		Table:   c.table,
 		Listed:  c.registry.Version(registry.Endpoints) > 0,
 		Live:    c.live,
+		Sharers: c.fleet.Sharers(now),
 		Leaving: c.fleet.Self().Leaving,
 	}
 	for p := range registry.Parts {
--- a/core/edge/edge.go
+++ b/core/edge/edge.go
@@ -73,6 +73,8 @@
 	Listed bool
 	// Live are the hosts that live, in the order that all hosts know.
 	Live []fleet.Member
+	// Sharers is the number of hosts that have a part of what all may do together.
+	Sharers int
 	// Leaving is true once the host is about to end.
 	Leaving bool
 	// Current is when each part was last known to be current.
@@ -88,6 +90,8 @@
 	tomb     tomb.Tomb
 	splits   splits
 	sizes    sizes
+	// started is when the host started.
+	started time.Time
 
 	mu      sync.Mutex
 	windows map[string]*budget.Window
@@ -108,13 +112,15 @@
 				return o.Zones[zone]
 			},
 		}),
+		started: time.Now(),
 		events:  make(chan func(c *control), 64),
 		windows: map[string]*budget.Window{},
 
 		unreachable: map[string]time.Time{},
 	}
 	e.view.Store(&View{
-		Live: []fleet.Member{o.Self},
+		Live:    []fleet.Member{o.Self},
+		Sharers: 1,
 	})
 	return e
 }
@@ -181,12 +187,12 @@
 	}
 }
 
-func (e *Edge) window(upstream string, now time.Time) *budget.Window {
+func (e *Edge) window(upstream string) *budget.Window {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	w := e.windows[upstream]
 	if w == nil {
-		w = budget.NewWindow(e.options.Repeats, now)
+		w = budget.NewWindow(e.options.Repeats, e.started)
 		e.windows[upstream] = w
 	}
 	return w
--- a/core/edge/repeats_test.go
+++ b/core/edge/repeats_test.go
@@ -21,13 +21,16 @@
 	const slack, hosts = 99, 3
 	k.repeats = budget.WindowOptions{
 		Slack:  slack,
-		Length: 10 * time.Second,
+		Length: 2 * time.Second,
 	}
 	for i := range 40 {
 		k.list(fmt.Sprint("more", i), "z1")
 	}
 	a, b, d := k.start("a", "z1"), k.start("b", "z1"), k.start("d", "z1")
 	k.ready(a, b, d)
+	k.within(3*time.Second, "a part of the budget", func() bool {
+		return a.Upstreams(time.Now())["desk"].RepeatsLeft > 0
+	})
 	set(k, k.refusing, "b", true)
 	set(k, k.refusing, "d", true)
 	mu := sync.Mutex{}
--- a/core/edge/serve.go
+++ b/core/edge/serve.go
@@ -171,7 +171,7 @@
 		r.deadline = q.Arrived.Add(most)
 	}
 	r.upstream = r.edge.splits.next(t)
-	r.window = r.edge.window(r.upstream, q.Arrived)
+	r.window = r.edge.window(r.upstream)
 	r.window.Count(q.Arrived)
 	r.ask = balance.Ask{
 		Upstream:  r.upstream,
--- a/core/edge/serve_test.go
+++ b/core/edge/serve_test.go
@@ -26,6 +26,9 @@
 	k := newCluster(t)
 	a := k.start("a", "z1")
 	k.ready(a)
+	k.within(time.Second, "a part of the budget", func() bool {
+		return a.Upstreams(time.Now())["desk"].RepeatsLeft > 0
+	})
 	return k, a
 }
 
--- a/core/edge/upstreams.go
+++ b/core/edge/upstreams.go
@@ -16,11 +16,11 @@
 // Upstreams returns what this host knows of each upstream.
 func (e *Edge) Upstreams(now time.Time) map[string]Upstream {
 	m := map[string]Upstream{}
-	hosts := len(e.View().Live)
+	hosts := e.View().Sharers
 	for n, s := range e.balancer.Summaries(now) {
 		m[n] = Upstream{
 			Summary:     s,
-			RepeatsLeft: e.window(n, now).Left(now, hosts),
+			RepeatsLeft: e.window(n).Left(now, hosts),
 		}
 	}
 	return m
--- a/core/edge/world_test.go
+++ b/core/edge/world_test.go
@@ -183,7 +183,7 @@
 		repeats: budget.WindowOptions{
 			Ratio:  0.2,
 			Slack:  100,
-			Length: 10 * time.Second,
+			Length: 10 * time.Millisecond,
 		},
 		unread:   map[string]bool{},
 		deaf:     map[[2]string]bool{},
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -37,6 +37,9 @@
 	// is believed that seems to have started earlier: the host's time of day was set
 	// back. It is five times the interval, and datagrams are not on their way as long.
 	runGap = 500 * time.Millisecond
+	// sharerAge is how long a silent host keeps its part of what all may do together:
+	// long beside an outage of the network between zones.
+	sharerAge = 10 * time.Minute
 	// startGrace is how long hosts of the platform's list count as alive before
 	// they are heard.
 	startGrace = 1500 * time.Millisecond
@@ -201,6 +204,19 @@
 	return inOrder(s)
 }
 
+// Sharers returns the number of hosts, this one among them, that have a part of what all
+// hosts may do together. A host that is silent keeps its part, since it may only be out of
+// reach.
+func (f *Fleet) Sharers(now time.Time) int {
+	n := 1
+	for _, p := range f.peers {
+		if now.Sub(p.known()) <= sharerAge {
+			n++
+		}
+	}
+	return n
+}
+
 // inOrder returns the members of peers in the order that all hosts know.
 func inOrder(s []*peer) []Member {
 	slices.SortFunc(s, func(a, b *peer) int {
--- a/core/fleet/member.go
+++ b/core/fleet/member.go
@@ -45,3 +45,14 @@
 	// absent is when the relay of its zone first left it out, or zero.
 	absent time.Time
 }
+
+// known returns when the host was last known to live, or was taken to.
+func (p *peer) known() time.Time {
+	t := p.heard
+	for _, x := range []time.Time{p.listed, p.told} {
+		if x.After(t) {
+			t = x
+		}
+	}
+	return t
+}
