core/edge, core/balance: keep ticks short enough for a datagram

Cause: a host that hears nothing of a zone takes itself for the owner of all endpoints there, as does each other host of its zone, and all tell each other of all of them; a tick of 24 hosts and 400 endpoints came to 384,847 bytes, was dropped whole as too long for a datagram, and with it went the word that the host lives and what is new. So more hosts counted as dead, and ticks grew further: control traffic grew as the fleet seemed smaller. Change: endpoints that belong to nobody are told by nobody; a tick holds at most 96 states of its sender, in turn, and 192 of others, and that others live goes before their states. TestTickOfAHostlessZone failed before, TestTickOfManyEndpoints is new.

--- a/core/edge/control.go
+++ b/core/edge/control.go
@@ -303,6 +303,7 @@
 	if m.Owner == "" {
 		// No host is near the endpoint: whoever has a request sends it.
 		m.Owner = self.Name
+		m.Shared = true
 		m.ColdOwn = 0
 	}
 	return m
--- a/core/edge/exchange.go
+++ b/core/edge/exchange.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"heatherford/core/balance"
@@ -13,6 +15,9 @@
 // other zones and of shares.
 const zonesInterval = 500 * time.Millisecond
 
+// ownedMost is the most endpoints of its own that a host tells of in a tick.
+const ownedMost = 96
+
 // tellNear sends a tick to hosts of the own zone.
 func (c *control) tellNear(now time.Time) {
 	if !c.fleet.Large() {
@@ -40,13 +45,28 @@
 	c.edge.options.Seams.Tell(c.fleet.Neighbours(), t)
 }
 
-// nearTick returns a tick for hosts of the own zone.
+// nearTick returns a tick for hosts of the own zone. With many endpoints it tells of
+// some in turn.
 func (c *control) nearTick(now time.Time) *Tick {
 	t := c.tick(now)
 	t.Owned = c.edge.balancer.Owned(now)
+	if len(t.Owned) > ownedMost {
+		t.Owned = inTurn(t.Owned, c.round)
+	}
 	return t
 }
 
+// inTurn returns ownedMost states of a map, others in each round.
+func inTurn(m map[string]balance.State, round int) map[string]balance.State {
+	ids := slices.Sorted(maps.Keys(m))
+	s := map[string]balance.State{}
+	for i := range ownedMost {
+		id := ids[(round*ownedMost+i)%len(ids)]
+		s[id] = m[id]
+	}
+	return s
+}
+
 // tellChange tells the own zone at once of something that changed. In a large zone
 // only its relay and a host that reads tell all, since each host that learns of it
 // tells others.
--- a/core/edge/news_test.go
+++ b/core/edge/news_test.go
@@ -60,6 +60,28 @@
 	k.c.Check(k.longest.Load() < datagram, qt.IsTrue, qt.Commentf("a tick of %d bytes", k.longest.Load()))
 }
 
+// TestTickOfManyEndpoints guards against the same where few hosts own many endpoints: each
+// tick tells of some, all of them in turn.
+func TestTickOfManyEndpoints(t *testing.T) {
+	k := newCluster(t)
+	for i := range 1000 {
+		k.list(fmt.Sprint("i-0123456789ab", i), "z1")
+	}
+	a, b := k.start("a", "z1"), k.start("b", "z1")
+	k.ready(a, b)
+	<-time.After(time.Second)
+	const datagram = 60 << 10
+	k.c.Check(k.longest.Load() < datagram, qt.IsTrue, qt.Commentf("a tick of %d bytes", k.longest.Load()))
+	m := a.balancer.Owned(time.Now())
+	told := map[string]bool{}
+	for round := range len(m)/ownedMost + 1 {
+		for id := range inTurn(m, round) {
+			told[id] = true
+		}
+	}
+	k.c.Check(told, qt.HasLen, len(m))
+}
+
 // TestZoneHeardByOthers guards against taking a living zone for dead where the ticks of
 // the own zone's relay are lost on the way to one host: others pass on what it told.
 func TestZoneHeardByOthers(t *testing.T) {
--- a/core/edge/pass.go
+++ b/core/edge/pass.go
@@ -11,8 +11,10 @@
 	// passAge is the age up to which news of others is passed on in a large zone:
 	// by then others have passed it on twice.
 	passAge = 450 * time.Millisecond
-	// passMost is the most hosts that a tick tells of, so that it stays under 20 KB.
-	passMost = 48
+	// passMost is the most hosts that a tick tells of, and passStates the most
+	// endpoints of theirs: at some 100 bytes each, a tick stays under 40 KB.
+	passMost   = 48
+	passStates = 192
 )
 
 // heardHost is what a host of the own zone told of itself.
@@ -24,6 +26,7 @@
 }
 
 // others returns what was heard lately of other hosts of the zone, the newest first.
+// That they live is told of all, the states of their endpoints as far as there is room.
 func (c *control) others(now time.Time) []HostNews {
 	s := []HostNews{}
 	for n, h := range c.heard {
@@ -42,7 +45,14 @@
 	sort.Slice(s, func(i, j int) bool {
 		return s[i].Age < s[j].Age
 	})
-	return s[:min(passMost, len(s))]
+	s = s[:min(passMost, len(s))]
+	states := 0
+	for i := range s {
+		if states += len(s[i].Owned); states > passStates {
+			s[i].Owned = nil
+		}
+	}
+	return s
 }
 
 // hearOthers takes in what a host of the own zone passes on of others. It reports
