core/fleet: let hosts with more processor time read and relay first

What callers saw: requests sent to endpoints that had left (DRAIN). Cause: the host that reads for all, and those that relay to a zone, were drawn by a hash of their names, so that hosts with a ninth of a core and a 10 Mbit/s link did it in a fleet that has some with 0.8 cores in each zone. Change: the order of hosts begins with those that have more processor time. TestStrongHostsReadFirst fails before. Where all hosts are alike nothing changes.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -187,10 +187,7 @@
 // Live returns the hosts that live, this one among them, in the order that all
 // hosts know.
 func (f *Fleet) Live(now time.Time) []Member {
-	s := []*peer{{
-		Member: f.self,
-		order:  f.order,
-	}}
+	s := []*peer{f.asPeer()}
 	near := f.quiet()
 	for _, p := range f.peers {
 		silence := farSilence
@@ -204,6 +201,14 @@
 	return inOrder(s)
 }
 
+// asPeer returns the host itself as others see it.
+func (f *Fleet) asPeer() *peer {
+	return &peer{
+		Member: f.self,
+		order:  f.order,
+	}
+}
+
 // Sharers returns the number of hosts, this one among them, that have a part of what all
 // hosts may do together. A host that is silent keeps its part, since it may only be out of
 // reach.
@@ -219,9 +224,7 @@
 
 // inOrder returns the members of peers in the order that all hosts know.
 func inOrder(s []*peer) []Member {
-	slices.SortFunc(s, func(a, b *peer) int {
-		return cmp.Or(cmp.Compare(a.order, b.order), cmp.Compare(a.Name, b.Name))
-	})
+	slices.SortFunc(s, before)
 	m := make([]Member, len(s))
 	for i, p := range s {
 		m[i] = p.Member
@@ -229,6 +232,12 @@
 	return m
 }
 
+// before compares the places of two hosts. Those with more processor time go first:
+// reading for the others and telling them costs most.
+func before(a, b *peer) int {
+	return cmp.Or(cmp.Compare(b.Cores, a.Cores), cmp.Compare(a.order, b.order), cmp.Compare(a.Name, b.Name))
+}
+
 // Known returns all hosts that this one has heard of.
 func (f *Fleet) Known() []Member {
 	s := []Member{f.self}
@@ -361,8 +370,12 @@
 		return s
 	}
 	// Each host begins behind its own place, so that all hear as much.
+	self := f.asPeer()
 	first := sort.Search(len(s), func(i int) bool {
-		return s[i].place() > f.order
+		return before(&peer{
+			Member: s[i],
+			order:  s[i].place(),
+		}, self) > 0
 	})
 	t := []Member{}
 	n := max(nearTargets, len(s)/nearPart)
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -152,6 +152,31 @@
 	c.Assert(fleet.Place(s, s[0].Name), qt.Equals, 1)
 }
 
+// TestStrongHostsReadFirst guards against news that come late since the weakest host of a
+// fleet reads them and passes them on.
+func TestStrongHostsReadFirst(t *testing.T) {
+	c := qt.New(t)
+	f := fleet.New(member("a", "z1"))
+	for i := range 30 {
+		m := member(fmt.Sprint("h", i), "z1")
+		m.Cores = 0.1
+		if i == 17 || i == 23 {
+			m.Cores = 0.8
+		}
+		f.Hear(m, start)
+	}
+	s := f.Live(start)
+	c.Assert(names(s[:2]), qt.DeepEquals, map[string]bool{"h17": true, "h23": true})
+	// All are told in turn all the same.
+	told := map[string]bool{}
+	for round := range 8 {
+		for _, m := range f.NearTargets(round) {
+			told[m.Name] = true
+		}
+	}
+	c.Assert(told, qt.HasLen, 30)
+}
+
 // TestListedButLeftOut has a host that was listed just now, which another host of its
 // zone leaves out since it has not met it: both are told, so that the zones find each
 // other at once.
