core/edge, core/registry: tell changes with the ticks, so that no fetch is needed

What callers saw: requests sent to endpoints 3 s and more after these had said that they leave (DRAIN). Cause: a tick said only that there is something new. Each host then fetched it, one fetch at a time with a timeout of 600 ms, from the host that had told it: all relays and the reader's zone from one host, each time something changed. While endpoints come and go every half second, hosts waited for fetches one behind the other. Ruled out: a removal that is lost in the versions (all hosts had it in the end). Change: readers and relays send the changes of the last 1.5 s with their ticks, others those of two rounds, 48 records a part at most; an update says after which version it is complete, and a host that lacks more fetches as before. Ticks hold 64 states of their sender and 160 of others, so that all fits.

--- a/core/edge/control.go
+++ b/core/edge/control.go
@@ -63,6 +63,8 @@
 	// heard is what hosts of the own zone told last of themselves, directly or by
 	// others.
 	heard map[string]heardHost
+	// latest are the changes that ticks hold.
+	latest latest
 	// round counts the ticks to hosts of the own zone.
 	round int
 
--- a/core/edge/exchange.go
+++ b/core/edge/exchange.go
@@ -16,7 +16,7 @@
 const zonesInterval = 500 * time.Millisecond
 
 // ownedMost is the most endpoints of its own that a host tells of in a tick.
-const ownedMost = 96
+const ownedMost = 64
 
 // tellNear sends a tick to hosts of the own zone.
 func (c *control) tellNear(now time.Time) {
@@ -28,6 +28,7 @@
 	c.nearNext = now.Add(fleet.PassInterval)
 	t := c.nearTick(now)
 	t.Others = c.others(now)
+	t.Changes = c.latest.updates(c.registry, passedAge, now)
 	c.edge.options.Seams.Tell(c.fleet.NearTargets(c.round), t)
 	c.round++
 	if c.relay() && !now.Before(c.zonesNext) {
@@ -38,6 +39,7 @@
 // tellAll sends a tick to all hosts of the own zone.
 func (c *control) tellAll(now time.Time) {
 	t := c.nearTick(now)
+	t.Changes = c.latest.updates(c.registry, latestAge, now)
 	if c.relay() {
 		c.zonesNext = now.Add(zonesInterval)
 		c.addZones(t, now)
@@ -103,6 +105,7 @@
 func (c *control) tellFar(now time.Time) {
 	c.farNext = now.Add(farInterval)
 	t := c.tick(now)
+	t.Changes = c.latest.updates(c.registry, latestAge, now)
 	if c.relay() {
 		t.Zones = []ZoneNews{c.ownZone()}
 	}
@@ -149,6 +152,7 @@
 // hear takes in a tick that arrived at the time.
 func (c *control) hear(t *Tick, now time.Time) {
 	c.fleet.Hear(t.From, now)
+	c.hearChanges(t, now)
 	behind := false
 	for p := range registry.Parts {
 		behind = c.hearNews(p, &t.News[p], now) || behind
@@ -269,7 +273,7 @@
 		if current.After(c.registry.Current(p)) {
 			c.readers[p].source = b.Readers[p]
 		}
-		if c.registry.Apply(u, current, now) {
+		if c.apply(u, current, now) {
 			changed = true
 			c.logNews(p, from, len(u.Records), now.Sub(began), now)
 		}
@@ -280,6 +284,34 @@
 	}
 }
 
+// apply takes in what changed, and reports whether any of it matters to traffic.
+func (c *control) apply(u registry.Update, current, now time.Time) bool {
+	since := c.registry.Version(u.Part)
+	if !c.registry.Apply(u, current, now) {
+		return false
+	}
+	c.latest.note(u.Part, since, now)
+	return true
+}
+
+// hearChanges takes in the changes that a tick holds and this host lacks.
+func (c *control) hearChanges(t *Tick, now time.Time) {
+	b := &Book{}
+	for _, u := range t.Changes {
+		if p := u.Part; p >= 0 && p < registry.Parts && u.Version > c.registry.Version(p) {
+			b.Updates = append(b.Updates, u)
+		}
+	}
+	if len(b.Updates) == 0 {
+		return
+	}
+	for p := range registry.Parts {
+		b.Ages[p] = t.News[p].Age
+		b.Readers[p] = t.News[p].Reader
+	}
+	c.learn(b, t.From.Name, now, now)
+}
+
 // logNews writes a line for news that matter to traffic: whom they came from and how
 // long they took.
 func (c *control) logNews(p registry.Part, from string, records int, took time.Duration, now time.Time) {
--- a/core/edge/news_test.go
+++ b/core/edge/news_test.go
@@ -69,6 +69,10 @@
 	}
 	a, b := k.start("a", "z1"), k.start("b", "z1")
 	k.ready(a, b)
+	for i := range 200 {
+		k.list(fmt.Sprint("i-0123456789cd", i), "z1")
+		k.unlist(fmt.Sprint("i-0123456789ab", i))
+	}
 	<-time.After(time.Second)
 	const datagram = 60 << 10
 	k.c.Check(k.longest.Load() < datagram, qt.IsTrue, qt.Commentf("a tick of %d bytes", k.longest.Load()))
--- a/core/edge/pass.go
+++ b/core/edge/pass.go
@@ -12,9 +12,9 @@
 	// by then others have passed it on twice.
 	passAge = 450 * time.Millisecond
 	// passMost is the most hosts that a tick tells of, and passStates the most
-	// endpoints of theirs: at some 100 bytes each, a tick stays under 40 KB.
+	// endpoints of theirs: at some 100 bytes each, a tick stays under 50 KB.
 	passMost   = 48
-	passStates = 192
+	passStates = 160
 )
 
 // heardHost is what a host of the own zone told of itself.
--- a/core/edge/reader.go
+++ b/core/edge/reader.go
@@ -131,7 +131,7 @@
 	r.whole = false
 	r.acting = true
 	r.source = c.fleet.Self().Name
-	changed := c.registry.Apply(u, currentOf(p, began, now), now)
+	changed := c.apply(u, currentOf(p, began, now), now)
 	c.publish(now)
 	if changed {
 		c.logNews(p, "platform", len(u.Records), now.Sub(began), now)
--- a/core/edge/tick.go
+++ b/core/edge/tick.go
@@ -15,6 +15,9 @@
 	// News tells how much the host knows of each part of the platform's
 	// records.
 	News [registry.Parts]News `json:"news"`
+	// Changes are the latest changes, as far as there is room for them. A host that
+	// lacks more fetches it.
+	Changes []registry.Update `json:"changes,omitempty"`
 	// Owned is what the host tells of the endpoints that it owns. Only hosts of
 	// its zone get it.
 	Owned map[string]balance.State `json:"owned,omitempty"`
--- a/core/registry/record.go
+++ b/core/registry/record.go
@@ -61,6 +61,9 @@
 	Part Part `json:"part"`
 	// Whole is true if Records hold all that exists; what is missing is gone.
 	Whole bool `json:"whole,omitempty"`
+	// Since is the version after which Records hold all changes. What is known up to
+	// an older one is not complete with them.
+	Since uint64 `json:"since,omitempty"`
 	// Version is the platform's counter up to which the part is complete.
 	Version uint64   `json:"version"`
 	Records []Record `json:"records,omitempty"`
--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -122,11 +122,11 @@
 }
 
 // Apply takes in what was read at the time current. It ignores a part that is
-// older than what is known, and reports whether anything changed that matters
-// to traffic.
+// older than what is known or that lacks changes before it, and reports whether
+// anything changed that matters to traffic.
 func (r *Registry) Apply(u Update, current, now time.Time) bool {
 	s := &r.states[u.Part]
-	if u.Version < s.version {
+	if u.Version < s.version || (!u.Whole && u.Since > s.version) {
 		return false
 	}
 	before := r.changes
@@ -318,6 +318,7 @@
 func (r *Registry) Since(p Part, version uint64, now time.Time) Update {
 	u := Update{
 		Part:    p,
+		Since:   version,
 		Version: r.states[p].version,
 	}
 	if p == Orders {
--- a/core/registry/registry_test.go
+++ b/core/registry/registry_test.go
@@ -229,6 +229,22 @@
 	c.Assert(usable(b), qt.DeepEquals, []string{"c"})
 }
 
+// TestChangesAfterAGap guards against a removal that is lost since a host takes itself for
+// complete: it takes no changes that follow ones that it lacks.
+func TestChangesAfterAGap(t *testing.T) {
+	c := qt.New(t)
+	a, b := registry.New(), registry.New()
+	first := update(registry.Endpoints, 5, listed("a", 3, 1), listed("b", 4, 1), listed("c", 5, 1))
+	a.Apply(first, start, start)
+	b.Apply(first, start, start)
+	a.Apply(update(registry.Endpoints, 7, gone("a", 7)), start, start)
+	a.Apply(update(registry.Endpoints, 9, gone("b", 9)), start, start)
+	c.Assert(b.Apply(a.Since(registry.Endpoints, 7, start), start, start), qt.IsFalse)
+	c.Assert(b.Version(registry.Endpoints), qt.Equals, uint64(5))
+	c.Assert(b.Apply(a.Since(registry.Endpoints, 5, start), start, start), qt.IsTrue)
+	c.Assert(usable(b), qt.DeepEquals, []string{"c"})
+}
+
 // TestDoubt makes knowledge old after a time in which the host did not run.
 func TestDoubt(t *testing.T) {
 	c := qt.New(t)
