core/edge: pass on what relays told of other zones

What callers saw: work refused or sent to the wrong hosts, since whole zones that lived counted as dead; with it the budget's parts grew and ticks became too long. Cause: in a large zone a host heard of other zones from its relay only, every 500 ms, in the longest datagrams that there are; five losses in a row made all hosts of the other zones dead. Change: every other round of ticks passes on what is known of other zones, up to 256 names; news of a zone by others counts only if it is newer than its relay's last word by half of the interval. TestZoneHeardByOthers: hosts of the other zone dead after 2.2 s before, alive all 5 s now.

--- a/core/edge/control.go
+++ b/core/edge/control.go
@@ -50,8 +50,10 @@
 	registry *registry.Registry
 	fleet    *fleet.Fleet
 	readers  [registry.Parts]reader
-	// zones is what relays told of their zones.
-	zones map[string]zoneState
+	// zones is what relays told of their zones, and nextZone counts those that were
+	// passed on.
+	zones    map[string]zoneState
+	nextZone int
 	// began is when the host started, and joined is true once the platform lists
 	// it.
 	began    time.Time
--- a/core/edge/exchange.go
+++ b/core/edge/exchange.go
@@ -15,6 +15,18 @@
 // other zones and of shares.
 const zonesInterval = 500 * time.Millisecond
 
+const (
+	// zonesRounds is the number of rounds of ticks in a large zone of which one passes on
+	// what relays told of other zones.
+	zonesRounds = 2
+	// zoneHosts is the most names of hosts of other zones in a tick, at some 20 bytes
+	// each, but for a zone that has more.
+	zoneHosts = 256
+	// toldAgain is how much newer what others pass on of a zone has to be than what is
+	// known: its relay tells at longer intervals, and ages are not exact.
+	toldAgain = farInterval / 2
+)
+
 // ownedMost is the most endpoints of its own that a host tells of in a tick.
 const ownedMost = 64
 
@@ -29,6 +41,9 @@
 	t := c.nearTick(now)
 	t.Others = c.others(now)
 	t.Changes = c.latest.updates(c.registry, passedAge, now)
+	if c.round%zonesRounds == 0 {
+		t.Zones = c.knownZones(now)
+	}
 	c.edge.options.Seams.Tell(c.fleet.NearTargets(c.round), t)
 	c.round++
 	if c.relay() && !now.Before(c.zonesNext) {
@@ -92,13 +107,30 @@
 // addZones adds what a relay tells of zones and shares.
 func (c *control) addZones(t *Tick, now time.Time) {
 	t.Shares = c.edge.balancer.Shares()
-	for z, s := range c.zones {
-		t.Zones = append(t.Zones, ZoneNews{
+	t.Zones = c.knownZones(now)
+}
+
+// knownZones returns what is known of other zones, as far as there is room, the rest in
+// the next rounds.
+func (c *control) knownZones(now time.Time) []ZoneNews {
+	zones := slices.Sorted(maps.Keys(c.zones))
+	s := []ZoneNews{}
+	hosts := 0
+	for range zones {
+		c.nextZone++
+		z := zones[c.nextZone%len(zones)]
+		n := c.zones[z]
+		if hosts += len(n.live); hosts > zoneHosts && len(s) > 0 {
+			c.nextZone--
+			break
+		}
+		s = append(s, ZoneNews{
 			Zone: z,
-			Live: s.live,
-			Age:  now.Sub(s.at),
+			Live: n.live,
+			Age:  now.Sub(n.at),
 		})
 	}
+	return s
 }
 
 // tellFar sends a tick to the relays of the other zones.
@@ -209,7 +241,7 @@
 	for i := range t.Zones {
 		z := &t.Zones[i]
 		at := now.Add(-z.Age)
-		if z.Zone == c.fleet.Self().Zone {
+		if z.Zone == c.fleet.Self().Zone || (t.From.Zone != z.Zone && at.Before(c.zones[z.Zone].at.Add(toldAgain))) {
 			continue
 		}
 		if n := c.fleet.Tell(z.Zone, z.Live, at); n != "" {
