core/registry: pass on that an endpoint is believed only for a while

What callers saw: requests could be sent to an endpoint that is gone until a whole reading, after the platform had been away (DRAIN). Cause: the host that reads believes entries that are missing for two seconds after the platform's return. It took the version of the removal as known, told the others that nothing had changed up to there, and removed the entry by itself later; they never heard of it. Change: a missing entry is a change with the time that is left, each host removes it by itself, and one that is listed again is a change too. TestLapsedIsPassedOn failed before; TestBackIsPassedOn is new.

--- a/core/registry/record.go
+++ b/core/registry/record.go
@@ -49,6 +49,9 @@
 	Version uint64 `json:"version"`
 	// Removed is true if the subject is gone. Then only its name is known.
 	Removed bool `json:"removed,omitempty"`
+	// GoneIn is how long an endpoint is still believed that is missing from the platform's
+	// records, or zero.
+	GoneIn time.Duration `json:"gone_in,omitempty"`
 
 	Declaration *route.Declaration `json:"declaration,omitempty"`
 	// EmptiedZone is an availability zone whose endpoints get no work.
--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -150,6 +150,11 @@
 		r.declare(c)
 	case c.EmptiedZone != "":
 		r.empty(c, now)
+	case c.Endpoint != nil && c.GoneIn > 0:
+		if e := r.endpoints[c.Endpoint.ID]; e == nil || !e.same(c.Endpoint) {
+			r.list(c, now)
+		}
+		r.miss(c.Endpoint.ID, c.Version, now.Add(c.GoneIn))
 	case c.Endpoint != nil && c.Removed:
 		r.remove(c.Endpoint.ID, c.Version, now)
 	case c.Endpoint != nil:
@@ -222,13 +227,13 @@
 		r.changes++
 		return
 	}
-	if older(&n, &e.Endpoint) || (!e.removed.IsZero() && c.Version <= e.version) {
+	out := !e.removed.IsZero() || !e.missing.IsZero()
+	if older(&n, &e.Endpoint) || (out && c.Version <= e.version) {
 		return
 	}
 	colder := n.ColdUntil.Sub(e.ColdUntil) > coldSlack && n.ColdLeft > 0
-	if e.removed.IsZero() && e.same(&n) && !colder {
+	if !out && e.same(&n) && !colder {
 		e.Sequence = n.Sequence
-		e.missing = time.Time{}
 		return
 	}
 	if n.Born.Equal(e.Born) {
@@ -254,14 +259,27 @@
 	if e == nil || !e.removed.IsZero() || version < e.version {
 		return
 	}
+	e.version = version
+	r.changes++
 	if now.Before(r.awayUntil) && !e.Leaving {
 		if e.missing.IsZero() {
 			e.missing = r.awayUntil
 		}
-		e.version = version
 		return
 	}
 	e.removed = now
+}
+
+// miss takes in that another host believes an endpoint for a while that is missing from
+// the platform's records. It does not believe it for longer.
+func (r *Registry) miss(id string, version uint64, until time.Time) {
+	e := r.endpoints[id]
+	if e == nil || !e.removed.IsZero() || version < e.version || (version == e.version && !e.missing.IsZero()) {
+		return
+	}
+	if e.missing.IsZero() || until.Before(e.missing) {
+		e.missing = until
+	}
 	e.version = version
 	r.changes++
 }
@@ -340,11 +358,15 @@
 func (e *entry) record(now time.Time) Record {
 	x := e.Endpoint
 	x.ColdLeft = max(0, x.ColdUntil.Sub(now))
-	return Record{
+	c := Record{
 		Version:  e.version,
 		Removed:  !e.removed.IsZero(),
 		Endpoint: &x,
 	}
+	if !e.missing.IsZero() && e.removed.IsZero() {
+		c.GoneIn = max(time.Millisecond, e.missing.Sub(now))
+	}
+	return c
 }
 
 func (r *Registry) ordersSince(version uint64) []Record {
--- a/core/registry/registry_test.go
+++ b/core/registry/registry_test.go
@@ -119,6 +119,10 @@
 	pass(start)
 	c.Check(usable(a), qt.DeepEquals, []string{"a", "b"})
 	c.Check(usable(b), qt.DeepEquals, []string{"a", "b"})
+	// What the same host tells again changes nothing.
+	changes := b.Changes()
+	b.Apply(a.Since(registry.Endpoints, 5, start), start, start)
+	c.Check(b.Changes(), qt.Equals, changes)
 	late := start.Add(2 * time.Second)
 	a.Expire(late)
 	b.Expire(late)
@@ -127,6 +131,28 @@
 	c.Check(usable(b), qt.DeepEquals, []string{"b"})
 }
 
+// TestBackIsPassedOn guards against the loss of endpoints that live: one that is listed
+// again in time is so at other hosts too.
+func TestBackIsPassedOn(t *testing.T) {
+	c := qt.New(t)
+	a, b := registry.New(), registry.New()
+	pass := func(now time.Time) {
+		b.Apply(a.Since(registry.Endpoints, b.Version(registry.Endpoints), now), now, now)
+	}
+	a.Apply(update(registry.Endpoints, 5, listed("a", 3, 1)), start, start)
+	pass(start)
+	a.Returned(start)
+	a.Apply(update(registry.Endpoints, 8, gone("a", 7)), start, start)
+	pass(start)
+	a.Apply(update(registry.Endpoints, 9, listed("a", 9, 2)), start, start.Add(time.Second))
+	pass(start.Add(time.Second))
+	late := start.Add(3 * time.Second)
+	a.Expire(late)
+	b.Expire(late)
+	c.Check(usable(a), qt.DeepEquals, []string{"a"})
+	c.Check(usable(b), qt.DeepEquals, []string{"a"})
+}
+
 // TestWholeReading takes what a whole reading does not hold as gone.
 func TestWholeReading(t *testing.T) {
 	c := qt.New(t)
