io/endpoint: bound what answers without an end may take

Endpoints in trouble may send bytes without end, in a head or a body. Heads, interim answers and what follows a whole answer were bounded before (64 KB), as the new test shows. A body was read up to 32 MB for each request: 24 endless bodies took 864,598,296 bytes, and a host of 136 to 206 MB would have been killed. Change: an answer without a stated length may have 8 MB, and all answers over 64 KB that are read at a time 32 MB; beyond that the request fails as endless and the connection is closed. Answers with a stated length of up to 32 MB are taken as before (TestLongAnswer). TestEndlessBytes (body without a length, chunks) and TestManyEndlessBodies failed before.

--- a/core/edge/request.go
+++ b/core/edge/request.go
@@ -111,7 +111,7 @@
 type Failure struct {
 	// Sent is true if the endpoint may have the request.
 	Sent bool `json:"sent"`
-	// Reason is one of unreachable, reset, foreign, incomplete, silent.
+	// Reason is one of unreachable, reset, foreign, incomplete, endless, silent.
 	Reason string `json:"reason"`
 	// Cause is nil if another host met the failure.
 	Cause error `json:"-"`
--- a/io/endpoint/sender.go
+++ b/io/endpoint/sender.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -67,6 +66,7 @@
 // Sender sends requests to endpoints. It is safe for concurrent use.
 type Sender struct {
 	headers Headers
+	room    room
 
 	mu    sync.Mutex
 	pools map[poolKey]*pooled
@@ -126,7 +126,7 @@
 		return nil, failureOf(err)
 	}
 	defer a.Body.Close()
-	b, err := io.ReadAll(a.Body)
+	b, err := s.room.read(a)
 	if err != nil {
 		return nil, failureOf(err)
 	}
@@ -188,6 +188,10 @@
 		Cause:  err,
 	}
 	f := (*wire.Failure)(nil)
+	if errors.Is(err, errUnstated) || errors.Is(err, errHeld) {
+		x.Reason = "endless"
+		return x
+	}
 	if !errors.As(err, &f) {
 		// The call could not be encoded.
 		x.Sent = false
@@ -231,7 +235,7 @@
 				DialsPerSecond: dialsPerSecond,
 				DialBurst:      dialBurst,
 				IDHeader:       s.headers.RequestID,
-				Whole:          maxAnswerBytes,
+				Whole:          atOnceBytes,
 				MaxAnswer:      maxAnswerBytes,
 				Proofless:      true,
 				OnceIdle:       onceIdle,
--- a/io/endpoint/sender_test.go
+++ b/io/endpoint/sender_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -120,7 +121,7 @@
 	c      *qt.C
 	sender *endpoint.Sender
 	host   *host
-	n      int
+	n      atomic.Int64
 }
 
 func newBench(t *testing.T, scripts ...script) *bench {
@@ -137,7 +138,7 @@
 func (b *bench) send(once bool) (*edge.Reply, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	b.n++
+	id := b.n.Add(1)
 	return b.sender.Send(ctx, &edge.Sending{
 		Once:     once,
 		Deadline: time.Now().Add(time.Second),
@@ -146,7 +147,7 @@
 			Address: b.host.listener.Addr().String(),
 		},
 		Request: &edge.Request{
-			ID:     fmt.Sprint("q", b.n),
+			ID:     fmt.Sprint("q", id),
 			Method: http.MethodPost,
 			Host:   "desk.example",
 			Target: "/look//7%2F8?x=1&&y",
