core/edge, core/fleet: keep the allowance of cold endpoints where hosts see few

What callers would see: a cold endpoint crashes under more than it bears (FAILBACK). Cause: the allowance of a cold endpoint is divided by the hosts of its zone that a host sees, and goes whole to its owner; six hosts that do not hear each other are six owners, with 4.2 times the allowance together. Change: an owner that sees a part of the zone's known hosts has that part of the allowance. Looked at and found sound: quotas of declarations (divided by declared slots) and connections (by a fixed number). TestColdAllowanceOfHostsThatSeeFew fails before. The line sent tells the age of the news as it was when the request was sent; it had told that of the answer's time.

--- a/core/edge/carry.go
+++ b/core/edge/carry.go
@@ -19,6 +19,8 @@
 	request *Request
 	ask     balance.Ask
 	once    bool
+	// news is when the endpoints were last known to be current as it was sent.
+	news time.Time
 }
 
 // carry has a job done by the endpoint's owner: this host, or another one that
@@ -157,6 +159,7 @@
 		})
 	}
 	began := time.Now()
+	j.news = e.View().Current[registry.Endpoints]
 	reply, err := e.options.Seams.Send(ctx, &Sending{
 		Request:  j.request,
 		Target:   p.Target,
@@ -193,7 +196,7 @@
 	c.Took = now.Sub(began)
 	e.options.Log("sent", "request", j.request.ID, "object", j.request.Object, "upstream", p.Target.Upstream,
 		"endpoint", p.Target.ID, "queued", p.Waited, "took", c.Took, "load", s.Load, "reported", r.Load,
-		"news_age", ageOf(e.View().Current[registry.Endpoints], began), "outcome", o, "failure", reasonOf(c.Failure))
+		"news_age", ageOf(j.news, began), "outcome", o, "failure", reasonOf(c.Failure))
 	e.logRest(p, o, j, c)
 	return c
 }
--- a/core/edge/control.go
+++ b/core/edge/control.go
@@ -251,7 +251,7 @@
 		}
 	}
 	s := c.registry.Usable()
-	c.edge.balancer.Set(s, limits, c.placements(), now)
+	c.edge.balancer.Set(s, limits, c.placements(now), now)
 	c.startShares(s)
 	c.logEndpoints(s, now)
 }
@@ -280,27 +280,31 @@
 
 // placements returns a function that says what this host is to an endpoint. It looks
 // the hosts of each zone up once.
-func (c *control) placements() func(e *registry.Endpoint) balance.Placement {
+func (c *control) placements(now time.Time) func(e *registry.Endpoint) balance.Placement {
 	zones := map[string][]fleet.Member{}
+	sharers := c.fleet.SharersByZone(now)
 	return func(e *registry.Endpoint) balance.Placement {
 		hosts, ok := zones[e.Zone]
 		if !ok {
 			hosts = c.hostsOf(e.Zone)
 			zones[e.Zone] = hosts
 		}
-		return c.placement(e, hosts)
+		return c.placement(e, hosts, sharers[e.Zone])
 	}
 }
 
-// placement says what this host is to an endpoint that the hosts send to.
-func (c *control) placement(e *registry.Endpoint, hosts []fleet.Member) balance.Placement {
+// placement says what this host is to an endpoint that the hosts send to. So many hosts,
+// silent ones among them, may take themselves for one of these: together they keep the
+// allowance of a cold endpoint.
+func (c *control) placement(e *registry.Endpoint, hosts []fleet.Member, sharers int) balance.Placement {
 	self := c.fleet.Self()
+	sharers = max(1, sharers, len(hosts))
 	m := balance.Placement{
-		ColdOwn: coldPart,
+		ColdOwn: coldPart * float64(len(hosts)) / float64(sharers),
 	}
 	for i := range hosts {
 		if hosts[i].Name == self.Name {
-			m.ColdPart = coldPart / float64(len(hosts))
+			m.ColdPart = coldPart / float64(sharers)
 		}
 	}
 	m.Owner = fleet.Owner(hosts, e.ID)
--- a/core/edge/repeats_test.go
+++ b/core/edge/repeats_test.go
@@ -10,6 +10,8 @@
 	qt "github.com/frankban/quicktest"
 
 	"heatherford/core/budget"
+	"heatherford/core/fleet"
+	"heatherford/core/registry"
 )
 
 // TestRepeatAfterAnOwnersRefusal guards against sendings that no budget counts: those of
@@ -91,3 +93,42 @@
 	})
 	c.Check(left() <= slack, qt.IsTrue, qt.Commentf("%d repeats are left to all hosts, %d are allowed", left(), slack))
 }
+
+// TestColdAllowanceOfHostsThatSeeFew guards against the same for cold endpoints, which
+// crash under more than their allowance.
+func TestColdAllowanceOfHostsThatSeeFew(t *testing.T) {
+	c := qt.New(t)
+	const hosts = 6
+	members := []fleet.Member{}
+	for i := range hosts {
+		members = append(members, fleet.Member{
+			Name: fmt.Sprint("a", i),
+			Zone: "z1",
+		})
+	}
+	start := time.Unix(1_000_000, 0)
+	for name, now := range map[string]time.Time{
+		"all see each other": start,
+		"all are alone":      start.Add(time.Minute),
+	} {
+		own := 0.0
+		for _, m := range members {
+			x := &control{
+				edge: New(Options{
+					Self: m,
+				}),
+				fleet: fleet.New(m),
+			}
+			x.fleet.List(members, start)
+			x.live = x.fleet.Live(now)
+			p := x.placements(now)(&registry.Endpoint{
+				ID:   "e1",
+				Zone: "z1",
+			})
+			if p.Owner == m.Name {
+				own += p.ColdOwn
+			}
+		}
+		c.Check(own <= 1, qt.IsTrue, qt.Commentf("%s: %.1f times the allowance", name, own))
+	}
+}
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -213,13 +213,24 @@
 // hosts may do together. A host that is silent keeps its part, since it may only be out of
 // reach.
 func (f *Fleet) Sharers(now time.Time) int {
-	n := 1
+	n := 0
+	for _, k := range f.SharersByZone(now) {
+		n += k
+	}
+	return n
+}
+
+// SharersByZone returns the same number for each zone.
+func (f *Fleet) SharersByZone(now time.Time) map[string]int {
+	m := map[string]int{
+		f.self.Zone: 1,
+	}
 	for _, p := range f.peers {
 		if now.Sub(p.known()) <= sharerAge {
-			n++
+			m[p.Zone]++
 		}
 	}
-	return n
+	return m
 }
 
 // inOrder returns the members of peers in the order that all hosts know.
