--- a/cmd/heatherford-edge/daemon.go
+++ b/cmd/heatherford-edge/daemon.go
@@ -74,6 +74,7 @@
 		Book:    d.book,
 		Take:    d.take,
 		Log:     d.log.Log,
+		Ticked:  m.Ticked,
 	})
 	if err != nil {
 		return nil, err
--- a/io/host/host.go
+++ b/io/host/host.go
@@ -43,6 +43,12 @@
 	dialTimeout = 300 * time.Millisecond
 )
 
+// The outcomes of ticks.
+const (
+	sent    = "sent"
+	notSent = "not_sent"
+)
+
 // parameters are the versions that a book is asked beyond, by part.
 var parameters = [registry.Parts]string{
 	registry.Orders:    "orders",
@@ -61,6 +67,8 @@
 	Take func(ctx context.Context, c *edge.Carried) *edge.Carry
 	// Log writes a line of a kind with pairs of keys and values.
 	Log func(kind string, pairs ...any)
+	// Ticked counts ticks of an outcome, and their bytes.
+	Ticked func(outcome string, ticks, bytes int)
 }
 
 // Link exchanges ticks and books with other hosts. It is safe for concurrent
@@ -156,14 +164,19 @@
 		err = fmt.Errorf("host: a tick of %d bytes is too long", len(b))
 	}
 	if err != nil {
+		l.options.Ticked(notSent, len(to), len(to)*len(b))
 		l.options.Log("tick", "outcome", "not sent", "err", err)
 		return
 	}
+	failed := 0
 	for _, m := range to {
 		if _, err := l.udp.WriteToUDPAddrPort(b, m.Peers); err != nil {
+			failed++
 			l.options.Log("tick", "to", m.Name, "outcome", "not sent", "err", err)
 		}
 	}
+	l.options.Ticked(notSent, failed, failed*len(b))
+	l.options.Ticked(sent, len(to)-failed, (len(to)-failed)*len(b))
 }
 
 func (l *Link) serveBook(w http.ResponseWriter, r *http.Request) {
--- a/io/host/host_test.go
+++ b/io/host/host_test.go
@@ -6,6 +6,8 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -30,6 +32,21 @@
 	member fleet.Member
 	heard  chan *edge.Tick
 	take   func(ctx context.Context, c *edge.Carried) *edge.Carry
+
+	mu    sync.Mutex
+	ticks map[string]int
+}
+
+func (p *peer) ticked(outcome string, ticks, _ int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.ticks[outcome] += ticks
+}
+
+func (p *peer) counted(outcome string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.ticks[outcome]
 }
 
 func newPeer(t *testing.T, name string) *peer {
@@ -40,6 +57,7 @@
 	l.Close()
 	p := &peer{
 		heard: make(chan *edge.Tick, 16),
+		ticks: map[string]int{},
 		member: fleet.Member{
 			Name:  name,
 			Peers: a,
@@ -58,6 +76,8 @@
 		},
 		Take: func(ctx context.Context, c *edge.Carried) *edge.Carry { return p.take(ctx, c) },
 		Log:  func(string, ...any) {},
+
+		Ticked: p.ticked,
 	})
 	c.Assert(err, qt.IsNil)
 	x := &tomb.Tomb{}
@@ -95,6 +115,20 @@
 	case <-time.After(time.Second):
 		c.Fatal("nothing heard")
 	}
+	c.Check(a.counted("sent"), qt.Equals, 1)
+}
+
+// TestTickTooLong guards against ticks that are dropped without anybody noticing.
+func TestTickTooLong(t *testing.T) {
+	c := qt.New(t)
+	a, b := newPeer(t, "a"), newPeer(t, "b")
+	a.link.Tell([]fleet.Member{b.member, b.member}, &edge.Tick{
+		From: fleet.Member{
+			Name: strings.Repeat("a", 70<<10),
+		},
+	})
+	c.Check(a.counted("not_sent"), qt.Equals, 2)
+	c.Check(a.counted("sent"), qt.Equals, 0)
 }
 
 // TestFetch asks for what is beyond the versions.
--- a/io/monitor/monitor.go
+++ b/io/monitor/monitor.go
@@ -147,6 +147,15 @@
 	c.Inc(1)
 }
 
+// Ticked counts ticks to other hosts by their outcome, and their bytes.
+func (m *Monitor) Ticked(outcome string, ticks, bytes int) {
+	s := m.meter.Scope.Tagged(map[string]string{
+		"outcome": outcome,
+	})
+	s.Counter("ticks").Inc(int64(ticks))
+	s.Counter("tick_bytes").Inc(int64(bytes))
+}
+
 // Start serves the metrics at the address, and samples gauges, in goroutines of t.
 // LeftOut returns the number of log lines that were left out, by kind.
 func (m *Monitor) Start(t *tomb.Tomb, a netip.AddrPort, e *edge.Edge, leftOut func() map[string]uint64) error {
--- a/io/monitor/monitor_test.go
+++ b/io/monitor/monitor_test.go
@@ -188,6 +188,7 @@
 	c.Assert(err, qt.IsNil)
 	e := newEdge(c, 2)
 	m.Called("get", "200")
+	m.Ticked("sent", 1, 100)
 	observe(m, &route.Route{}, edge.Answer{
 		Code:     code.Answered,
 		Endpoint: "e1",
