--- a/core/edge/repeats_test.go
+++ b/core/edge/repeats_test.go
@@ -91,6 +91,7 @@
 		}
 		return true
 	})
+	c.Logf("%d repeats are left to all hosts", left())
 	c.Check(left() <= slack, qt.IsTrue, qt.Commentf("%d repeats are left to all hosts, %d are allowed", left(), slack))
 }
 
