--- a/cmd/heatherford-soak/client.go
+++ b/cmd/heatherford-soak/client.go
@@ -29,6 +29,8 @@
 	unsafe []string
 	notRun []string
 	broken []string
+	// asks holds when each request was sent.
+	asks   []time.Time
 	asked  int
 	served int
 	// cut counts connections that ended without an answer.
@@ -118,6 +120,7 @@
 	q.Header.Set(desk.HeaderObject, fmt.Sprint(r.IntN(40)))
 	w.ledger.note(func() {
 		w.ledger.asked++
+		w.ledger.asks = append(w.ledger.asks, time.Now())
 		if once {
 			w.ledger.unsafe = append(w.ledger.unsafe, id)
 		}
--- a/cmd/heatherford-soak/fault.go
+++ b/cmd/heatherford-soak/fault.go
@@ -20,7 +20,7 @@
 	way := w.ways[w.random.IntN(len(w.ways))]
 	store := w.stores[host]
 	d := time.Duration(200+w.random.IntN(1800)) * time.Millisecond
-	switch w.random.IntN(12) {
+	switch w.random.IntN(13) {
 	case 0:
 		w.on(group, host, "kill", func(p *process) { p.signal(syscall.SIGKILL) })
 	case 1:
@@ -59,6 +59,12 @@
 	case 11:
 		w.note("configure")
 		w.configure([]string{"one", "two"}[w.random.IntN(2)])
+	case 12:
+		w.during(group, "reject", d, func(on bool) {
+			for _, e := range w.endpoints {
+				e.Reject(on)
+			}
+		})
 	}
 }
 
--- a/cmd/heatherford-soak/process.go
+++ b/cmd/heatherford-soak/process.go
@@ -80,7 +80,7 @@
 zone = %q
 region = %q
 internalPorts = [%d,%d]
-bounds = ["grace=6s","budgetSlack=200"]
+bounds = ["grace=6s","retryBudgetRatio=%g","budgetWindow=%s","budgetSlack=%d"]
 [zones]
 n1 = "north"
 n2 = "north"
@@ -93,7 +93,7 @@
 cpuShare = 1.0
 [platform]
 address = %q
-`, name, zone, region, p+3, p+4, x.callers, x.lookups, table), mode)
+`, name, zone, region, p+3, p+4, repeatRatio, repeatWindow, repeatSlack, x.callers, x.lookups, table), mode)
 }
 
 // start starts the process.
--- a/cmd/heatherford-soak/world.go
+++ b/cmd/heatherford-soak/world.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"sort"
 	"strings"
 	"sync"
 	"syscall"
@@ -32,6 +33,11 @@
 	drainTime = 2300 * time.Millisecond
 	// clients is the number of clients.
 	clients = 12
+	// repeatRatio, repeatWindow and repeatSlack bound the repeats of each service over
+	// all hosts.
+	repeatRatio  = 0.2
+	repeatWindow = 3 * time.Second
+	repeatSlack  = 24
 )
 
 var regions = map[string]string{
@@ -294,8 +300,10 @@
 }
 
 // settle checks what holds whatever happened: what may not be repeated ran at most
-// once, and what was said not to have run did not.
+// once, what was said not to have run did not, and repeats were few.
 func (w *world) settle() {
+	w.settleRepeats("one")
+	w.settleRepeats("two")
 	for _, id := range w.ledger.unsafe {
 		if n := w.runs.Of(id); n > 1 {
 			w.ledger.broken = append(w.ledger.broken, fmt.Sprintf("%s ran %d times", id, n))
@@ -308,6 +316,32 @@
 	}
 }
 
+// settleRepeats checks the repeats at a service in each window: together the hosts keep
+// within a part of the requests of that window, the one before it, or the one half a window
+// before it, whichever has most, and the slack.
+func (w *world) settleRepeats(service string) {
+	s := w.runs.Repeats(service)
+	for i, end := range s {
+		begin := end.Add(-repeatWindow)
+		n := i + 1 - before(s, begin)
+		asked := 0
+		for _, shift := range []time.Duration{0, repeatWindow / 2, repeatWindow} {
+			asked = max(asked, before(w.ledger.asks, end.Add(-shift))-before(w.ledger.asks, begin.Add(-shift)))
+		}
+		if bound := repeatRatio*float64(asked) + repeatSlack; float64(n) > bound {
+			w.ledger.broken = append(w.ledger.broken, fmt.Sprintf("%d repeats at %s in %s, for %d requests", n, service, repeatWindow, asked))
+			return
+		}
+	}
+}
+
+// before returns how many times of an ordered list lie before one.
+func before(s []time.Time, t time.Time) int {
+	return sort.Search(len(s), func(i int) bool {
+		return !s[i].Before(t)
+	})
+}
+
 func (w *world) once(id string) bool {
 	for _, x := range w.ledger.unsafe {
 		if x == id {
--- a/standin/desk/endpoint.go
+++ b/standin/desk/endpoint.go
@@ -35,6 +35,10 @@
 	runs map[string]int
 	// arrivals holds the last arrival at each endpoint.
 	arrivals map[string]time.Time
+	// seen holds the requests that came to each service, and repeats the times at which
+	// one came that had come before.
+	seen    map[string]map[string]bool
+	repeats map[string][]time.Time
 }
 
 // NewRuns returns an empty count.
@@ -42,9 +46,34 @@
 	return &Runs{
 		runs:     map[string]int{},
 		arrivals: map[string]time.Time{},
+		seen:     map[string]map[string]bool{},
+		repeats:  map[string][]time.Time{},
 	}
 }
 
+// arrive notes that a request came to an endpoint.
+func (r *Runs) arrive(o *Options, id string, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.arrivals[o.ID] = now
+	s := r.seen[o.Service]
+	if s == nil {
+		s = map[string]bool{}
+		r.seen[o.Service] = s
+	}
+	if s[id] {
+		r.repeats[o.Service] = append(r.repeats[o.Service], now)
+	}
+	s[id] = true
+}
+
+// Repeats returns when requests came to a service that had come to it before.
+func (r *Runs) Repeats(service string) []time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]time.Time{}, r.repeats[service]...)
+}
+
 // Of returns how often the request was run.
 func (r *Runs) Of(id string) int {
 	r.mu.Lock()
@@ -89,6 +118,9 @@
 	sequence int
 	draining bool
 	silent   bool
+	// rejecting is true while every other request is rejected, and came counts them.
+	rejecting bool
+	came      int
 }
 
 // Start starts an endpoint.
@@ -176,6 +208,21 @@
 	e.write()
 }
 
+// Reject makes the endpoint say of every other request that it did not run it.
+func (e *Endpoint) Reject(on bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.rejecting = on
+}
+
+// rejects reports whether the request that came is to be rejected.
+func (e *Endpoint) rejects() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.came++
+	return e.rejecting && e.came%2 == 0
+}
+
 // Stop removes the entry and ends the endpoint.
 func (e *Endpoint) Stop() {
 	e.mu.Lock()
@@ -203,15 +250,18 @@
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return
 	}
-	e.options.Runs.mu.Lock()
-	e.options.Runs.arrivals[e.options.ID] = time.Now()
-	e.options.Runs.mu.Unlock()
+	e.options.Runs.arrive(&e.options, id, time.Now())
 	ms, err := strconv.Atoi(r.Header.Get(HeaderDeadline))
 	if err != nil || id == "" {
 		h.Set(headerNotRun, "1")
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if e.rejects() {
+		h.Set(headerNotRun, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	left := time.After(time.Duration(ms) * time.Millisecond)
 	select {
 	case e.slots <- struct{}{}:
