--- a/core/edge/news_test.go
+++ b/core/edge/news_test.go
@@ -1,11 +1,17 @@
 package edge
 
 import (
+	"encoding/json"
 	"fmt"
+	"net/netip"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"heatherford/core/balance"
+	"heatherford/core/fleet"
+	"heatherford/core/registry"
 )
 
 // leaveBound is how long all hosts may take to learn that an endpoint leaves: half of
@@ -82,6 +88,7 @@
 	k.ready(s...)
 	<-time.After(time.Second)
 	const datagram = 60 << 10
+	k.c.Logf("the longest tick has %d bytes", k.longest.Load())
 	k.c.Check(k.longest.Load() < datagram, qt.IsTrue, qt.Commentf("a tick of %d bytes", k.longest.Load()))
 }
 
@@ -100,6 +107,7 @@
 	}
 	<-time.After(time.Second)
 	const datagram = 60 << 10
+	k.c.Logf("the longest tick has %d bytes", k.longest.Load())
 	k.c.Check(k.longest.Load() < datagram, qt.IsTrue, qt.Commentf("a tick of %d bytes", k.longest.Load()))
 	m := a.balancer.Owned(time.Now())
 	told := map[string]bool{}
@@ -144,3 +152,116 @@
 		k.c.Assert(far, qt.Equals, 3)
 	}
 }
+
+// TestLongestTick guards against ticks that no datagram holds at the size of the users'
+// plan, 32 zones of 94 hosts, while much changes and all that a tick may hold is there.
+func TestLongestTick(t *testing.T) {
+	const (
+		zones    = 32
+		hosts    = 94
+		datagram = 60 << 10
+	)
+	c := qt.New(t)
+	now := time.Now()
+	self := fleet.Member{
+		Name:    "front-availability-zone-00-000",
+		Zone:    "availability-zone-00",
+		Region:  "region-0",
+		Started: now,
+		Peers:   netip.MustParseAddrPort("10.200.100.100:65535"),
+		Callers: netip.MustParseAddrPort("10.200.100.100:65535"),
+		Cores:   0.112,
+	}
+	longest := 0
+	e := New(Options{
+		Self: self,
+		Seams: Seams{
+			Tell: func(_ []fleet.Member, t *Tick) {
+				b, err := json.Marshal(t)
+				c.Assert(err, qt.IsNil)
+				longest = max(longest, len(b))
+			},
+		},
+	})
+	x := &control{
+		edge:     e,
+		registry: registry.New(),
+		fleet:    fleet.New(self),
+		zones:    map[string]zoneState{},
+		heard:    map[string]heardHost{},
+		live:     []fleet.Member{self},
+	}
+	state := balance.State{
+		Load:    100,
+		Backlog: 1234567 * time.Microsecond,
+		Pace:    12.34,
+		Strict:  true,
+		Failing: 0.25,
+		Missing: 0.25,
+		Rest:    1234 * time.Millisecond,
+	}
+	for i := range hosts {
+		m := self
+		m.Name = fmt.Sprintf("front-availability-zone-00-%03d", i+1)
+		x.fleet.Hear(m, now)
+		owned := map[string]balance.State{}
+		for k := range 8 {
+			owned[fmt.Sprintf("i-%05d%05d", i, k)] = state
+		}
+		x.heard[m.Name] = heardHost{
+			at:      now,
+			started: now,
+			owned:   owned,
+		}
+	}
+	for i := range zones {
+		z := zoneState{
+			at: now,
+		}
+		for k := range hosts {
+			z.live = append(z.live, fmt.Sprintf("front-availability-zone-%02d-%03d", i, k))
+		}
+		x.zones[fmt.Sprintf("availability-zone-%02d", i)] = z
+	}
+	own := []registry.Endpoint{}
+	records := []registry.Record{}
+	for i := range 400 {
+		p := registry.Endpoint{
+			ID:       fmt.Sprintf("i-%010d", i),
+			Upstream: fmt.Sprintf("upstream-%d", i%20),
+			Address:  self.Peers,
+			Zone:     self.Zone,
+			Slots:    9,
+			Born:     now,
+			Sequence: 1000000,
+		}
+		own = append(own, p)
+		records = append(records, registry.Record{
+			Version:  uint64(i + 1),
+			Endpoint: &p,
+		})
+	}
+	limits := map[string]balance.Limits{}
+	for i := range 20 {
+		limits[fmt.Sprintf("upstream-%d", i)] = balance.Limits{}
+	}
+	e.balancer.Set(own, limits, func(*registry.Endpoint) balance.Placement {
+		return balance.Placement{
+			Owner: self.Name,
+		}
+	}, now)
+	for i := 0; i < len(records); i += 10 {
+		x.apply(registry.Update{
+			Part:    registry.Endpoints,
+			Version: uint64(i + 10),
+			Records: records[i : i+10],
+		}, now, now)
+	}
+	for range 10 {
+		x.tellNear(now)
+		x.tellAll(now)
+		x.tellFar(now)
+	}
+	c.Logf("the longest tick has %d bytes", longest)
+	c.Check(longest < datagram, qt.IsTrue, qt.Commentf("%d bytes", longest))
+}
