--- a/core/edge/cluster_test.go
+++ b/core/edge/cluster_test.go
@@ -189,13 +189,7 @@
 // owners tell.
 func TestLargeZone(t *testing.T) {
 	k := newCluster(t)
-	s := []*Edge{}
-	for i := range 24 {
-		s = append(s, k.start(fmt.Sprint("a", i), "z1"))
-	}
-	for i := range 3 {
-		s = append(s, k.start(fmt.Sprint("b", i), "z2"))
-	}
+	s := append(k.startMany(24, "a", "z1"), k.startMany(3, "b", "z2")...)
 	k.ready(s...)
 	<-time.After(time.Second)
 	began := k.ticks.Load()
--- a/core/edge/control.go
+++ b/core/edge/control.go
@@ -86,12 +86,6 @@
 	usable map[string]registry.Endpoint
 }
 
-type zoneState struct {
-	at   time.Time
-	live []string
-	uses map[string]balance.Use
-}
-
 // run is the control goroutine.
 func (e *Edge) run() error {
 	c := &control{
--- a/core/edge/exchange.go
+++ b/core/edge/exchange.go
@@ -11,22 +11,6 @@
 	"heatherford/core/registry"
 )
 
-// zonesInterval is the interval at which the relay of a large zone tells its hosts of
-// other zones and of shares.
-const zonesInterval = 500 * time.Millisecond
-
-const (
-	// zonesRounds is the number of rounds of ticks in a large zone of which one passes on
-	// what relays told of other zones.
-	zonesRounds = 2
-	// zoneHosts is the most names of hosts of other zones in a tick, at some 20 bytes
-	// each, but for a zone that has more.
-	zoneHosts = 256
-	// toldAgain is how much newer what others pass on of a zone has to be than what is
-	// known: its relay tells at longer intervals, and ages are not exact.
-	toldAgain = farInterval / 2
-)
-
 // ownedMost is the most endpoints of its own that a host tells of in a tick.
 const ownedMost = 64
 
@@ -104,35 +88,6 @@
 	return false
 }
 
-// addZones adds what a relay tells of zones and shares.
-func (c *control) addZones(t *Tick, now time.Time) {
-	t.Shares = c.edge.balancer.Shares()
-	t.Zones = c.knownZones(now)
-}
-
-// knownZones returns what is known of other zones, as far as there is room, the rest in
-// the next rounds.
-func (c *control) knownZones(now time.Time) []ZoneNews {
-	zones := slices.Sorted(maps.Keys(c.zones))
-	s := []ZoneNews{}
-	hosts := 0
-	for range zones {
-		c.nextZone++
-		z := zones[c.nextZone%len(zones)]
-		n := c.zones[z]
-		if hosts += len(n.live); hosts > zoneHosts && len(s) > 0 {
-			c.nextZone--
-			break
-		}
-		s = append(s, ZoneNews{
-			Zone: z,
-			Live: n.live,
-			Age:  now.Sub(n.at),
-		})
-	}
-	return s
-}
-
 // tellFar sends a tick to the relays of the other zones.
 func (c *control) tellFar(now time.Time) {
 	c.farNext = now.Add(farInterval)
@@ -144,20 +99,6 @@
 	c.edge.options.Seams.Tell(c.fleet.FarTargets(c.live), t)
 }
 
-func (c *control) ownZone() ZoneNews {
-	z := c.fleet.Self().Zone
-	n := ZoneNews{
-		Zone: z,
-		Uses: c.edge.balancer.Uses(),
-	}
-	for _, m := range fleet.Zone(c.live, z) {
-		if !m.Leaving {
-			n.Live = append(n.Live, m.Name)
-		}
-	}
-	return n
-}
-
 func (c *control) tick(now time.Time) *Tick {
 	t := &Tick{
 		From: c.fleet.Self(),
@@ -234,34 +175,6 @@
 	return false
 }
 
-// hearZones takes in what a relay says of zones and reports whether it names a
-// host that this one does not know.
-func (c *control) hearZones(t *Tick, now time.Time) bool {
-	unknown := false
-	for i := range t.Zones {
-		z := &t.Zones[i]
-		at := now.Add(-z.Age)
-		if z.Zone == c.fleet.Self().Zone || (t.From.Zone != z.Zone && at.Before(c.zones[z.Zone].at.Add(toldAgain))) {
-			continue
-		}
-		if n := c.fleet.Tell(z.Zone, z.Live, at); n != "" {
-			unknown = true
-		}
-		if o := c.zones[z.Zone]; at.After(o.at) {
-			uses := z.Uses
-			if uses == nil {
-				uses = o.uses
-			}
-			c.zones[z.Zone] = zoneState{
-				at:   at,
-				live: z.Live,
-				uses: uses,
-			}
-		}
-	}
-	return unknown
-}
-
 // fetch asks another host for what this one lacks.
 func (c *control) fetch(m fleet.Member) {
 	if c.fetching {
@@ -365,89 +278,3 @@
 	}
 	return b
 }
-
-// startShares sets the shares of upstreams that are new.
-func (c *control) startShares(s []registry.Endpoint) {
-	zones, region := c.places()
-	slots := map[string][3]float64{}
-	for _, e := range s {
-		x := slots[e.Upstream]
-		x[2] += float64(e.Slots)
-		if c.edge.options.Zones[e.Zone] == c.fleet.Self().Region {
-			x[1] += float64(e.Slots)
-		}
-		if e.Zone == c.fleet.Self().Zone {
-			x[0] += float64(e.Slots)
-		}
-		slots[e.Upstream] = x
-	}
-	m := map[string]balance.Shares{}
-	for n, x := range slots {
-		if !c.edge.balancer.Started(n) {
-			m[n] = balance.StartShares(x[0], x[1], x[2], zones, region)
-		}
-	}
-	c.edge.balancer.SetShares(m)
-}
-
-// places returns the number of zones, and of those of the own region.
-func (c *control) places() (zones, region int) {
-	for _, r := range c.edge.options.Zones {
-		zones++
-		if r == c.fleet.Self().Region {
-			region++
-		}
-	}
-	return zones, region
-}
-
-// adjustShares moves the shares of the zone by the uses of slots, if this host
-// is its relay.
-func (c *control) adjustShares(now time.Time) {
-	if !c.relay() {
-		return
-	}
-	m := c.edge.balancer.Shares()
-	for n, u := range c.edge.balancer.Uses() {
-		region, far := c.elsewhere(n, now)
-		m[n] = m[n].Step(balance.Uses{
-			Zone:       u.Share(),
-			Region:     region.Share(),
-			Far:        far.Share(),
-			ZoneMisses: u.Misses(),
-			FarMisses:  far.Misses(),
-		}, shareInterval)
-	}
-	c.edge.balancer.SetShares(m)
-	c.logShares(m, now)
-}
-
-// logShares writes a line for each upstream from time to time.
-func (c *control) logShares(m map[string]balance.Shares, now time.Time) {
-	if now.Before(c.sharesLog) {
-		return
-	}
-	c.sharesLog = now.Add(sharesLogInterval)
-	for n, u := range c.edge.balancer.Uses() {
-		region, far := c.elsewhere(n, now)
-		c.edge.options.Log("shares", "upstream", n, "near", m[n].Near, "far", m[n].Far, "zone_use", u.Share(), "zone_misses", u.Misses(),
-			"region_use", region.Share(), "far_use", far.Share(), "far_misses", far.Misses())
-	}
-}
-
-// elsewhere returns the uses of an upstream's slots in the other zones of the
-// region, and in the other regions.
-func (c *control) elsewhere(upstream string, now time.Time) (region, far balance.Use) {
-	for z, s := range c.zones {
-		if now.Sub(s.at) > zoneAge {
-			continue
-		}
-		u := s.uses[upstream]
-		if c.edge.options.Zones[z] == c.fleet.Self().Region {
-			region = region.Add(u)
-		} else {
-			far = far.Add(u)
-		}
-	}
-	return region, far
-}
--- a/core/edge/news_test.go
+++ b/core/edge/news_test.go
@@ -22,13 +22,7 @@
 // no host can fetch the news in time: it comes with the ticks.
 func TestRemovalWithoutFetches(t *testing.T) {
 	k := newCluster(t)
-	s := []*Edge{}
-	for i := range 24 {
-		s = append(s, k.start(fmt.Sprint("a", i), "z1"))
-	}
-	for i := range 14 {
-		s = append(s, k.start(fmt.Sprint("b", i), "z2"))
-	}
+	s := append(k.startMany(24, "a", "z1"), k.startMany(14, "b", "z2")...)
 	k.ready(s...)
 	set(k, k.unread, "", true)
 	before := map[*Edge]int{}
@@ -54,10 +48,7 @@
 	k := newCluster(t)
 	const many = 80
 	k.change(many, "z1", false)
-	s := []*Edge{}
-	for i := range 14 {
-		s = append(s, k.start(fmt.Sprint("a", i), "z1"))
-	}
+	s := k.startMany(14, "a", "z1")
 	k.ready(s...)
 	set(k, k.unread, "", true)
 	before := usable(s[0])
@@ -81,10 +72,7 @@
 	for i := range 400 {
 		k.list(fmt.Sprint("i-0123456789ab", i), "z2")
 	}
-	s := []*Edge{}
-	for i := range 24 {
-		s = append(s, k.start(fmt.Sprint("a", i), "z1"))
-	}
+	s := k.startMany(24, "a", "z1")
 	k.ready(s...)
 	<-time.After(time.Second)
 	const datagram = 60 << 10
@@ -123,13 +111,7 @@
 // the own zone's relay are lost on the way to one host: others pass on what it told.
 func TestZoneHeardByOthers(t *testing.T) {
 	k := newCluster(t)
-	s := []*Edge{}
-	for i := range 16 {
-		s = append(s, k.start(fmt.Sprint("a", i), "z1"))
-	}
-	for i := range 3 {
-		s = append(s, k.start(fmt.Sprint("b", i), "z2"))
-	}
+	s := append(k.startMany(16, "a", "z1"), k.startMany(3, "b", "z2")...)
 	k.ready(s...)
 	relay, last := "", (*Edge)(nil)
 	for _, m := range s[0].View().Live {
--- a/core/edge/repeats_test.go
+++ b/core/edge/repeats_test.go
@@ -65,10 +65,7 @@
 		Slack:  slack,
 		Length: time.Second,
 	}
-	s := []*Edge{}
-	for i := range 6 {
-		s = append(s, k.start(fmt.Sprint("a", i), "z1"))
-	}
+	s := k.startMany(6, "a", "z1")
 	k.ready(s...)
 	left := func() int {
 		n := 0
--- /dev/null
+++ b/core/edge/table_test.go
@@ -0,0 +1,116 @@
+package edge
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"heatherford/core/fleet"
+	"heatherford/core/registry"
+)
+
+// table is a platform's records in memory, with faults.
+type table struct {
+	mu      sync.Mutex
+	changed chan struct{}
+	version uint64
+	// records holds the newest record of each subject, by part.
+	records [registry.Parts]map[string]registry.Record
+	members []fleet.Member
+	// refuse holds the hosts that the store turns away; the empty name stands
+	// for all.
+	refuse map[string]bool
+	// forgotten is the version before which no history is left.
+	forgotten uint64
+	reads     atomic.Int64
+}
+
+func newTable() *table {
+	t := &table{
+		changed: make(chan struct{}),
+		refuse:  map[string]bool{},
+	}
+	for p := range t.records {
+		t.records[p] = map[string]registry.Record{}
+	}
+	return t
+}
+
+func (t *table) put(p registry.Part, subject string, r registry.Record) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.version++
+	r.Version = t.version
+	t.records[p][subject] = r
+	close(t.changed)
+	t.changed = make(chan struct{})
+}
+
+func (t *table) turnAway(host string, away bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.refuse[host] = away
+}
+
+func (t *table) forget() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.version++
+	t.forgotten = t.version
+}
+
+// read is Seams.Read of a host.
+func (t *table) read(host string) func(context.Context, registry.Part, uint64, time.Duration) (registry.Update, error) {
+	return func(ctx context.Context, p registry.Part, since uint64, wait time.Duration) (registry.Update, error) {
+		t.reads.Add(1)
+		timeout := time.After(wait)
+		for {
+			u, changed, err := t.look(host, p, since)
+			if err != nil || len(u.Records) > 0 || since == 0 {
+				return u, err
+			}
+			select {
+			case <-changed:
+			case <-timeout:
+				return u, nil
+			case <-ctx.Done():
+				return u, ctx.Err()
+			}
+		}
+	}
+}
+
+func (t *table) look(host string, p registry.Part, since uint64) (registry.Update, <-chan struct{}, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	u := registry.Update{
+		Part:    p,
+		Whole:   since == 0,
+		Version: t.version,
+	}
+	switch {
+	case t.refuse[host] || t.refuse[""]:
+		return u, t.changed, errStore
+	case since > 0 && since < t.forgotten:
+		return u, t.changed, errForgotten
+	}
+	for _, r := range t.records[p] {
+		if r.Version > since && (!u.Whole || !r.Removed) {
+			u.Records = append(u.Records, r)
+		}
+	}
+	return u, t.changed, nil
+}
+
+func (t *table) join(host string) func(context.Context, fleet.Member) ([]fleet.Member, error) {
+	return func(_ context.Context, m fleet.Member) ([]fleet.Member, error) {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		if t.refuse[host] || t.refuse[""] {
+			return nil, errStore
+		}
+		t.members = append(t.members, m)
+		return append([]fleet.Member{}, t.members...), nil
+	}
+}
--- a/core/edge/world_test.go
+++ b/core/edge/world_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
@@ -31,111 +30,6 @@
 	errForgotten = errors.New("the history is gone")
 )
 
-// table is a platform's records in memory, with faults.
-type table struct {
-	mu      sync.Mutex
-	changed chan struct{}
-	version uint64
-	// records holds the newest record of each subject, by part.
-	records [registry.Parts]map[string]registry.Record
-	members []fleet.Member
-	// refuse holds the hosts that the store turns away; the empty name stands
-	// for all.
-	refuse map[string]bool
-	// forgotten is the version before which no history is left.
-	forgotten uint64
-	reads     atomic.Int64
-}
-
-func newTable() *table {
-	t := &table{
-		changed: make(chan struct{}),
-		refuse:  map[string]bool{},
-	}
-	for p := range t.records {
-		t.records[p] = map[string]registry.Record{}
-	}
-	return t
-}
-
-func (t *table) put(p registry.Part, subject string, r registry.Record) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.version++
-	r.Version = t.version
-	t.records[p][subject] = r
-	close(t.changed)
-	t.changed = make(chan struct{})
-}
-
-func (t *table) turnAway(host string, away bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.refuse[host] = away
-}
-
-func (t *table) forget() {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.version++
-	t.forgotten = t.version
-}
-
-// read is Seams.Read of a host.
-func (t *table) read(host string) func(context.Context, registry.Part, uint64, time.Duration) (registry.Update, error) {
-	return func(ctx context.Context, p registry.Part, since uint64, wait time.Duration) (registry.Update, error) {
-		t.reads.Add(1)
-		timeout := time.After(wait)
-		for {
-			u, changed, err := t.look(host, p, since)
-			if err != nil || len(u.Records) > 0 || since == 0 {
-				return u, err
-			}
-			select {
-			case <-changed:
-			case <-timeout:
-				return u, nil
-			case <-ctx.Done():
-				return u, ctx.Err()
-			}
-		}
-	}
-}
-
-func (t *table) look(host string, p registry.Part, since uint64) (registry.Update, <-chan struct{}, error) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	u := registry.Update{
-		Part:    p,
-		Whole:   since == 0,
-		Version: t.version,
-	}
-	switch {
-	case t.refuse[host] || t.refuse[""]:
-		return u, t.changed, errStore
-	case since > 0 && since < t.forgotten:
-		return u, t.changed, errForgotten
-	}
-	for _, r := range t.records[p] {
-		if r.Version > since && (!u.Whole || !r.Removed) {
-			u.Records = append(u.Records, r)
-		}
-	}
-	return u, t.changed, nil
-}
-
-func (t *table) join(host string) func(context.Context, fleet.Member) ([]fleet.Member, error) {
-	return func(_ context.Context, m fleet.Member) ([]fleet.Member, error) {
-		t.mu.Lock()
-		defer t.mu.Unlock()
-		if t.refuse[host] || t.refuse[""] {
-			return nil, errStore
-		}
-		t.members = append(t.members, m)
-		return append([]fleet.Member{}, t.members...), nil
-	}
-}
-
 // cluster is a number of edges in one process that reach each other by function
 // calls.
 type cluster struct {
@@ -352,6 +246,15 @@
 	return e
 }
 
+// startMany starts a number of hosts in a zone, whose names begin alike.
+func (k *cluster) startMany(n int, prefix, zone string) []*Edge {
+	s := []*Edge{}
+	for i := range n {
+		s = append(s, k.start(fmt.Sprint(prefix, i), zone))
+	}
+	return s
+}
+
 func (k *cluster) sender() func(context.Context, *Sending) (*Reply, error) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -370,37 +273,6 @@
 	k.observed = append(k.observed, *o)
 }
 
-func (k *cluster) isolate(name string, cut bool) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.cut[name] = cut
-}
-
-func (k *cluster) cutZones(a, b string, cut bool) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.apart[[2]string{a, b}] = cut
-	k.apart[[2]string{b, a}] = cut
-}
-
-// reaches reports whether hosts of a zone reach endpoints of another.
-func (k *cluster) reaches(from, to string) bool {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return !k.apart[[2]string{from, to}]
-}
-
-// reach returns a host that another one reaches, or nil.
-func (k *cluster) reach(from, to string) *Edge {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	a, b := k.edges[from], k.edges[to]
-	if k.cut[from] || k.cut[to] || b == nil || k.apart[[2]string{a.options.Self.Zone, b.options.Self.Zone}] {
-		return nil
-	}
-	return b
-}
-
 func (k *cluster) tell(name string) func([]fleet.Member, *Tick) {
 	return func(to []fleet.Member, t *Tick) {
 		k.measure(t)
@@ -426,40 +298,6 @@
 	}
 }
 
-// measure notes the length of a tick.
-func (k *cluster) measure(t *Tick) {
-	b, err := json.Marshal(t)
-	k.c.Check(err, qt.IsNil)
-	if n := int64(len(b)); n > k.longest.Load() {
-		k.longest.Store(n)
-	}
-}
-
-func (k *cluster) isDeaf(from, to string) bool {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return k.deaf[[2]string{from, to}]
-}
-
-func (k *cluster) noBook(name string) bool {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return k.unread[name] || k.unread[""]
-}
-
-func (k *cluster) isRefusing(name string) bool {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return k.refusing[name]
-}
-
-// set changes a fault of the cluster.
-func set[K comparable](k *cluster, m map[K]bool, key K, on bool) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	m[key] = on
-}
-
 func (k *cluster) carry(name string) func(context.Context, fleet.Member, *Carried) (*Carry, error) {
 	return func(ctx context.Context, m fleet.Member, c *Carried) (*Carry, error) {
 		if k.isRefusing(m.Name) {
