core/balance, core/edge, core/registry: clearer names

Placement.Unowned in place of Shared, which reads like the sharers of a budget; comments that say what sharers and passed-on zones are. No behaviour changes; the packages' tests pass.

--- a/core/balance/balancer.go
+++ b/core/balance/balancer.go
@@ -71,9 +71,9 @@
 type Placement struct {
 	// Owner is the host that sends to the endpoint.
 	Owner string
-	// Shared is true if each host that has a request for the endpoint sends it
-	// itself, since no host is near the endpoint. Owner is this host then.
-	Shared bool
+	// Unowned is true if no host is near the endpoint, so that each host that has
+	// a request for it sends it itself. Owner is this host then.
+	Unowned bool
 	// ColdPart is the part of a cold endpoint's allowance that this host may
 	// pass on, and ColdOwn what an owner may use.
 	ColdPart float64
@@ -114,7 +114,7 @@
 	x.region = b.options.RegionOf(e.Zone)
 	x.level = b.level(e.Zone, x.region)
 	x.owner = m.Owner
-	x.shared = m.Shared
+	x.unowned = m.Unowned
 	x.connections = l.Connections
 	x.coldRate.rate = l.ColdRate * m.ColdPart
 	x.coldOwn.rate = l.ColdRate * m.ColdOwn
--- a/core/balance/seat.go
+++ b/core/balance/seat.go
@@ -57,8 +57,8 @@
 	level  Level
 	// owner is the host that sends to the endpoint.
 	owner string
-	// shared is true if all hosts send to the endpoint, each for itself.
-	shared bool
+	// unowned is true if all hosts send to the endpoint, each for itself.
+	unowned bool
 	// connections is the most connections that the endpoint accepts from all
 	// hosts.
 	connections int
--- a/core/balance/tell.go
+++ b/core/balance/tell.go
@@ -10,13 +10,13 @@
 // long beside the time of a request.
 const busyTime = 1500 * time.Millisecond
 
-// Owned returns what this host tells of the endpoints that it owns alone.
+// Owned returns what this host tells of the endpoints that it owns.
 func (b *Balancer) Owned(now time.Time) map[string]State {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	m := map[string]State{}
 	for id, s := range b.seats {
-		if s.owner == b.options.Self && !s.shared {
+		if s.owner == b.options.Self && !s.unowned {
 			m[id] = b.pools[s.Upstream].state(s, now)
 		}
 	}
--- a/core/edge/control.go
+++ b/core/edge/control.go
@@ -287,9 +287,9 @@
 	}
 }
 
-// placement says what this host is to an endpoint that the hosts send to. So many hosts,
-// silent ones among them, may take themselves for one of these: together they keep the
-// allowance of a cold endpoint.
+// placement says what this host is to an endpoint that the hosts send to. Sharers is the
+// number of hosts that may take themselves for one of these, silent ones included:
+// together they keep the allowance of a cold endpoint.
 func (c *control) placement(e *registry.Endpoint, hosts []fleet.Member, sharers int) balance.Placement {
 	self := c.fleet.Self()
 	sharers = max(1, sharers, len(hosts))
@@ -305,7 +305,7 @@
 	if m.Owner == "" {
 		// No host is near the endpoint: whoever has a request sends it.
 		m.Owner = self.Name
-		m.Shared = true
+		m.Unowned = true
 		m.ColdOwn = 0
 	}
 	return m
--- a/core/edge/zones.go
+++ b/core/edge/zones.go
@@ -74,8 +74,8 @@
 	return n
 }
 
-// hearZones takes in what a relay says of zones and reports whether it names a
-// host that this one does not know.
+// hearZones takes in what relays say of zones, or others pass on of that, and reports
+// whether it names a host that this one does not know.
 func (c *control) hearZones(t *Tick, now time.Time) bool {
 	unknown := false
 	for i := range t.Zones {
--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -227,12 +227,12 @@
 		r.changes++
 		return
 	}
-	out := !e.removed.IsZero() || !e.missing.IsZero()
-	if older(&n, &e.Endpoint) || (out && c.Version <= e.version) {
+	gone := !e.removed.IsZero() || !e.missing.IsZero()
+	if older(&n, &e.Endpoint) || (gone && c.Version <= e.version) {
 		return
 	}
 	colder := n.ColdUntil.Sub(e.ColdUntil) > coldSlack && n.ColdLeft > 0
-	if !out && e.same(&n) && !colder {
+	if !gone && e.same(&n) && !colder {
 		e.Sequence = n.Sequence
 		return
 	}
