tools/knownred: an entry names one test, which has to run; io/endpoint: the wait for endless answers ends

Cause: TestManyEndlessBodies waited for scripts that only run once a request came; a connection whose request missed its deadline never runs one, the package ended by the time limit, and the list had to name the package.

Change: the tests' endpoint counts its open connections, and the test waits until there are none.

--- a/io/endpoint/endless_test.go
+++ b/io/endpoint/endless_test.go
@@ -20,11 +20,9 @@
 const kernelBytes = 8 << 20
 
 // endless says the beginning and then the same text until the connection is closed. It
-// counts the bytes that were taken, and tells when it ended.
-func endless(taken *atomic.Int64, ended *sync.WaitGroup, begin, more string) func(net.Conn, *http.Request) {
-	ended.Add(1)
+// counts the bytes that were taken.
+func endless(taken *atomic.Int64, begin, more string) func(net.Conn, *http.Request) {
 	return func(c net.Conn, r *http.Request) {
-		defer ended.Done()
 		say(begin)(c, r)
 		_ = c.SetWriteDeadline(time.Now().Add(5 * time.Second))
 		b := bytes.Repeat([]byte(more), 1+(32<<10)/len(more))
@@ -59,8 +57,8 @@
 		{"behind a whole answer", whole, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", 1 << 20},
 	} {
 		t.Run(k.name, func(t *testing.T) {
-			taken, ended := atomic.Int64{}, sync.WaitGroup{}
-			b := newBench(t, script{endless(&taken, &ended, k.begin, k.more)})
+			taken := atomic.Int64{}
+			b := newBench(t, script{endless(&taken, k.begin, k.more)})
 			a, err := b.send(true)
 			if err == nil {
 				// Only the answer that was whole is one.
@@ -72,7 +70,7 @@
 			}
 			// No second request is sent on the connection, whatever came before it.
 			b.sender.Close()
-			ended.Wait()
+			b.host.awaitIdle()
 			b.c.Check(taken.Load() <= k.most+kernelBytes, qt.IsTrue, qt.Commentf("%d bytes", taken.Load()))
 			b.c.Check(b.host.requests(), qt.HasLen, 1)
 		})
@@ -87,12 +85,8 @@
 		most   = 32 << 20
 	)
 	c := qt.New(t)
-	taken, ended := atomic.Int64{}, sync.WaitGroup{}
-	scripts := []script{}
-	for range bodies {
-		scripts = append(scripts, script{endless(&taken, &ended, "HTTP/1.1 200 OK\nId: ID\nMark: m\n\n", "0123456789abcdef")})
-	}
-	b := newBench(t, append(scripts, script{say(whole)})...)
+	taken := atomic.Int64{}
+	b := newBench(t, script{endless(&taken, "HTTP/1.1 200 OK\nId: ID\nMark: m\n\n", "0123456789abcdef")})
 	calls := sync.WaitGroup{}
 	failed := atomic.Int64{}
 	for range bodies {
@@ -104,8 +98,9 @@
 	}
 	calls.Wait()
 	c.Check(failed.Load(), qt.Equals, int64(bodies))
-	ended.Wait()
+	b.host.awaitIdle()
 	c.Check(taken.Load() <= most+bodies*kernelBytes, qt.IsTrue, qt.Commentf("%d bytes", taken.Load()))
+	b.host.follow(script{say(whole)})
 	a, err := b.send(true)
 	c.Assert(err, qt.IsNil)
 	c.Check(string(a.Body), qt.Equals, "whole")
--- a/io/endpoint/sender_test.go
+++ b/io/endpoint/sender_test.go
@@ -58,8 +58,14 @@
 type host struct {
 	listener net.Listener
 	mu       sync.Mutex
-	seen     []*http.Request
-	opened   int
+	// scripts are those of the next connections. The last one stays.
+	scripts []script
+	seen    []*http.Request
+	opened  int
+	// open is the number of connections that have not ended, and ended is signalled
+	// at the end of each.
+	open  int
+	ended *sync.Cond
 }
 
 func listen(c *qt.C, scripts ...script) *host {
@@ -67,19 +73,20 @@
 	c.Assert(err, qt.IsNil)
 	h := &host{
 		listener: l,
+		scripts:  scripts,
 	}
+	h.ended = sync.NewCond(&h.mu)
 	done := sync.WaitGroup{}
 	done.Go(func() {
-		for i := 0; ; i++ {
+		for {
 			x, err := l.Accept()
 			if err != nil {
 				return
 			}
-			h.mu.Lock()
-			h.opened++
-			h.mu.Unlock()
+			s := h.begin()
 			done.Go(func() {
-				h.play(x, scripts[min(i, len(scripts)-1)])
+				defer h.end()
+				h.play(x, s)
 			})
 		}
 	})
@@ -90,6 +97,43 @@
 	return h
 }
 
+// begin counts a new connection and returns its script.
+func (h *host) begin() script {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.opened++
+	h.open++
+	s := h.scripts[0]
+	if len(h.scripts) > 1 {
+		h.scripts = h.scripts[1:]
+	}
+	return s
+}
+
+func (h *host) end() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.open--
+	h.ended.Broadcast()
+}
+
+// awaitIdle waits until all connections have ended, whether or not a request came on
+// them.
+func (h *host) awaitIdle() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for h.open > 0 {
+		h.ended.Wait()
+	}
+}
+
+// follow sets the scripts of the connections to come.
+func (h *host) follow(scripts ...script) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.scripts = scripts
+}
+
 func (h *host) play(c net.Conn, s script) {
 	defer c.Close()
 	r := bufio.NewReader(c)
--- a/tools/knownred/main.go
+++ b/tools/knownred/main.go
@@ -3,7 +3,8 @@
 //
 // An entry of KNOWN-RED.txt is a line of four fields between bars: the test as
 // "package.Test/subtest", the command with its seed, what was seen, the issue.
-// Lines that are empty or begin with # are passed over.
+// Lines that are empty or begin with # are passed over. An entry names one test,
+// never a package, whose crash would pass with it, and a listed test has to run.
 package main
 
 import (
@@ -18,6 +19,9 @@
 	"strings"
 )
 
+// testMark stands between the package and the name of a test.
+const testMark = ".Test"
+
 // event is a line of "go test -json".
 type event struct {
 	Action  string
@@ -78,8 +82,12 @@
 		if len(f) != fields {
 			return nil, fmt.Errorf("expected %d fields between bars: %s", fields, l)
 		}
+		name := strings.TrimSpace(f[0])
+		if !strings.Contains(name, testMark) {
+			return nil, fmt.Errorf("expected the name of a test: %s", l)
+		}
 		entries = append(entries, entry{
-			test: strings.TrimSpace(f[0]),
+			test: name,
 			line: l,
 		})
 	}
@@ -131,6 +139,7 @@
 // judge prints what failed and returns an error if some of it is not listed.
 func (r *results) judge(entries []entry, out io.Writer) error {
 	known := map[string]bool{}
+	bad := 0
 	for _, e := range entries {
 		known[e.test] = true
 		switch {
@@ -139,10 +148,10 @@
 		case r.passed[e.test]:
 			fmt.Fprintln(out, "known red, but passed:", e.line)
 		default:
+			bad++
 			fmt.Fprintln(out, "known red, but not run:", e.line)
 		}
 	}
-	bad := 0
 	for _, n := range sorted(r.failed) {
 		if known[n] || r.explained(n, known) {
 			continue
@@ -151,7 +160,7 @@
 		fmt.Fprintf(out, "--- failed: %s\n%s", n, r.output[n])
 	}
 	if bad > 0 {
-		return fmt.Errorf("%d failures that KNOWN-RED.txt does not list", bad)
+		return fmt.Errorf("%d failures that KNOWN-RED.txt does not list, or listed tests that did not run", bad)
 	}
 	if len(r.passed) == 0 {
 		return errors.New("no test passed")
@@ -178,7 +187,7 @@
 
 // isBelow reports whether m is a test of the package n, or a subtest of n.
 func isBelow(m, n string) bool {
-	if strings.Contains(n, ".Test") {
+	if strings.Contains(n, testMark) {
 		return strings.HasPrefix(m, n+"/")
 	}
 	return strings.HasPrefix(m, n+".")
--- a/tools/knownred/main_test.go
+++ b/tools/knownred/main_test.go
@@ -53,3 +53,26 @@
 		t.Fatal("no error")
 	}
 }
+
+// TestPackageEntryIsRefused guards against an entry that lets any crash of its package
+// pass.
+func TestPackageEntryIsRefused(t *testing.T) {
+	for _, text := range []string{
+		"example.com/p | go test ./p | hangs | 4",
+		"p | go test ./p | hangs | 4",
+	} {
+		if _, err := parse(text); err == nil {
+			t.Fatalf("no error for %s", text)
+		}
+	}
+}
+
+// TestListedTestThatDidNotRunFails guards against a listed test that is gone, or whose
+// package ended before it.
+func TestListedTestThatDidNotRunFails(t *testing.T) {
+	out, err := judge(t, list, `{"Action":"pass","Package":"p","Test":"TestB"}
+{"Action":"pass","Package":"p"}`)
+	if err == nil || !strings.Contains(out, "not run: "+list) {
+		t.Fatalf("got %v, %s", err, out)
+	}
+}
