--- a/io/endpoint/sender.go
+++ b/io/endpoint/sender.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net"
 	"net/http"
 	"net/netip"
@@ -11,6 +12,7 @@
 	"sync"
 	"time"
 
+	"heatherford/core/balance"
 	"heatherford/core/edge"
 	"heatherford/io/internal/wire"
 )
@@ -61,6 +63,10 @@
 	Load string
 	// ColdMS carries how long the endpoint stays cold, in milliseconds.
 	ColdMS string
+	// Limit are the names under which an endpoint may state the requests a second,
+	// as a decimal number, that it takes from all hosts together. The first one that
+	// an answer has counts.
+	Limit []string
 }
 
 // Sender sends requests to endpoints. It is safe for concurrent use.
@@ -146,7 +152,7 @@
 }
 
 func (s *Sender) reply(a *wire.Reply, body []byte) *edge.Reply {
-	return &edge.Reply{
+	r := &edge.Reply{
 		Status:    a.Status,
 		Header:    a.Header,
 		Body:      body,
@@ -156,6 +162,37 @@
 		Load:      loadOf(a.Header.Get(s.headers.Load)),
 		ColdLeft:  coldOf(a.Header.Get(s.headers.ColdMS)),
 	}
+	r.Limit = s.limitOf(a.Header, r)
+	return r
+}
+
+// limitOf returns what an answer says of the endpoint's limit, or nil if it says
+// nothing. Only a whole answer of the endpoint's own says that there is none: a
+// rejection may lack the header.
+func (s *Sender) limitOf(h http.Header, r *edge.Reply) *balance.Limit {
+	v := ""
+	for _, n := range s.headers.Limit {
+		if v = h.Get(n); v != "" {
+			break
+		}
+	}
+	own := r.Ran && r.Genuine
+	switch {
+	case r.Misplaced || (r.Ran && !r.Genuine):
+		return nil
+	case v == "" && own:
+		return &balance.Limit{}
+	case v == "":
+		return nil
+	}
+	x, err := strconv.ParseFloat(strings.TrimSpace(v), 64)
+	if err != nil || math.IsNaN(x) || math.IsInf(x, 0) || x < 0 {
+		return nil
+	}
+	return &balance.Limit{
+		Stated: true,
+		Rate:   x,
+	}
 }
 
 // loadOf returns the running and waiting requests of a report, or -1.
--- a/io/endpoint/sender_test.go
+++ b/io/endpoint/sender_test.go
@@ -34,6 +34,10 @@
 	NotRun:     "Not-Run",
 	Load:       "Load",
 	ColdMS:     "Cold",
+	Limit: []string{
+		"Own-Limit",
+		"Limit",
+	},
 }
 
 // script is what an endpoint does with the requests of a connection, one function
