--- a/cmd/heatherford-soak/fault.go
+++ b/cmd/heatherford-soak/fault.go
@@ -20,7 +20,7 @@
 	way := w.ways[w.random.IntN(len(w.ways))]
 	store := w.stores[host]
 	d := time.Duration(200+w.random.IntN(1800)) * time.Millisecond
-	switch w.random.IntN(13) {
+	switch w.random.IntN(15) {
 	case 0:
 		w.on(group, host, "kill", func(p *process) { p.signal(syscall.SIGKILL) })
 	case 1:
@@ -65,6 +65,8 @@
 				e.Reject(on)
 			}
 		})
+	case 13, 14:
+		w.limit(group)
 	}
 }
 
--- a/cmd/heatherford-soak/soak_test.go
+++ b/cmd/heatherford-soak/soak_test.go
@@ -16,7 +16,11 @@
 	program := filepath.Join(t.TempDir(), "heatherford-edge")
 	b, err := exec.Command("go", "build", "-o", program, "heatherford/cmd/heatherford-edge").CombinedOutput()
 	c.Assert(err, qt.IsNil, qt.Commentf("%s", b))
-	for _, seed := range []uint64{1} {
+	for _, seed := range []uint64{
+		1,
+		// Hosts did not keep to the limit that an endpoint states.
+		3,
+	} {
 		r := run(options{
 			Seed:    seed,
 			Length:  3 * time.Second,
--- a/cmd/heatherford-soak/world.go
+++ b/cmd/heatherford-soak/world.go
@@ -91,6 +91,8 @@
 	// busy holds the hosts that a fault is at work on.
 	mu   sync.Mutex
 	busy map[int]bool
+	// calmed is true once the faults have ended.
+	calmed bool
 }
 
 // run plays one seed.
@@ -267,6 +269,7 @@
 // served, by the newest configuration, and a leaving endpoint gets nothing.
 func (w *world) calm() {
 	w.table.Set(rows.Faults{})
+	w.withdrawLimits()
 	for _, r := range append(append([]*relay.Relay{}, w.stores...), w.ways...) {
 		r.Refuse(false)
 		r.SetDelay(0)
@@ -304,6 +307,7 @@
 func (w *world) settle() {
 	w.settleRepeats("one")
 	w.settleRepeats("two")
+	w.settleLimits()
 	for _, id := range w.ledger.unsafe {
 		if n := w.runs.Of(id); n > 1 {
 			w.ledger.broken = append(w.ledger.broken, fmt.Sprintf("%s ran %d times", id, n))
--- a/standin/desk/endpoint.go
+++ b/standin/desk/endpoint.go
@@ -33,8 +33,8 @@
 type Runs struct {
 	mu   sync.Mutex
 	runs map[string]int
-	// arrivals holds the last arrival at each endpoint.
-	arrivals map[string]time.Time
+	// arrivals holds the arrivals at each endpoint, in order.
+	arrivals map[string][]time.Time
 	// seen holds the requests that came to each service, and repeats the times at which
 	// one came that had come before.
 	seen    map[string]map[string]bool
@@ -45,17 +45,18 @@
 func NewRuns() *Runs {
 	return &Runs{
 		runs:     map[string]int{},
-		arrivals: map[string]time.Time{},
+		arrivals: map[string][]time.Time{},
 		seen:     map[string]map[string]bool{},
 		repeats:  map[string][]time.Time{},
 	}
 }
 
 // arrive notes that a request came to an endpoint.
-func (r *Runs) arrive(o *Options, id string, now time.Time) {
+func (r *Runs) arrive(o *Options, id string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.arrivals[o.ID] = now
+	now := time.Now()
+	r.arrivals[o.ID] = append(r.arrivals[o.ID], now)
 	s := r.seen[o.Service]
 	if s == nil {
 		s = map[string]bool{}
@@ -81,11 +82,20 @@
 	return r.runs[id]
 }
 
-// LastArrival returns when a request last came to the endpoint.
-func (r *Runs) LastArrival(endpoint string) time.Time {
+// Arrivals returns when requests came to the endpoint, in order.
+func (r *Runs) Arrivals(endpoint string) []time.Time {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.arrivals[endpoint]
+	return append([]time.Time{}, r.arrivals[endpoint]...)
+}
+
+// LastArrival returns when a request last came to the endpoint, or the zero time.
+func (r *Runs) LastArrival(endpoint string) time.Time {
+	s := r.Arrivals(endpoint)
+	if len(s) == 0 {
+		return time.Time{}
+	}
+	return s[len(s)-1]
 }
 
 // Options describe an endpoint.
@@ -121,6 +131,13 @@
 	// rejecting is true while every other request is rejected, and came counts them.
 	rejecting bool
 	came      int
+	// limits are the changes of the limit that answers state, in order.
+	limits []LimitChange
+}
+
+// ID returns the endpoint's ID.
+func (e *Endpoint) ID() string {
+	return e.options.ID
 }
 
 // Start starts an endpoint.
@@ -250,13 +267,14 @@
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return
 	}
-	e.options.Runs.arrive(&e.options, id, time.Now())
+	e.options.Runs.arrive(&e.options, id)
 	ms, err := strconv.Atoi(r.Header.Get(HeaderDeadline))
 	if err != nil || id == "" {
 		h.Set(headerNotRun, "1")
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	e.stateLimit(h)
 	if e.rejects() {
 		h.Set(headerNotRun, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -284,6 +302,9 @@
 	case <-r.Context().Done():
 		return
 	}
+	h.Del(headersLimit[0])
+	h.Del(headersLimit[1])
+	e.stateLimit(h)
 	h.Set(HeaderSeal, "seal-of-"+id)
 	h.Set(headerLoad, fmt.Sprintf("%d,0,%d", len(e.slots), e.options.Slots))
 	io.WriteString(w, Body(e.options.Service, id))
