core/balance, core/edge: keep to the limit that an endpoint states

Cause: no host knew of the limit. The owner of an endpoint counted its slots and nothing else, and what an endpoint says of itself was taken in only as load and cold time.

Change: the owner keeps a token bucket for the limit. All hosts tell each other what they know of limits and how old that is, also across zones and to a host that starts, so that a hand-over or restart loses none; a host that lacks endpoints asks other zones at once. Hosts that cannot reach the owner do not stand in for it at such an endpoint. Parts of a split zone divide the limit. What exceeds a limit goes to free slots elsewhere, waits by rank or is refused at once.

--- a/core/balance/balancer.go
+++ b/core/balance/balancer.go
@@ -28,6 +28,9 @@
 
 	mu        sync.Mutex
 	endpoints map[string]*endpoint
+	// limits holds what is known of endpoints' limits by ID, also of endpoints that
+	// are not listed now.
+	limits map[string]*endpointLimit
 	// pools holds the endpoints of each upstream.
 	pools map[string]*pool
 }
@@ -59,6 +62,7 @@
 	return &Balancer{
 		options:   o,
 		endpoints: map[string]*endpoint{},
+		limits:    map[string]*endpointLimit{},
 		pools:     map[string]*pool{},
 	}
 }
@@ -72,7 +76,7 @@
 }
 
 // Placement says which host owns an endpoint, and what this host may send to it
-// while it is cold.
+// while it is cold or states a limit.
 type Placement struct {
 	// Owner is the host that sends to the endpoint.
 	Owner string
@@ -84,6 +88,9 @@
 	// owner.
 	ForwardColdShare float64
 	OwnerColdShare   float64
+	// LimitShare is the share of the limit that the endpoint states which this host
+	// may send as the owner.
+	LimitShare float64
 }
 
 // SetEndpoints replaces the endpoints. The function placementOf returns this
@@ -125,6 +132,8 @@
 	x.connections = l.Connections
 	x.coldRate.rate = l.ColdRate * m.ForwardColdShare
 	x.coldOwn.rate = l.ColdRate * m.OwnerColdShare
+	x.limitShare = m.LimitShare
+	b.applyLimit(x)
 	b.endpoints[e.ID] = x
 	p := b.pool(e.Upstream)
 	p.endpoints[x.level] = append(p.endpoints[x.level], x)
--- a/core/balance/doc.go
+++ b/core/balance/doc.go
@@ -7,7 +7,9 @@
 // forward requests to the owner, and know the endpoint's load from the states
 // that owners report. If two hosts take themselves for the owner for a moment,
 // the endpoint itself rejects excess requests and says that it did not run them.
-// An endpoint that has just started is cold, and gets requests at a limited rate.
+// An endpoint that has just started is cold, and gets requests at a limited rate, as
+// does one that states a limit of its own. Hosts tell each other of such limits, so
+// that a new owner knows them before its first request.
 //
 // Requests for one object prefer the same endpoints on every host, by rendezvous
 // hashing, since an endpoint that has the object cached serves it faster. Work
--- a/core/balance/endpoint.go
+++ b/core/balance/endpoint.go
@@ -70,6 +70,10 @@
 	// endpoint while it is cold, and coldOwn those that it may send as the owner.
 	coldRate bucket
 	coldOwn  bucket
+	// limit is what is known of the endpoint's limit, or nil, and limitShare the share
+	// of it that this host may send as the owner.
+	limit      *endpointLimit
+	limitShare float64
 
 	// outstanding is the number of this host's requests that have chosen the
 	// endpoint and have not ended, whether forwarded or sent by this host.
--- a/core/balance/modelendpoint_test.go
+++ b/core/balance/modelendpoint_test.go
@@ -29,6 +29,8 @@
 	rejected int
 	// down is true if the endpoint cannot be reached.
 	down bool
+	// limit is what the endpoint's answers state.
+	limit Limit
 	// lossRate is the part of the answers that are lost after the request ran.
 	lossRate float64
 }
@@ -99,9 +101,14 @@
 
 // mostInASecond returns the most arrivals within any second.
 func (e *modelEndpoint) mostInASecond() int {
+	return e.mostWithin(time.Second)
+}
+
+// mostWithin returns the most arrivals within any time of a length.
+func (e *modelEndpoint) mostWithin(d time.Duration) int {
 	most, j := 0, 0
 	for i, t := range e.arrivals {
-		for t.Sub(e.arrivals[j]) > time.Second {
+		for t.Sub(e.arrivals[j]) > d {
 			j++
 		}
 		most = max(most, i-j+1)
--- a/core/balance/pick.go
+++ b/core/balance/pick.go
@@ -177,6 +177,8 @@
 	done   time.Time
 	cost   time.Duration
 	strict bool
+	// limited is true if the endpoint states a limit.
+	limited bool
 	// refused is true if the endpoint's owner has just refused the request.
 	refused bool
 	// reason is why the endpoint does not get the request.
@@ -223,11 +225,15 @@
 // object, the request takes longer and may evict another object, so that
 // spreading requests under overload would slow down all of them. It does no harm
 // where the object is cached, or where slots are free and the endpoint misses few
-// objects.
+// objects. What exceeds the limit of the first endpoint has no better place than a
+// free slot elsewhere.
 func (k *candidate) mayFallBack(p *pool, a *Request, first *candidate, now time.Time) bool {
 	if k.endpoint.likelyCached(a.Key, now) {
 		return true
 	}
+	if first.limited && (first.wait > 0 || first.refusedRecently(a, now)) && k.sendsAtOnce() {
+		return true
+	}
 	return p.utilization < spareUtilization && k.endpoint.missRate < spareMissRate && k.load < k.endpoint.Slots && first.load >= first.endpoint.Slots
 }
 
@@ -274,6 +280,7 @@
 		done:     now.Add(wait + service),
 		cost:     wait + service + time.Duration(positionCost*float64(position)*float64(cachedTime)),
 		strict:   s.ownerState.Strict && loadAge >= 0,
+		limited:  s.limited(),
 	}
 	if s.owner == b.options.Self {
 		k.strict = s.strict
@@ -295,7 +302,8 @@
 		return d
 	}
 	since := max(0, s.outstanding-s.outstandingThen)
-	return max(d, s.ownerState.Backlog+time.Duration(since)*service/time.Duration(s.Slots))
+	interval := max(service/time.Duration(s.Slots), s.limitInterval())
+	return max(d, s.ownerState.Backlog+time.Duration(since)*interval)
 }
 
 // queueDelay returns how long a request waits for a slot when load requests are
@@ -314,13 +322,19 @@
 	switch {
 	case k.refused:
 		return reasonRefused
-	case k.load < k.endpoint.Slots || mayWait(a, k.wait, k.done, k.strict, a.Rank > 0, now):
+	case k.sendsAtOnce() || mayWait(a, k.wait, k.done, k.strict, a.Rank > 0, now):
 		return reasonNone
 	default:
 		return reasonLate
 	}
 }
 
+// sendsAtOnce reports whether the endpoint has a free slot, and its limit allows a
+// request now.
+func (k *candidate) sendsAtOnce() bool {
+	return k.load < k.endpoint.Slots && (!k.limited || k.wait <= 0)
+}
+
 // mayWait reports whether a request may wait so long for a slot of an endpoint.
 // In a strict queue the answer must come before the objective, and a request that
 // goes to the end may use only a part of that time. In any other queue the answer
@@ -427,6 +441,9 @@
 	if k.strict {
 		s += ", strict"
 	}
+	if k.limited {
+		s += ", limit " + k.endpoint.limit.String()
+	}
 	return s
 }
 
--- a/core/balance/queue.go
+++ b/core/balance/queue.go
@@ -89,12 +89,12 @@
 			refusal: refuse(code.NoEndpoint, now.Add(minRetryDelay), "endpoint %s is not listed on this host", id),
 		}
 	}
-	if r := s.unavailable(now); r != nil {
+	if r := b.unavailable(s, now); r != nil {
 		return nil, decision{
 			refusal: r,
 		}
 	}
-	if s.hasFreeSlot(now) && len(s.queue) == 0 {
+	if s.canSend(now) && len(s.queue) == 0 {
 		s.recordFreeSlot()
 		return nil, decision{
 			permit: b.admit(s, &a, now),
@@ -114,13 +114,16 @@
 		decided:    make(chan decision, 1),
 	}
 	s.enqueue(w)
+	b.refuseHopeless(s, now)
 	return w, decision{}
 }
 
 // unavailable returns a refusal if the endpoint gets no request for now, else
 // nil.
-func (s *endpoint) unavailable(now time.Time) *Refusal {
+func (b *Balancer) unavailable(s *endpoint, now time.Time) *Refusal {
 	switch {
+	case s.limited() && s.owner != b.options.Self:
+		return refuse(code.NoEndpoint, now.Add(minRetryDelay), "endpoint %s states a limit, which only its owner %s counts", s.ID, s.owner)
 	case s.suspended(now):
 		return refuse(code.NoEndpoint, s.suspendedUntil, "endpoint %s is suspended", s.ID)
 	case s.silent(now):
@@ -134,9 +137,9 @@
 	}
 }
 
-// hasFreeSlot reports whether a slot is free.
-func (s *endpoint) hasFreeSlot(now time.Time) bool {
-	return s.running(now) < s.Slots && !now.Before(s.fullUntil)
+// canSend reports whether a slot is free and the endpoint's limit allows a request.
+func (s *endpoint) canSend(now time.Time) bool {
+	return s.running(now) < s.Slots && !now.Before(s.fullUntil) && s.limitAllows(now)
 }
 
 // refuseIfLate returns a refusal if the request would get its slot too late, else
@@ -150,8 +153,18 @@
 	if mayWait(a, wait, done, s.strict, s.queuedAhead(a.Rank) == len(s.queue), now) {
 		return nil
 	}
-	return refuse(code.RankFull, s.nextRetryAt(wait, p.expectedTime(s, a.Class, true), now), "endpoint %s has %d of %d slots in use and %d requests queued, a slot is expected in %s", s.ID,
-		s.running(now), s.Slots, len(s.queue), wait.Round(time.Millisecond))
+	return b.rankFull(s, a, wait, now)
+}
+
+// rankFull returns the refusal of a request that would wait too long.
+func (b *Balancer) rankFull(s *endpoint, a *Request, wait time.Duration, now time.Time) *Refusal {
+	limit := ""
+	if s.limited() {
+		limit = ", its limit is " + s.limit.String() + " a second"
+	}
+	return refuse(code.RankFull, s.nextRetryAt(wait, b.pools[s.Upstream].expectedTime(s, a.Class, true), now),
+		"endpoint %s has %d of %d slots in use and %d requests queued, a slot is expected in %s%s", s.ID,
+		s.running(now), s.Slots, len(s.queue), wait.Round(time.Millisecond), limit)
 }
 
 // nextRetryAt returns when a refused request may come back: after the queued
@@ -237,6 +250,9 @@
 	if s.cold(now) {
 		s.coldOwn.take(now)
 	}
+	if s.limited() {
+		s.limit.bucket.take(now)
+	}
 	p := &Permit{
 		Target:   s.target(),
 		NewConn:  s.probing(),
@@ -254,11 +270,11 @@
 // admitWaiting gives free slots to queued requests.
 func (b *Balancer) admitWaiting(s *endpoint, now time.Time) {
 	for len(s.queue) > 0 {
-		if r := s.unavailable(now); r != nil && r.Code != code.EndpointFull {
+		if r := b.unavailable(s, now); r != nil && r.Code != code.EndpointFull {
 			s.refuseAll(r)
 			return
 		}
-		if !s.hasFreeSlot(now) || (s.cold(now) && !s.coldOwn.allows(now)) {
+		if !s.canSend(now) || (s.cold(now) && !s.coldOwn.allows(now)) {
 			return
 		}
 		w := s.dequeue()
--- a/core/balance/result.go
+++ b/core/balance/result.go
@@ -40,6 +40,8 @@
 	// ColdUntil is when the endpoint expects to be warm, or zero if it did not
 	// say.
 	ColdUntil time.Time
+	// Limit is the limit that the endpoint stated, or nil if it did not say.
+	Limit *Limit
 }
 
 // Release ends a permit and returns the endpoint's new state, for the host that
@@ -58,6 +60,9 @@
 		s.ColdUntil = r.ColdUntil
 	}
 	b.record(p, r.Outcome, now)
+	if r.Limit != nil {
+		b.observeLimit(s, *r.Limit, p.sentAt, now)
+	}
 	b.admitWaiting(s, now)
 	return b.pools[s.Upstream].state(s, now)
 }
--- a/core/balance/servicetime.go
+++ b/core/balance/servicetime.go
@@ -91,12 +91,23 @@
 	s.slowdown = s.slowdownFactor() + slowdownWeight*(x-s.slowdownFactor())
 }
 
-// backlog returns how long a new request of the rank would wait for a slot: the
-// remaining service time of all running requests and of those queued ahead of it,
-// divided by the number of slots.
+// backlog returns how long a new request of the rank would wait until it is sent.
 func (p *pool) backlog(s *endpoint, rank int, now time.Time) time.Duration {
+	return p.backlogBehind(s, s.queuedAhead(rank), now)
+}
+
+// backlogBehind returns how long a request would wait until it is sent when a number
+// of queued ones goes before it: the remaining service time of all running requests
+// and of these, divided by the number of slots, or until the endpoint's limit allows
+// it, if that is longer.
+func (p *pool) backlogBehind(s *endpoint, queuedAhead int, now time.Time) time.Duration {
+	return max(p.slotWait(s, queuedAhead, now), s.limitWait(queuedAhead, now))
+}
+
+// slotWait returns how long a request would wait for a slot when a number of queued
+// ones goes before it.
+func (p *pool) slotWait(s *endpoint, queuedAhead int, now time.Time) time.Duration {
 	running := s.running(now)
-	queuedAhead := s.queuedAhead(rank)
 	if running+queuedAhead < s.Slots {
 		return 0
 	}
--- a/core/balance/usage.go
+++ b/core/balance/usage.go
@@ -60,7 +60,7 @@
 			n, _ := s.load(b.options.Self, now)
 			s.meanLoad += w * (float64(n) - s.meanLoad)
 			totalLoad += s.meanLoad
-			slots += s.Slots
+			slots += p.usableSlots(s)
 		}
 		p.utilization = totalLoad / float64(max(1, slots))
 	}
@@ -75,9 +75,10 @@
 	for n, p := range b.pools {
 		u := SlotUse{}
 		for _, s := range p.endpoints[SameZone] {
-			u.Slots += s.Slots
+			slots := p.usableSlots(s)
+			u.Slots += slots
 			u.Used += s.meanLoad
-			u.MissingSlots += s.missRate * float64(s.Slots)
+			u.MissingSlots += s.missRate * float64(slots)
 		}
 		u.Used /= max(minServedShare, 1-p.refusedShare)
 		m[n] = u
@@ -156,6 +157,8 @@
 	// among the others.
 	Suspended int
 	Cold      int
+	// Limited is the number of endpoints that state a limit.
+	Limited int
 	// Strict is the number of endpoints owned by this host whose queue is strict.
 	Strict int
 	// Slots and Used are those of the own zone.
@@ -183,6 +186,9 @@
 				case x.cold(now):
 					s.Cold++
 				}
+				if x.limited() {
+					s.Limited++
+				}
 				if x.strict && x.owner == b.options.Self {
 					s.Strict++
 				}
--- a/core/balance/world_test.go
+++ b/core/balance/world_test.go
@@ -156,6 +156,7 @@
 			p := Placement{
 				Owner:          fleet.Owner(m, e.ID),
 				OwnerColdShare: 0.7,
+				LimitShare:     1,
 			}
 			if e.Zone == h.Zone {
 				p.ForwardColdShare = 0.7 / float64(len(m))
@@ -198,13 +199,15 @@
 }
 
 // reportStates has owners report the states of their endpoints to the hosts of
-// their zone.
+// their zone, with the limits that they know.
 func (w *world) reportStates() {
 	for _, h := range w.hosts {
 		m := h.balancer.OwnedStates(w.now)
+		limits := h.balancer.Limits(w.now)
 		for _, o := range w.hosts {
 			if o != h && o.Zone == h.Zone {
 				o.balancer.RecordStates(m, w.now)
+				o.balancer.RecordLimits(limits, w.now)
 			}
 		}
 	}
@@ -374,9 +377,11 @@
 	}
 	e := w.endpoints[c.Target.ID]
 	e.serve(w, r.request.Key, func(o Outcome, cold bool) {
+		limit := e.limit
 		s := owner.balancer.Release(d.permit, Result{
 			Outcome: o,
 			Load:    e.running + 1 + len(e.waiting),
+			Limit:   &limit,
 		}, w.now)
 		r.host.balancer.RecordStates(map[string]State{
 			c.Target.ID: s,
--- a/core/edge/control.go
+++ b/core/edge/control.go
@@ -37,6 +37,14 @@
 	// coldZoneShare is the part of a cold endpoint's allowance that the hosts of its
 	// zone use together. The rest is left to hosts that do not hear each other.
 	coldZoneShare = 0.7
+	// limitZoneShare is what owners in an endpoint's own zone may send of its limit in
+	// all parts of a split zone together, and of which each sends the limit at most;
+	// limitRegionShare that of owners in its region while the zone has none, and
+	// limitFarShare that of all hosts while they see none in the region. Endpoints bear
+	// 1.5 times what they state, which is their sum.
+	limitZoneShare   = 1.2
+	limitRegionShare = 0.2
+	limitFarShare    = 0.1
 	// startReadDelay is how long a host that knows nothing waits to learn from others
 	// before it reads the platform's records itself: ten rounds of heartbeats.
 	// startReadDelayPerHost is added for each host before it in the order, up to
@@ -83,6 +91,8 @@
 	lastStep            time.Time
 	// live are the live hosts as of the last check.
 	live []fleet.Member
+	// limits are the endpoints' limits as they were logged last.
+	limits map[string]balance.Limit
 	// revision is one more than the registry's count of changes that the balancer
 	// has; 0 stands for none.
 	revision uint64
@@ -133,6 +143,7 @@
 	if !now.Before(c.nextLiveness) {
 		c.nextLiveness = now.Add(livenessInterval)
 		c.updateLive(now)
+		c.logLimits(now)
 	}
 	for p := range registry.NumParts {
 		c.read(p, now)
@@ -147,11 +158,17 @@
 	if !now.Before(c.nextZoneHeartbeat) {
 		c.sendZoneHeartbeat(now)
 	}
-	if !now.Before(c.nextRemoteHeartbeat) && c.isRelay() {
+	if !now.Before(c.nextRemoteHeartbeat) && (c.isRelay() || c.lacksEndpoints()) {
 		c.sendRemoteHeartbeat(now)
 	}
 }
 
+// lacksEndpoints reports whether this host knows of no endpoints yet. Until then it
+// asks the other zones too, since the relay host of its own may be gone.
+func (c *control) lacksEndpoints() bool {
+	return c.registry.Version(registry.Endpoints) == 0
+}
+
 // join adds the host to the platform's list of hosts, once. It retries after a
 // failure.
 func (c *control) join(now time.Time) {
@@ -282,21 +299,72 @@
 	}
 }
 
+// logLimits logs each limit of an endpoint that was stated, changed or ended.
+func (c *control) logLimits(now time.Time) {
+	before := c.limits
+	c.limits = map[string]balance.Limit{}
+	for id, r := range c.edge.balancer.Limits(now) {
+		c.limits[id] = r.Limit
+		if before[id] != r.Limit {
+			c.edge.options.Log("limit", "endpoint", id, "limit", &r.Limit, "age", r.Age)
+		}
+	}
+}
+
 // placements returns a function that returns this host's role for an endpoint. It
 // looks up the hosts of each zone once.
 func (c *control) placements(now time.Time) func(e *registry.Endpoint) balance.Placement {
 	zones := map[string][]fleet.Member{}
+	limitShares := map[string]float64{}
 	budgetHosts := c.fleet.BudgetHostsByZone(now)
 	return func(e *registry.Endpoint) balance.Placement {
 		hosts, ok := zones[e.Zone]
 		if !ok {
 			hosts = c.ownerCandidates(e.Zone)
 			zones[e.Zone] = hosts
+			limitShares[e.Zone] = c.limitShare(e.Zone, budgetHosts)
 		}
-		return c.placement(e, hosts, budgetHosts[e.Zone])
+		m := c.placement(e, hosts, budgetHosts[e.Zone])
+		m.LimitShare = limitShares[e.Zone]
+		return m
 	}
 }
 
+// limitShare returns the share of an endpoint's limit that this host may send if it
+// owns endpoints of a zone. BudgetHosts are the hosts of each zone, silent ones
+// included: a host that hears few of them may not be the only one that counts itself
+// the owner.
+func (c *control) limitShare(zone string, budgetHosts map[string]int) float64 {
+	zones := c.edge.options.Zones
+	ownLive, regionLive, regionKnown, known := 0, 0, 0, 0
+	for z, n := range budgetHosts {
+		live := len(fleet.InZone(c.live, z))
+		known += n
+		switch {
+		case z == zone:
+			ownLive = len(fleet.NotLeaving(fleet.InZone(c.live, z)))
+		case zones[z] == zones[zone]:
+			regionLive += live
+			regionKnown += n
+		}
+	}
+	switch {
+	case ownLive > 0:
+		return limitPart(limitZoneShare, len(fleet.InZone(c.live, zone)), budgetHosts[zone])
+	case regionLive > 0 && budgetHosts[zone] == 0:
+		return limitPart(limitZoneShare, regionLive, regionKnown)
+	case regionLive > 0:
+		return limitPart(limitRegionShare, regionLive, regionKnown)
+	default:
+		return limitPart(limitFarShare, 1, known)
+	}
+}
+
+// limitPart returns the part of a share for live hosts of the known ones.
+func limitPart(share float64, live, known int) float64 {
+	return min(1, share*float64(live)/float64(max(1, live, known)))
+}
+
 // placement returns this host's role for an endpoint that the given hosts send to.
 // BudgetHosts is the number of hosts that may count themselves among these, silent
 // ones included: together they keep the allowance of a cold endpoint.
--- a/core/edge/forward.go
+++ b/core/edge/forward.go
@@ -195,6 +195,7 @@
 	}
 	if reply != nil {
 		r.Load = reply.Load
+		r.Limit = reply.Limit
 		if reply.ColdLeft > 0 {
 			r.ColdUntil = now.Add(reply.ColdLeft)
 		}
@@ -203,13 +204,9 @@
 	c.State = &s
 	c.Queued = p.Waited
 	c.Took = now.Sub(began)
-	limit := (*balance.Limit)(nil)
-	if reply != nil {
-		limit = reply.Limit
-	}
 	e.options.Log("sent", "request", a.request.ID, "object", a.request.Object, "upstream", p.Target.Upstream,
 		"endpoint", p.Target.ID, "queued", p.Waited, "took", c.Took, "load", s.Load, "reported", r.Load,
-		"limit", limit, "news_age", ageOf(a.endpointsAt, began), "outcome", o, "failure", reasonOf(c.Failure))
+		"limit", r.Limit, "news_age", ageOf(a.endpointsAt, began), "outcome", o, "failure", reasonOf(c.Failure))
 	e.logSuspension(p, o, a, c)
 	return c
 }
--- a/core/edge/heartbeat.go
+++ b/core/edge/heartbeat.go
@@ -6,13 +6,17 @@
 	"slices"
 	"time"
 
-	"heatherford/core/balance"
 	"heatherford/core/fleet"
 	"heatherford/core/registry"
 )
 
-// maxOwnedStates is the most states of own endpoints that a heartbeat holds.
-const maxOwnedStates = 64
+const (
+	// maxOwnedStates is the most states of own endpoints that a heartbeat holds.
+	maxOwnedStates = 64
+	// maxLimits is the most endpoints' limits that a heartbeat holds, at some 100
+	// bytes each.
+	maxLimits = 64
+)
 
 // sendZoneHeartbeat sends a heartbeat to the hosts of the own zone. In a large zone
 // it goes to the targets of the gossip round, and now and then the relay host sends
@@ -53,21 +57,21 @@
 // own endpoints. Of more than maxOwnedStates it holds those of the round.
 func (c *control) newZoneHeartbeat(now time.Time) *Heartbeat {
 	t := c.newHeartbeat(now)
-	t.Owned = c.edge.balancer.OwnedStates(now)
-	if len(t.Owned) > maxOwnedStates {
-		t.Owned = statesOfRound(t.Owned, c.round)
-	}
+	t.Owned = ofRound(c.edge.balancer.OwnedStates(now), maxOwnedStates, c.round)
 	return t
 }
 
-// statesOfRound returns maxOwnedStates states of a map that has at least as many, the
-// next ones in each round.
-func statesOfRound(m map[string]balance.State, round int) map[string]balance.State {
-	ids := slices.Sorted(maps.Keys(m))
-	s := map[string]balance.State{}
-	for i := range maxOwnedStates {
-		id := ids[(round*maxOwnedStates+i)%len(ids)]
-		s[id] = m[id]
+// ofRound returns a map with at most n entries: the next ones in each round if there
+// are more.
+func ofRound[V any](m map[string]V, n, round int) map[string]V {
+	if len(m) <= n {
+		return m
+	}
+	keys := slices.Sorted(maps.Keys(m))
+	s := map[string]V{}
+	for i := range n {
+		k := keys[(round*n+i)%len(keys)]
+		s[k] = m[k]
 	}
 	return s
 }
@@ -108,7 +112,8 @@
 // newHeartbeat returns a heartbeat with the status of each part.
 func (c *control) newHeartbeat(now time.Time) *Heartbeat {
 	t := &Heartbeat{
-		From: c.fleet.Self(),
+		From:   c.fleet.Self(),
+		Limits: ofRound(c.edge.balancer.Limits(now), maxLimits, c.round),
 	}
 	for p := range registry.NumParts {
 		t.Parts[p] = PartStatus{
@@ -132,6 +137,7 @@
 // handleHeartbeat handles a heartbeat that arrived at now.
 func (c *control) handleHeartbeat(t *Heartbeat, now time.Time) {
 	c.fleet.RecordHeartbeat(t.From, now)
+	c.edge.balancer.RecordLimits(t.Limits, now.Add(-transitAllowance))
 	c.handleChanges(t, now)
 	behind := false
 	for p := range registry.NumParts {
@@ -213,6 +219,8 @@
 // applyDelta applies what another host knew when it was asked, at requestedAt.
 func (c *control) applyDelta(b *Delta, from string, requestedAt, now time.Time) {
 	c.fleet.AddListed(b.Members, now)
+	// The limits come first, so that no endpoint is used without its own.
+	c.edge.balancer.RecordLimits(b.Limits, now.Add(-transitAllowance))
 	changed := false
 	for _, u := range b.Updates {
 		p := u.Part
@@ -276,6 +284,7 @@
 func (c *control) delta(since [registry.NumParts]uint64, now time.Time) *Delta {
 	b := &Delta{
 		Members: c.fleet.Known(),
+		Limits:  c.edge.balancer.Limits(now),
 	}
 	for p := range registry.NumParts {
 		b.Ages[p] = ageOf(c.registry.CurrentAt(p), now)
--- a/core/edge/heartbeat_test.go
+++ b/core/edge/heartbeat_test.go
@@ -101,7 +101,7 @@
 	m := a.balancer.OwnedStates(time.Now())
 	sent := map[string]bool{}
 	for round := range len(m)/maxOwnedStates + 1 {
-		for id := range statesOfRound(m, round) {
+		for id := range ofRound(m, maxOwnedStates, round) {
 			sent[id] = true
 		}
 	}
--- a/core/edge/limit_test.go
+++ b/core/edge/limit_test.go
@@ -94,7 +94,7 @@
 
 // offer sends requests to random ones of the hosts until ctx ends, at a rate per
 // second. The returned function waits for their answers.
-func offer(ctx context.Context, rate int, hosts func() []*Edge, path string) (wait func()) {
+func offer(ctx context.Context, rate int, hosts []*Edge) (wait func()) {
 	group := sync.WaitGroup{}
 	group.Go(func() {
 		t := time.NewTicker(time.Second / time.Duration(rate))
@@ -105,11 +105,10 @@
 				return
 			case <-t.C:
 			}
-			s := hosts()
-			q := request(path)
+			q := request("/look/")
 			q.Object = fmt.Sprint("o", i%40)
 			group.Go(func() {
-				s[rand.IntN(len(s))].Serve(context.WithoutCancel(ctx), q)
+				hosts[rand.IntN(len(hosts))].Serve(context.WithoutCancel(ctx), q)
 			})
 		}
 	})
@@ -126,9 +125,7 @@
 	hosts := append(k.startMany(2, "a", "z1"), k.startMany(2, "b", "z2")...)
 	k.waitReady(hosts...)
 	ctx, cancel := context.WithCancel(t.Context())
-	wait := offer(ctx, 120, func() []*Edge {
-		return hosts
-	}, "/look/")
+	wait := offer(ctx, 120, hosts)
 	const rate = 5.0
 	s.state(rate, "e1", "e3")
 	began := time.Now().Add(time.Second)
@@ -142,3 +139,148 @@
 		c.Check(n >= rate*4/2, qt.IsTrue, qt.Commentf("%s got only %d requests in %s", id, n, limitWindow))
 	}
 }
+
+// withdraw has the endpoints state no limit.
+func (s *limitedEndpoints) withdraw(ids ...string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, id := range ids {
+		delete(s.limit, id)
+	}
+}
+
+// since returns the number of requests that came to an endpoint after a time.
+func (s *limitedEndpoints) since(id string, t time.Time) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, a := range s.arrivals[id] {
+		if !a.Before(t) {
+			n++
+		}
+	}
+	return n
+}
+
+// TestLimitAcrossOwners guards against an endpoint that gets more than its limit as its
+// owners change, since each new one does not know what the last one knew, or several
+// count themselves the owner.
+func TestLimitAcrossOwners(t *testing.T) {
+	c := qt.New(t)
+	k := newCluster(t)
+	s := newLimitedEndpoints()
+	k.setSend(s.send)
+	hosts := append(k.startMany(4, "a", "z1"), k.startMany(2, "b", "z2")...)
+	k.waitReady(hosts...)
+	const rate = 5.0
+	s.state(rate, "e1", "e2")
+	ctx, cancel := context.WithCancel(t.Context())
+	wait := offer(ctx, 120, hosts)
+	// Only the first requests tell of the limit.
+	<-time.After(700 * time.Millisecond)
+	began := time.Now()
+	for i := range 3 {
+		for _, n := range []string{"a0", "a1", "a2", "a3"} {
+			setFault(k, k.isolated, n, i < 2)
+			<-time.After(500 * time.Millisecond)
+			setFault(k, k.isolated, n, false)
+			if i == 0 {
+				// The next one is cut off before the last one is known to be back.
+				continue
+			}
+			<-time.After(200 * time.Millisecond)
+		}
+	}
+	cancel()
+	wait()
+	const bound = limitOvershoot*rate*4 + limitSlack
+	for _, id := range []string{"e1", "e2"} {
+		n := s.mostInWindow(id, began)
+		c.Check(float64(n) <= bound, qt.IsTrue, qt.Commentf("%s got %d requests in %s, the bound is %g", id, n, limitWindow, bound))
+	}
+}
+
+// TestLimitOfASplitZone guards against parts of a zone that do not hear each other and
+// each send as much as the limit of an endpoint allows.
+func TestLimitOfASplitZone(t *testing.T) {
+	c := qt.New(t)
+	k := newCluster(t)
+	s := newLimitedEndpoints()
+	k.setSend(s.send)
+	hosts := k.startMany(4, "a", "z1")
+	k.waitReady(hosts...)
+	const rate = 10.0
+	s.state(rate, "e1", "e2")
+	ctx, cancel := context.WithCancel(t.Context())
+	wait := offer(ctx, 200, hosts)
+	<-time.After(700 * time.Millisecond)
+	for _, n := range []string{"a0", "a1", "a2", "a3"} {
+		setFault(k, k.isolated, n, true)
+	}
+	began := time.Now()
+	<-time.After(6 * time.Second)
+	cancel()
+	wait()
+	const bound = limitOvershoot*rate*4 + limitSlack
+	for _, id := range []string{"e1", "e2"} {
+		n := s.mostInWindow(id, began)
+		c.Check(float64(n) <= bound, qt.IsTrue, qt.Commentf("%s got %d requests in %s, the bound is %g", id, n, limitWindow, bound))
+	}
+}
+
+// TestRestartedHostKnowsLimits guards against a host that owns an endpoint after a
+// restart and does not know the limit that the endpoint stated before.
+func TestRestartedHostKnowsLimits(t *testing.T) {
+	c := qt.New(t)
+	k := newCluster(t)
+	s := newLimitedEndpoints()
+	k.setSend(s.send)
+	hosts := append(k.startMany(1, "a", "z1"), k.startMany(1, "b", "z2")...)
+	k.waitReady(hosts...)
+	s.state(3, "e1", "e2", "e3", "e4")
+	// The host of the other zone learns of them by the heartbeats between zones.
+	k.eventually(5*time.Second, "the limits are known in the other zone", func() bool {
+		q := request("/look/")
+		q.Object = fmt.Sprint("o", rand.IntN(40))
+		hosts[rand.IntN(2)].Serve(t.Context(), q)
+		return len(hosts[1].balancer.Limits(time.Now())) == 4
+	})
+	setFault(k, k.isolated, "a0", true)
+	fresh := k.start("a1", "z1")
+	k.eventually(5*time.Second, "ready", fresh.Ready)
+	m := fresh.balancer.Limits(time.Now())
+	for _, id := range []string{"e1", "e2"} {
+		c.Check(m[id].Limit, qt.Equals, balance.Limit{
+			Stated: true,
+			Rate:   3,
+		}, qt.Commentf("%s", id))
+	}
+}
+
+// TestLimitEnds guards against a limit that outlives the endpoint's word, also one that
+// allowed nothing.
+func TestLimitEnds(t *testing.T) {
+	c := qt.New(t)
+	k := newCluster(t)
+	s := newLimitedEndpoints()
+	k.setSend(s.send)
+	hosts := append(k.startMany(2, "a", "z1"), k.startMany(2, "b", "z2")...)
+	k.waitReady(hosts...)
+	s.state(0, "e1")
+	s.state(5, "e2")
+	ctx, cancel := context.WithCancel(t.Context())
+	wait := offer(ctx, 120, hosts)
+	<-time.After(time.Second)
+	began := time.Now()
+	<-time.After(4 * time.Second)
+	c.Check(s.since("e1", began) <= 2, qt.IsTrue, qt.Commentf("%d requests in 4 s at an endpoint that takes none", s.since("e1", began)))
+	s.withdraw("e1", "e2")
+	<-time.After(5 * time.Second)
+	began = time.Now()
+	<-time.After(2 * time.Second)
+	cancel()
+	wait()
+	for _, id := range []string{"e1", "e2"} {
+		c.Check(s.since(id, began) > 20, qt.IsTrue, qt.Commentf("%s got %d requests in 2 s without a limit", id, s.since(id, began)))
+	}
+}
--- a/core/edge/messages.go
+++ b/core/edge/messages.go
@@ -20,6 +20,8 @@
 	// Owned holds the states of the endpoints that the host owns. Only hosts of its
 	// zone get it.
 	Owned map[string]balance.State `json:"owned,omitempty"`
+	// Limits holds what the host knows of endpoints' limits, its own endpoints or not.
+	Limits map[string]balance.LimitReport `json:"limits,omitempty"`
 	// Gossip holds the states of other hosts of the zone that the host received
 	// lately. Only hosts of a large zone send it.
 	Gossip []HostStatus `json:"others,omitempty"`
@@ -71,4 +73,6 @@
 	// Readers are the hosts that read the parts then.
 	Readers [registry.NumParts]string `json:"readers"`
 	Members []fleet.Member            `json:"members"`
+	// Limits holds what the other host knows of endpoints' limits.
+	Limits map[string]balance.LimitReport `json:"limits,omitempty"`
 }
--- a/io/monitor/monitor.go
+++ b/io/monitor/monitor.go
@@ -216,6 +216,7 @@
 			}).Gauge("endpoints").Update(float64(n))
 		}
 		t.Gauge("endpoints_strict").Update(float64(x.Strict))
+		t.Gauge("endpoints_limited").Update(float64(x.Limited))
 		t.Gauge("repeats_left").Update(float64(x.RetriesLeft))
 	}
 	m.mu.Lock()
