core/edge: a test of hosts that stand in for the owner of a cold endpoint

TestColdEndpointOfUnreachableOwners shows it with owners cut off in turn: within 20 requests a second.

--- a/core/edge/limit_test.go
+++ b/core/edge/limit_test.go
@@ -12,6 +12,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"heatherford/core/balance"
+	"heatherford/core/registry"
 )
 
 // The bound on the requests to an endpoint that states a limit, over all hosts.
@@ -78,11 +79,17 @@
 // mostInWindow returns the most requests that came to an endpoint within limitWindow,
 // of those after a time.
 func (s *limitedEndpoints) mostInWindow(id string, t time.Time) int {
+	return s.mostWithin(id, limitWindow, t)
+}
+
+// mostWithin returns the most requests that came to an endpoint within any time of a
+// length, of those after a time.
+func (s *limitedEndpoints) mostWithin(id string, d time.Duration, t time.Time) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	most, first := 0, 0
 	for i, a := range s.arrivals[id] {
-		for s.arrivals[id][first].Before(t) && first < i || a.Sub(s.arrivals[id][first]) > limitWindow {
+		for s.arrivals[id][first].Before(t) && first < i || a.Sub(s.arrivals[id][first]) > d {
 			first++
 		}
 		if !a.Before(t) {
@@ -284,3 +291,33 @@
 		c.Check(s.since(id, began) > 20, qt.IsTrue, qt.Commentf("%s got %d requests in 2 s without a limit", id, s.since(id, began)))
 	}
 }
+
+// TestColdEndpointOfUnreachableOwners guards against a cold endpoint that gets more than
+// it bears while hosts stand in for owners that they cannot reach.
+func TestColdEndpointOfUnreachableOwners(t *testing.T) {
+	c := qt.New(t)
+	k := newCluster(t)
+	s := newLimitedEndpoints()
+	k.setSend(s.send)
+	e := k.endpoint("e1", "z1")
+	e.ColdLeft = 20 * time.Second
+	k.platform.put(registry.Endpoints, e.ID, registry.Record{
+		Endpoint: &e,
+	})
+	hosts := append(k.startMany(4, "a", "z1"), k.startMany(2, "b", "z2")...)
+	k.waitReady(hosts...)
+	ctx, cancel := context.WithCancel(t.Context())
+	wait := offer(ctx, 200, hosts)
+	for _, n := range []string{"a0", "a1", "a2", "a3", "a0", "a1"} {
+		setFault(k, k.isolated, n, true)
+		<-time.After(600 * time.Millisecond)
+		setFault(k, k.isolated, n, false)
+	}
+	cancel()
+	wait()
+	// The declaration allows 10 requests a second, 1.5 times that and 5 are borne.
+	const bound = 1.5*10 + 5
+	n := s.mostWithin("e1", time.Second, time.Time{})
+	c.Check(n <= bound, qt.IsTrue, qt.Commentf("%d requests in a second, the bound is %g", n, bound))
+	c.Check(n > 0, qt.IsTrue)
+}
