core/balance: a late answer of an ended incarnation says nothing of its successor's limit; clearer names

An endpoint may start again under the ID that it had. An answer of the incarnation before, arriving after that, replaced what was known of the new one's limit, and applied the share of the host's earlier placement. Observations now go to the incarnation that stated them, and a limit is applied to the endpoint as it is listed (TestLimitByAnEarlierIncarnation).

StatedLimit stands beside Limits, the bounds of an upstream, so that the two are not mistaken for each other.

--- a/core/balance/balancer.go
+++ b/core/balance/balancer.go
@@ -133,7 +133,7 @@
 	x.coldRate.rate = l.ColdRate * m.ForwardColdShare
 	x.coldOwn.rate = l.ColdRate * m.OwnerColdShare
 	x.limitShare = m.LimitShare
-	b.applyLimit(x)
+	b.setLimit(x)
 	b.endpoints[e.ID] = x
 	p := b.pool(e.Upstream)
 	p.endpoints[x.level] = append(p.endpoints[x.level], x)
--- a/core/balance/limit.go
+++ b/core/balance/limit.go
@@ -27,9 +27,9 @@
 	maxLimitWait = time.Minute
 )
 
-// Limit is the number of requests that an endpoint takes from all hosts together, by
+// StatedLimit is the number of requests that an endpoint takes from all hosts together, by
 // its own word.
-type Limit struct {
+type StatedLimit struct {
 	// Stated is true if the endpoint states a limit.
 	Stated bool `json:"stated,omitempty"`
 	// Rate is in requests per second. It is 0 or more, and 0 if no limit is stated.
@@ -37,7 +37,7 @@
 }
 
 // String returns the rate, "none" if no limit is stated, or an empty string for nil.
-func (l *Limit) String() string {
+func (l *StatedLimit) String() string {
 	switch {
 	case l == nil:
 		return ""
@@ -49,7 +49,7 @@
 }
 
 // permits returns the rate, or infinity if no limit is stated.
-func (l *Limit) permits() float64 {
+func (l *StatedLimit) permits() float64 {
 	if !l.Stated {
 		return math.Inf(1)
 	}
@@ -58,7 +58,7 @@
 
 // LimitReport is what a host tells others of an endpoint's limit.
 type LimitReport struct {
-	Limit
+	StatedLimit
 	// StartedAt identifies the incarnation of the endpoint that stated the limit.
 	StartedAt time.Time `json:"born"`
 	// Age is how long ago an answer of the endpoint said so.
@@ -67,7 +67,7 @@
 
 // endpointLimit is what a host knows of the limit of an incarnation of an endpoint.
 type endpointLimit struct {
-	Limit
+	StatedLimit
 	startedAt time.Time
 	// since is when an answer first stated the limit, and at when one last did, to
 	// this host or to another.
@@ -78,9 +78,9 @@
 }
 
 // set takes in the limit that was stated at a time.
-func (x *endpointLimit) set(l Limit, at time.Time) {
-	if l != x.Limit || x.since.IsZero() {
-		x.Limit = l
+func (x *endpointLimit) set(l StatedLimit, at time.Time) {
+	if l != x.StatedLimit || x.since.IsZero() {
+		x.StatedLimit = l
 		x.since = at
 	}
 	x.at = at
@@ -147,8 +147,15 @@
 // observeLimit takes in what the answer to a request says of the endpoint's limit.
 // Answers may arrive in another order than they were made, so that a higher limit
 // counts only if the request was sent after the known one was first stated.
-func (b *Balancer) observeLimit(s *endpoint, l Limit, sentAt, now time.Time) {
-	x := s.limit
+func (b *Balancer) observeLimit(s *endpoint, l StatedLimit, sentAt, now time.Time) {
+	x := b.limits[s.ID]
+	switch {
+	case x != nil && x.startedAt.After(s.StartedAt):
+		// The answer is by an incarnation that has ended.
+		return
+	case x != nil && x.startedAt.Before(s.StartedAt):
+		x = nil
+	}
 	switch {
 	case x == nil && !l.Stated:
 		return
@@ -161,13 +168,12 @@
 		return
 	}
 	x.set(l, now)
-	b.applyLimit(s)
-	b.refuseHopeless(s, now)
+	b.applyLimit(s.ID, now)
 }
 
-// RecordLimits records what another host reported of endpoints' limits at the given
+// RecordStatedLimits records what another host reported of endpoints' limits at the given
 // time. A report that is older than what is known is ignored.
-func (b *Balancer) RecordLimits(m map[string]LimitReport, at time.Time) {
+func (b *Balancer) RecordStatedLimits(m map[string]LimitReport, at time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for id, r := range m {
@@ -184,16 +190,22 @@
 		case r.StartedAt.Before(x.startedAt) || observed.Before(x.at.Add(limitMargin)):
 			continue
 		}
-		x.set(r.Limit, observed)
-		if s := b.endpoints[id]; s != nil {
-			b.applyLimit(s)
-			b.refuseHopeless(s, at)
-		}
+		x.set(r.StatedLimit, observed)
+		b.applyLimit(id, at)
 	}
 }
 
-// applyLimit gives an endpoint what is known of its limit.
-func (b *Balancer) applyLimit(s *endpoint) {
+// applyLimit gives an endpoint, if it is listed, what is now known of its limit, and
+// refuses those queued for it that no longer have time to wait.
+func (b *Balancer) applyLimit(id string, now time.Time) {
+	if s := b.endpoints[id]; s != nil {
+		b.setLimit(s)
+		b.refuseHopeless(s, now)
+	}
+}
+
+// setLimit gives an endpoint what is known of its limit.
+func (b *Balancer) setLimit(s *endpoint) {
 	s.limit = b.limitOf(&s.Endpoint)
 	if s.limit == nil {
 		return
@@ -205,24 +217,22 @@
 	s.limit.setShare(s.limitShare)
 }
 
-// Limits returns what is known of endpoints' limits, to be sent to other hosts. It
+// StatedLimits returns what is known of endpoints' limits, to be sent to other hosts. It
 // holds limits that have ended for a while, and none that never were.
-func (b *Balancer) Limits(now time.Time) map[string]LimitReport {
+func (b *Balancer) StatedLimits(now time.Time) map[string]LimitReport {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	m := map[string]LimitReport{}
 	for id, x := range b.limits {
 		if b.forgetsLimit(id, x, now) {
 			delete(b.limits, id)
-			if s := b.endpoints[id]; s != nil {
-				b.applyLimit(s)
-			}
+			b.applyLimit(id, now)
 			continue
 		}
 		m[id] = LimitReport{
-			Limit:     x.Limit,
-			StartedAt: x.startedAt,
-			Age:       max(0, now.Sub(x.at)),
+			StatedLimit: x.StatedLimit,
+			StartedAt:   x.startedAt,
+			Age:         max(0, now.Sub(x.at)),
 		}
 	}
 	return m
--- a/core/balance/limit_test.go
+++ b/core/balance/limit_test.go
@@ -81,7 +81,7 @@
 	return d.permit
 }
 
-func (b *limitBench) release(p *Permit, limit *Limit) {
+func (b *limitBench) release(p *Permit, limit *StatedLimit) {
 	b.balancer.Release(p, Result{
 		Outcome: Answered,
 		Load:    -1,
@@ -90,12 +90,12 @@
 }
 
 // stated returns the limit that the balancer knows of the endpoint.
-func (b *limitBench) stated() Limit {
-	return b.balancer.Limits(b.now)["e"].Limit
+func (b *limitBench) stated() StatedLimit {
+	return b.balancer.StatedLimits(b.now)["e"].StatedLimit
 }
 
-func limitOf(rate float64) *Limit {
-	return &Limit{
+func limitOf(rate float64) *StatedLimit {
+	return &StatedLimit{
 		Stated: true,
 		Rate:   rate,
 	}
@@ -108,7 +108,7 @@
 	early, first := b.acquire(), b.acquire()
 	b.after(10 * time.Millisecond)
 	b.release(first, limitOf(5))
-	b.release(early, &Limit{})
+	b.release(early, &StatedLimit{})
 	b.Check(b.stated(), qt.Equals, *limitOf(5), qt.Commentf("ended by an earlier request"))
 	b.after(time.Second)
 	early = b.acquire()
@@ -118,8 +118,8 @@
 	b.release(early, limitOf(9))
 	b.Check(b.stated(), qt.Equals, *limitOf(3), qt.Commentf("raised by an earlier request"))
 	b.after(time.Second)
-	b.release(b.acquire(), &Limit{})
-	b.Check(b.stated(), qt.Equals, Limit{})
+	b.release(b.acquire(), &StatedLimit{})
+	b.Check(b.stated(), qt.Equals, StatedLimit{})
 }
 
 // TestUnknownLimitIsKept guards against an answer that does not tell of a limit, such as
@@ -152,24 +152,24 @@
 // newest incarnation counts, also that a limit has ended.
 func TestReportedLimits(t *testing.T) {
 	b := newLimitBench(t)
-	report := func(l *Limit, startedAt time.Time, age time.Duration) {
-		b.balancer.RecordLimits(map[string]LimitReport{
+	report := func(l *StatedLimit, startedAt time.Time, age time.Duration) {
+		b.balancer.RecordStatedLimits(map[string]LimitReport{
 			"e": {
-				Limit:     *l,
-				StartedAt: startedAt,
-				Age:       age,
+				StatedLimit: *l,
+				StartedAt:   startedAt,
+				Age:         age,
 			},
 		}, b.now)
 	}
-	report(&Limit{}, time.Time{}, 0)
-	b.Check(b.balancer.Limits(b.now), qt.HasLen, 0)
+	report(&StatedLimit{}, time.Time{}, 0)
+	b.Check(b.balancer.StatedLimits(b.now), qt.HasLen, 0)
 	report(limitOf(5), time.Time{}, 2*time.Second)
 	b.Check(b.stated(), qt.Equals, *limitOf(5))
 	report(limitOf(9), time.Time{}, 4*time.Second)
 	b.Check(b.stated(), qt.Equals, *limitOf(5))
-	report(&Limit{}, time.Time{}, time.Second)
-	b.Check(b.stated(), qt.Equals, Limit{})
-	b.Check(b.balancer.Limits(b.now), qt.HasLen, 1, qt.Commentf("the end is passed on"))
+	report(&StatedLimit{}, time.Time{}, time.Second)
+	b.Check(b.stated(), qt.Equals, StatedLimit{})
+	b.Check(b.balancer.StatedLimits(b.now), qt.HasLen, 1, qt.Commentf("the end is passed on"))
 	report(limitOf(2), time.UnixMilli(5), 3*time.Second)
 	b.Check(b.balancer.endpoints["e"].limited(), qt.IsFalse, qt.Commentf("the listed endpoint is another incarnation"))
 	report(limitOf(3), time.Time{}, 0)
@@ -279,7 +279,7 @@
 				asked += r.asked
 			}
 			c.Check(float64(inTime) >= k.least*float64(asked), qt.IsTrue, qt.Commentf("%d of %d in time", inTime, asked))
-			limited.limit = Limit{}
+			limited.limit = StatedLimit{}
 			w.run(5 * time.Second)
 			limited.arrivals = nil
 			w.run(3 * time.Second)
@@ -287,3 +287,15 @@
 		})
 	}
 }
+
+// TestLimitByAnEarlierIncarnation guards against an answer of an incarnation that has
+// ended, which arrives late and replaces the limit of the one in its place.
+func TestLimitByAnEarlierIncarnation(t *testing.T) {
+	b := newLimitBench(t)
+	late := b.acquire()
+	b.list(time.UnixMilli(5), "e")
+	b.release(b.acquire(), limitOf(2))
+	b.release(late, limitOf(50))
+	b.Check(b.stated(), qt.Equals, *limitOf(2))
+	b.Check(b.balancer.endpoints["e"].limited(), qt.IsTrue)
+}
--- a/core/balance/modelendpoint_test.go
+++ b/core/balance/modelendpoint_test.go
@@ -30,7 +30,7 @@
 	// down is true if the endpoint cannot be reached.
 	down bool
 	// limit is what the endpoint's answers state.
-	limit Limit
+	limit StatedLimit
 	// lossRate is the part of the answers that are lost after the request ran.
 	lossRate float64
 }
--- a/core/balance/result.go
+++ b/core/balance/result.go
@@ -41,7 +41,7 @@
 	// say.
 	ColdUntil time.Time
 	// Limit is the limit that the endpoint stated, or nil if it did not say.
-	Limit *Limit
+	Limit *StatedLimit
 }
 
 // Release ends a permit and returns the endpoint's new state, for the host that
--- a/core/balance/world_test.go
+++ b/core/balance/world_test.go
@@ -203,11 +203,11 @@
 func (w *world) reportStates() {
 	for _, h := range w.hosts {
 		m := h.balancer.OwnedStates(w.now)
-		limits := h.balancer.Limits(w.now)
+		limits := h.balancer.StatedLimits(w.now)
 		for _, o := range w.hosts {
 			if o != h && o.Zone == h.Zone {
 				o.balancer.RecordStates(m, w.now)
-				o.balancer.RecordLimits(limits, w.now)
+				o.balancer.RecordStatedLimits(limits, w.now)
 			}
 		}
 	}
--- a/core/edge/control.go
+++ b/core/edge/control.go
@@ -92,7 +92,7 @@
 	// live are the live hosts as of the last check.
 	live []fleet.Member
 	// limits are the endpoints' limits as they were logged last.
-	limits map[string]balance.Limit
+	limits map[string]balance.StatedLimit
 	// revision is one more than the registry's count of changes that the balancer
 	// has; 0 stands for none.
 	revision uint64
@@ -302,11 +302,11 @@
 // logLimits logs each limit of an endpoint that was stated, changed or ended.
 func (c *control) logLimits(now time.Time) {
 	before := c.limits
-	c.limits = map[string]balance.Limit{}
-	for id, r := range c.edge.balancer.Limits(now) {
-		c.limits[id] = r.Limit
-		if before[id] != r.Limit {
-			c.edge.options.Log("limit", "endpoint", id, "limit", &r.Limit, "age", r.Age)
+	c.limits = map[string]balance.StatedLimit{}
+	for id, r := range c.edge.balancer.StatedLimits(now) {
+		c.limits[id] = r.StatedLimit
+		if before[id] != r.StatedLimit {
+			c.edge.options.Log("limit", "endpoint", id, "limit", &r.StatedLimit, "age", r.Age)
 		}
 	}
 }
--- a/core/edge/heartbeat.go
+++ b/core/edge/heartbeat.go
@@ -113,7 +113,7 @@
 func (c *control) newHeartbeat(now time.Time) *Heartbeat {
 	t := &Heartbeat{
 		From:   c.fleet.Self(),
-		Limits: ofRound(c.edge.balancer.Limits(now), maxLimits, c.round),
+		Limits: ofRound(c.edge.balancer.StatedLimits(now), maxLimits, c.round),
 	}
 	for p := range registry.NumParts {
 		t.Parts[p] = PartStatus{
@@ -137,7 +137,7 @@
 // handleHeartbeat handles a heartbeat that arrived at now.
 func (c *control) handleHeartbeat(t *Heartbeat, now time.Time) {
 	c.fleet.RecordHeartbeat(t.From, now)
-	c.edge.balancer.RecordLimits(t.Limits, now.Add(-transitAllowance))
+	c.edge.balancer.RecordStatedLimits(t.Limits, now.Add(-transitAllowance))
 	c.handleChanges(t, now)
 	behind := false
 	for p := range registry.NumParts {
@@ -220,7 +220,7 @@
 func (c *control) applyDelta(b *Delta, from string, requestedAt, now time.Time) {
 	c.fleet.AddListed(b.Members, now)
 	// The limits come first, so that no endpoint is used without its own.
-	c.edge.balancer.RecordLimits(b.Limits, now.Add(-transitAllowance))
+	c.edge.balancer.RecordStatedLimits(b.Limits, now.Add(-transitAllowance))
 	changed := false
 	for _, u := range b.Updates {
 		p := u.Part
@@ -284,7 +284,7 @@
 func (c *control) delta(since [registry.NumParts]uint64, now time.Time) *Delta {
 	b := &Delta{
 		Members: c.fleet.Known(),
-		Limits:  c.edge.balancer.Limits(now),
+		Limits:  c.edge.balancer.StatedLimits(now),
 	}
 	for p := range registry.NumParts {
 		b.Ages[p] = ageOf(c.registry.CurrentAt(p), now)
--- a/core/edge/limit_test.go
+++ b/core/edge/limit_test.go
@@ -27,7 +27,7 @@
 type limitedEndpoints struct {
 	mu sync.Mutex
 	// limit is what the answers of each endpoint state. A missing one states none.
-	limit map[string]balance.Limit
+	limit map[string]balance.StatedLimit
 	// arrivals holds when requests came to each endpoint, in order.
 	arrivals map[string][]time.Time
 	work     time.Duration
@@ -35,7 +35,7 @@
 
 func newLimitedEndpoints() *limitedEndpoints {
 	return &limitedEndpoints{
-		limit:    map[string]balance.Limit{},
+		limit:    map[string]balance.StatedLimit{},
 		arrivals: map[string][]time.Time{},
 		work:     20 * time.Millisecond,
 	}
@@ -46,7 +46,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, id := range ids {
-		s.limit[id] = balance.Limit{
+		s.limit[id] = balance.StatedLimit{
 			Stated: true,
 			Rate:   rate,
 		}
@@ -250,14 +250,14 @@
 		q := request("/look/")
 		q.Object = fmt.Sprint("o", rand.IntN(40))
 		hosts[rand.IntN(2)].Serve(t.Context(), q)
-		return len(hosts[1].balancer.Limits(time.Now())) == 4
+		return len(hosts[1].balancer.StatedLimits(time.Now())) == 4
 	})
 	setFault(k, k.isolated, "a0", true)
 	fresh := k.start("a1", "z1")
 	k.eventually(5*time.Second, "ready", fresh.Ready)
-	m := fresh.balancer.Limits(time.Now())
+	m := fresh.balancer.StatedLimits(time.Now())
 	for _, id := range []string{"e1", "e2"} {
-		c.Check(m[id].Limit, qt.Equals, balance.Limit{
+		c.Check(m[id].StatedLimit, qt.Equals, balance.StatedLimit{
 			Stated: true,
 			Rate:   3,
 		}, qt.Commentf("%s", id))
--- a/core/edge/request.go
+++ b/core/edge/request.go
@@ -62,7 +62,7 @@
 	// ColdLeft is how long the endpoint said that it stays cold, or zero.
 	ColdLeft time.Duration `json:"-"`
 	// Limit is what the endpoint said of its request limit, or nil if it said nothing.
-	Limit *balance.Limit `json:"-"`
+	Limit *balance.StatedLimit `json:"-"`
 }
 
 // ForwardRequest is a request that a host forwards to the owner of an endpoint. It holds
--- a/io/endpoint/limit_test.go
+++ b/io/endpoint/limit_test.go
@@ -16,22 +16,22 @@
 		own  = "HTTP/1.1 200 OK\nId: ID\nMark: m\nContent-Length: 0\n"
 		full = "HTTP/1.1 503 Service Unavailable\nId: ID\nNot-Run: 1\nContent-Length: 0\n"
 	)
-	stated := func(rate float64) *balance.Limit {
-		return &balance.Limit{
+	stated := func(rate float64) *balance.StatedLimit {
+		return &balance.StatedLimit{
 			Stated: true,
 			Rate:   rate,
 		}
 	}
 	for _, k := range []struct {
 		name, head string
-		want       *balance.Limit
+		want       *balance.StatedLimit
 	}{
 		{"one spelling", own + "Own-Limit: 4.5\n", stated(4.5)},
 		{"the other", own + "Limit: 4.5\n", stated(4.5)},
 		{"both", own + "Limit: 7\nOwn-Limit: 4.5\n", stated(4.5)},
 		{"whole number", own + "Limit: 12\n", stated(12)},
 		{"nothing taken", own + "Limit: 0\n", stated(0)},
-		{"none", own, &balance.Limit{}},
+		{"none", own, &balance.StatedLimit{}},
 		{"failed", "HTTP/1.1 500 Internal Server Error\nId: ID\nMark: m\nContent-Length: 0\nLimit: 2\n", stated(2)},
 		{"rejected", full + "Limit: 3\n", stated(3)},
 		{"rejected without", full, nil},
--- a/io/endpoint/sender.go
+++ b/io/endpoint/sender.go
@@ -169,7 +169,7 @@
 // limitOf returns what an answer says of the endpoint's limit, or nil if it says
 // nothing. Only a whole answer of the endpoint's own says that there is none: a
 // rejection may lack the header.
-func (s *Sender) limitOf(h http.Header, r *edge.Reply) *balance.Limit {
+func (s *Sender) limitOf(h http.Header, r *edge.Reply) *balance.StatedLimit {
 	v := ""
 	for _, n := range s.headers.Limit {
 		if v = h.Get(n); v != "" {
@@ -181,7 +181,7 @@
 	case r.Misplaced || (r.Ran && !r.Genuine):
 		return nil
 	case v == "" && own:
-		return &balance.Limit{}
+		return &balance.StatedLimit{}
 	case v == "":
 		return nil
 	}
@@ -189,7 +189,7 @@
 	if err != nil || math.IsNaN(x) || math.IsInf(x, 0) || x < 0 {
 		return nil
 	}
-	return &balance.Limit{
+	return &balance.StatedLimit{
 		Stated: true,
 		Rate:   x,
 	}
