--- a/core/edge/heartbeat_test.go
+++ b/core/edge/heartbeat_test.go
@@ -185,6 +185,18 @@
 		MissRate:     0.25,
 		SuspendedFor: 1234 * time.Millisecond,
 	}
+	stated := map[string]balance.LimitReport{}
+	for i := range 2 * maxLimits {
+		stated[fmt.Sprintf("i-0123456789%06d", i)] = balance.LimitReport{
+			StatedLimit: balance.StatedLimit{
+				Stated: true,
+				Rate:   12.345678,
+			},
+			StartedAt: now,
+			Age:       12345678 * time.Microsecond,
+		}
+	}
+	e.balancer.RecordStatedLimits(stated, now)
 	for i := range hosts {
 		m := self
 		m.Name = fmt.Sprintf("front-availability-zone-00-%03d", i+1)
