soak: each process gets ports of its own

Seed 701 with 56 hosts ended with 'the hosts are of no use after 8s': s2-8 could not start, as port 27741 was in use. Cause: ports were drawn at random and looked at once; a process that was given some, but did not listen yet, could lose them to the next one, the more likely the more processes. They are handed out in turn now (TestPortsAreHandedOutOnce).

--- a/cmd/heatherford-soak/process.go
+++ b/cmd/heatherford-soak/process.go
@@ -36,14 +36,31 @@
 	lastPort  = 32_000
 )
 
-// ports returns the first of n ports in a row that were free.
-func ports(n int) (int, error) {
-	const tries = 200
-	for range tries {
-		first := firstPort + rand.IntN(lastPort-firstPort-n)
+// ports hands out ports, each once: a process that was given some may not listen yet.
+type ports struct {
+	// next is the first port that was not handed out.
+	next int
+}
+
+// newPorts returns ports that begin anywhere, since other runs may hand out theirs.
+func newPorts() *ports {
+	return &ports{
+		next: firstPort + rand.IntN(lastPort-firstPort),
+	}
+}
+
+// take returns the first of n ports in a row that were free.
+func (p *ports) take(n int) (int, error) {
+	for range lastPort - firstPort {
+		if p.next+n > lastPort {
+			p.next = firstPort
+		}
+		first := p.next
 		if free(first, n) {
+			p.next += n
 			return first, nil
 		}
+		p.next++
 	}
 	return 0, fmt.Errorf("no %d free ports in a row", n)
 }
@@ -60,9 +77,9 @@
 }
 
 // newProcess writes the settings of a host whose table is at an address.
-func newProcess(folder, program, name, zone, region, table string) (*process, error) {
+func newProcess(free *ports, folder, program, name, zone, region, table string) (*process, error) {
 	const needed = 5
-	p, err := ports(needed)
+	p, err := free.take(needed)
 	if err != nil {
 		return nil, err
 	}
--- a/cmd/heatherford-soak/soak_test.go
+++ b/cmd/heatherford-soak/soak_test.go
@@ -31,3 +31,20 @@
 		c.Check(r.Broken, qt.HasLen, 0)
 	}
 }
+
+// TestPortsAreHandedOutOnce guards against two processes that are given the same ports,
+// of which the first does not listen yet: the second cannot start.
+func TestPortsAreHandedOutOnce(t *testing.T) {
+	c := qt.New(t)
+	p := newPorts()
+	given := map[int]bool{}
+	const processes, needed = 400, 5
+	for range processes {
+		first, err := p.take(needed)
+		c.Assert(err, qt.IsNil)
+		for i := range needed {
+			c.Check(given[first+i], qt.IsFalse, qt.Commentf("port %d", first+i))
+			given[first+i] = true
+		}
+	}
+}
--- a/cmd/heatherford-soak/world.go
+++ b/cmd/heatherford-soak/world.go
@@ -78,6 +78,7 @@
 	random    *rand.Rand
 	table     *rows.Table
 	runs      *desk.Runs
+	ports     *ports
 	processes []*process
 	// stores are the relays between hosts and the table, one for each.
 	stores []*relay.Relay
@@ -102,6 +103,7 @@
 		random:  rand.New(rand.NewPCG(o.Seed, 99)),
 		table:   rows.New(),
 		runs:    desk.NewRuns(),
+		ports:   newPorts(),
 		busy:    map[int]bool{},
 	}
 	r := report{
@@ -181,7 +183,7 @@
 	}
 	w.stores = append(w.stores, r)
 	w.closers = append(w.closers, r.Close)
-	p, err := newProcess(w.folder, w.options.Program, fmt.Sprintf("%s-%d", zone, i), zone, regions[zone], r.Addr().String())
+	p, err := newProcess(w.ports, w.folder, w.options.Program, fmt.Sprintf("%s-%d", zone, i), zone, regions[zone], r.Addr().String())
 	if err != nil {
 		return err
 	}
