--- a/core/edge/reader.go
+++ b/core/edge/reader.go
@@ -134,7 +134,11 @@
 	r.full = false
 	r.active = true
 	r.source = c.fleet.Self().Name
+	known := c.registry.Version(p)
 	changed := c.apply(u, currentAt(p, readAt, now), now)
+	if u.Version < known {
+		c.edge.options.Log("platform", "part", int(p), "outcome", "older", "version", u.Version, "known", known, "whole", u.Full)
+	}
 	c.publish(now)
 	if changed {
 		c.logUpdate(p, "platform", len(u.Records), now.Sub(readAt), now)
--- a/standin/rows/table.go
+++ b/standin/rows/table.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
 	"sort"
 	"strconv"
@@ -10,6 +11,9 @@
 	"time"
 )
 
+// headerEra is the header of every answer with the era.
+const headerEra = "Store-Era"
+
 // Row is a row as it is sent.
 type Row struct {
 	Table           string `json:"table"`
@@ -41,6 +45,8 @@
 	rows    map[string]Row
 	// forgotten is the version before which no history is left.
 	forgotten uint64
+	// era counts the returns from a copy, from 1 on.
+	era uint64
 	changed   chan struct{}
 	faults    Faults
 	calls     map[string]int
@@ -49,6 +55,7 @@
 // New returns an empty table.
 func New() *Table {
 	return &Table{
+		era:     1,
 		rows:    map[string]Row{},
 		changed: make(chan struct{}),
 		calls:   map[string]int{},
@@ -85,6 +92,36 @@
 	t.forgotten = t.version
 }
 
+// Copy is the content of a table at some moment.
+type Copy struct {
+	version uint64
+	rows    map[string]Row
+}
+
+// Copy returns a copy of the table.
+func (t *Table) Copy() *Copy {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return &Copy{
+		version: t.version,
+		rows:    maps.Clone(t.rows),
+	}
+}
+
+// Restore replaces the content by that of a copy and begins the next era. What was
+// written since the copy is gone, and its versions are given out again. Waiting reads
+// answer from the new content.
+func (t *Table) Restore(c *Copy) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.era++
+	t.version = c.version
+	t.rows = maps.Clone(c.rows)
+	t.forgotten = min(t.forgotten, c.version)
+	close(t.changed)
+	t.changed = make(chan struct{})
+}
+
 // Set switches faults on or off.
 func (t *Table) Set(f Faults) {
 	t.mu.Lock()
@@ -123,6 +160,9 @@
 	case <-r.Context().Done():
 		return
 	}
+	t.mu.Lock()
+	t.setEra(w)
+	t.mu.Unlock()
 	switch {
 	case f.Silent:
 		// The server notices the end of a connection only after the body.
@@ -152,6 +192,11 @@
 	}
 }
 
+// setEra states the era in an answer. The caller holds mu.
+func (t *Table) setEra(w http.ResponseWriter) {
+	w.Header().Set(headerEra, strconv.FormatUint(t.era, 10))
+}
+
 // lost drops an answer.
 type lost struct {
 	http.ResponseWriter
@@ -177,6 +222,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.setEra(w)
 	for _, e := range x.Expect {
 		if t.rows[e.Table+"\x00"+e.Part+"\x00"+e.Key].ResourceVersion != e.ResourceVersion {
 			w.WriteHeader(http.StatusPreconditionFailed)
@@ -226,6 +272,7 @@
 }
 
 func (t *Table) answer(w http.ResponseWriter, s []Row, more bool) {
+	t.setEra(w)
 	json.NewEncoder(w).Encode(map[string]any{
 		"rows":            s,
 		"hasMore":         more,
@@ -245,7 +292,8 @@
 	timeout := time.After(time.Duration(wait) * time.Millisecond)
 	for end := false; ; {
 		t.mu.Lock()
-		if after < t.forgotten {
+		t.setEra(w)
+		if after < t.forgotten || after > t.version {
 			t.mu.Unlock()
 			w.WriteHeader(http.StatusGone)
 			return
--- a/standin/rows/table_test.go
+++ b/standin/rows/table_test.go
@@ -40,3 +40,38 @@
 		c.Fatal("the server does not end")
 	}
 }
+
+// TestRestore has a table come back from a copy: acknowledged rows are gone, versions are
+// given out again, reads after a version that is not there get 410, and every answer states
+// the era.
+func TestRestore(t *testing.T) {
+	c := qt.New(t)
+	x := rows.New()
+	s := httptest.NewServer(x)
+	defer s.Close()
+	get := func(path string) (status int, era string) {
+		a, err := http.Get(s.URL + path)
+		c.Assert(err, qt.IsNil)
+		defer a.Body.Close()
+		return a.StatusCode, a.Header.Get("Store-Era")
+	}
+	x.Put("op", "a", "1")
+	kept := x.Copy()
+	x.Put("op", "b", "2")
+	x.Put("op", "c", "3")
+	status, era := get("/rows-feed?table=op&after=3&waitMs=0")
+	c.Check(status, qt.Equals, http.StatusOK)
+	c.Check(era, qt.Equals, "1")
+	x.Restore(kept)
+	x.Put("op", "d", "4")
+	status, era = get("/rows-feed?table=op&after=3&waitMs=0")
+	c.Check(status, qt.Equals, http.StatusGone)
+	c.Check(era, qt.Equals, "2")
+	status, _ = get("/rows-feed?table=op&after=2&waitMs=0")
+	c.Check(status, qt.Equals, http.StatusOK)
+	x.Set(rows.Faults{
+		Status: http.StatusServiceUnavailable,
+	})
+	_, era = get("/rows-get?table=op")
+	c.Check(era, qt.Equals, "2")
+}
