--- a/core/edge/platform_test.go
+++ b/core/edge/platform_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -60,6 +61,37 @@
 	t.historyStart = t.version
 }
 
+// platformCopy is the content of a platform at some moment.
+type platformCopy struct {
+	version uint64
+	records [registry.NumParts]map[string]registry.Record
+}
+
+func (t *fakePlatform) copy() *platformCopy {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	x := &platformCopy{
+		version: t.version,
+	}
+	for p := range t.records {
+		x.records[p] = maps.Clone(t.records[p])
+	}
+	return x
+}
+
+// restore has the platform return from a copy: what was written since is gone, and its
+// versions are given out again.
+func (t *fakePlatform) restore(x *platformCopy) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.version = x.version
+	for p := range x.records {
+		t.records[p] = maps.Clone(x.records[p])
+	}
+	close(t.changed)
+	t.changed = make(chan struct{})
+}
+
 // read returns Transport.Read of a host.
 func (t *fakePlatform) read(host string) func(context.Context, registry.Part, uint64, time.Duration) (registry.Update, error) {
 	return func(ctx context.Context, p registry.Part, since uint64, wait time.Duration) (registry.Update, error) {
@@ -92,7 +124,7 @@
 	switch {
 	case t.refused[host] || t.refused[""]:
 		return u, t.changed, errPlatform
-	case since > 0 && since < t.historyStart:
+	case since > t.version, since > 0 && since < t.historyStart:
 		return u, t.changed, errHistoryLost
 	}
 	for _, r := range t.records[p] {
