core/registry, core/edge, platform: order versions by era, then number

What callers saw: from the store's return from a copy on, no declaration was in force until the counter had passed the version that hosts knew: 404 on new routes, requests run by old declarations, and sent out of their regions.

Cause: a number of the store's counter was taken for a position in its history. It goes back at a return and numbers are given out again. Class: a name that is given out twice. Evidence: 878 reads in 4.5 s that returned 67 and were thrown away, as 68 was known.

Change: registry.Version is a pair of era and number; records, parts, removals, heartbeats, deltas and damaged entries carry it. A read after a version of another era is a lost history. What is known against the copy stays in force until its writer writes again, 10 s at most, and is passed on to hosts that lack it; a host that starts asks a host that serves before it serves itself. One host reads in full, the others learn from it, and it adds the live hosts to the store's list.

--- a/cmd/heatherford-edge/daemon.go
+++ b/cmd/heatherford-edge/daemon.go
@@ -86,6 +86,7 @@
 			Read:          d.store.Read,
 			HistoryLost:   d.store.Forgotten,
 			Join:          d.store.Join,
+			Enlist:        d.store.Enlist,
 			SendHeartbeat: link.Tell,
 			Fetch:         link.Fetch,
 			Send:          d.sender.Send,
--- a/cmd/heatherford-edge/observe.go
+++ b/cmd/heatherford-edge/observe.go
@@ -12,7 +12,7 @@
 	d.edge.HandleHeartbeat(t)
 }
 
-func (d *daemon) book(ctx context.Context, since [registry.NumParts]uint64) (*edge.Delta, error) {
+func (d *daemon) book(ctx context.Context, since [registry.NumParts]registry.Version) (*edge.Delta, error) {
 	return d.edge.Delta(ctx, since)
 }
 
--- a/core/edge/changes.go
+++ b/core/edge/changes.go
@@ -35,12 +35,12 @@
 // change is an update that was applied.
 type change struct {
 	at time.Time
-	// since is the version before it.
-	since uint64
+	// since is a version before all that it changed.
+	since registry.Version
 }
 
-// add records a change of a part whose version was since before it.
-func (l *recentChanges) add(p registry.Part, since uint64, now time.Time) {
+// add records a change of a part that lies after the version since.
+func (l *recentChanges) add(p registry.Part, since registry.Version, now time.Time) {
 	l.changes[p] = append(l.changes[p], change{
 		at:    now,
 		since: since,
--- a/core/edge/control.go
+++ b/core/edge/control.go
@@ -52,6 +52,11 @@
 	startReadDelay        = time.Second
 	startReadDelayPerHost = 20 * time.Millisecond
 	maxStartReadDelay     = 2 * time.Second
+	// learnDelay is how long a host that has joined waits to learn from others what the
+	// platform may have lost, before it serves by what it has read itself: three
+	// heartbeats. maxLearnDelay bounds the wait of one that cannot join.
+	learnDelay    = 3 * fleet.HeartbeatInterval
+	maxLearnDelay = maxStartReadDelay
 	// pauseThreshold is the gap between two steps from which on the host counts as
 	// paused: its process did not run.
 	pauseThreshold = time.Second
@@ -73,6 +78,13 @@
 	joining  bool
 	nextJoin time.Time
 	fetching bool
+	// learned is true once a host that serves has told this one all that it knows, and
+	// learnUntil is when this host no longer waits for that.
+	learned    bool
+	learnUntil time.Time
+	// enlistLive is true while the live hosts have to be added to the platform's list
+	// after its return from a copy.
+	enlistLive bool
 
 	// hostStates holds the newest states of hosts of the own zone, from their own
 	// heartbeats or from gossip.
@@ -114,6 +126,7 @@
 	}
 	now := time.Now()
 	c.started = now
+	c.learnUntil = now.Add(maxLearnDelay)
 	c.lastStep = now
 	c.live = c.fleet.Live(now)
 	t := time.NewTicker(stepInterval)
@@ -166,16 +179,26 @@
 // lacksEndpoints reports whether this host knows of no endpoints yet. Until then it
 // asks the other zones too, since the relay host of its own may be gone.
 func (c *control) lacksEndpoints() bool {
-	return c.registry.Version(registry.Endpoints) == 0
+	return c.registry.Version(registry.Endpoints).IsZero()
+}
+
+// settled reports whether this host serves by what it knows: another host has told it what
+// the platform may have lost, or none did in time.
+func (c *control) settled(now time.Time) bool {
+	return c.learned || !now.Before(c.learnUntil)
 }
 
 // join adds the host to the platform's list of hosts, once. It retries after a
 // failure.
 func (c *control) join(now time.Time) {
-	if c.joined || c.joining || now.Before(c.nextJoin) {
+	if c.joining || now.Before(c.nextJoin) || (c.joined && !c.enlistLive) {
 		return
 	}
 	c.joining = true
+	if c.joined {
+		c.enlist()
+		return
+	}
 	self := c.fleet.Self()
 	c.edge.tomb.Go(func() error {
 		ctx, cancel := context.WithTimeout(c.edge.tomb.Context(context.Background()), joinTimeout)
@@ -190,6 +213,7 @@
 			}
 			c.joined = true
 			c.fleet.AddListed(s, time.Now())
+			c.stopLearning(len(s), time.Now())
 			// Which host reads depends on the live hosts.
 			c.updateLive(time.Now())
 			c.edge.options.Log("join", "outcome", "joined", "hosts", len(s))
@@ -198,6 +222,40 @@
 	})
 }
 
+// stopLearning bounds the time in which a host that has joined learns from others. A host
+// that is alone on the list has nobody to learn from.
+func (c *control) stopLearning(listed int, now time.Time) {
+	end := now.Add(learnDelay)
+	if listed <= 1 {
+		end = now
+	}
+	if end.Before(c.learnUntil) {
+		c.learnUntil = end
+	}
+}
+
+// enlist adds the live hosts to the platform's list, which may have lost them. It is
+// repeated after a failure.
+func (c *control) enlist() {
+	live := fleet.NotLeaving(c.live)
+	c.edge.tomb.Go(func() error {
+		ctx, cancel := context.WithTimeout(c.edge.tomb.Context(context.Background()), joinTimeout)
+		defer cancel()
+		err := c.edge.options.Transport.Enlist(ctx, live)
+		c.edge.post(func(c *control) {
+			c.joining = false
+			c.nextJoin = time.Now().Add(joinRetryInterval)
+			c.enlistLive = err != nil
+			if err != nil {
+				c.edge.options.Log("enlist", "outcome", "failed", "err", err)
+				return
+			}
+			c.edge.options.Log("enlist", "outcome", "enlisted", "hosts", len(live))
+		})
+		return nil
+	})
+}
+
 // updateLive updates the live hosts and logs those that appeared, changed or fell
 // silent.
 func (c *control) updateLive(now time.Time) {
@@ -241,7 +299,7 @@
 	}
 	v := &View{
 		Table:          c.table,
-		EndpointsKnown: c.registry.Version(registry.Endpoints) > 0,
+		EndpointsKnown: !c.lacksEndpoints() && c.settled(now),
 		Live:           c.live,
 		BudgetHosts:    c.fleet.BudgetHosts(now),
 		Leaving:        c.fleet.Self().Leaving,
--- a/core/edge/edge.go
+++ b/core/edge/edge.go
@@ -20,17 +20,19 @@
 type Transport struct {
 	// Read reads a part of the platform's records: all of it if since is zero, else
 	// what changed after that version. It waits for a change for up to wait.
-	Read func(ctx context.Context, p registry.Part, since uint64, wait time.Duration) (registry.Update, error)
-	// HistoryLost reports whether an error of Read means that the platform no longer
-	// has the changes after the version.
+	Read func(ctx context.Context, p registry.Part, since registry.Version, wait time.Duration) (registry.Update, error)
+	// HistoryLost reports whether an error of Read means that the platform does not have
+	// the changes after the version, or returned from a copy since.
 	HistoryLost func(err error) bool
 	// Join adds the host to the platform's list of hosts and returns the list.
 	Join func(ctx context.Context, self fleet.Member) ([]fleet.Member, error)
+	// Enlist adds those of the hosts to the platform's list of hosts that it lacks.
+	Enlist func(ctx context.Context, hosts []fleet.Member) error
 	// SendHeartbeat sends a heartbeat to other hosts. It does not wait for the
 	// delivery, and heartbeats may be lost.
 	SendHeartbeat func(to []fleet.Member, t *Heartbeat)
 	// Fetch asks another host for what it knows beyond the versions, by part.
-	Fetch func(ctx context.Context, from fleet.Member, since [registry.NumParts]uint64) (*Delta, error)
+	Fetch func(ctx context.Context, from fleet.Member, since [registry.NumParts]registry.Version) (*Delta, error)
 	// Send sends a request to an endpoint. The error is a *Failure.
 	Send func(ctx context.Context, c *EndpointRequest) (*Reply, error)
 	// Forward forwards a request to the owner of its endpoint. The error is a *Failure;
@@ -169,7 +171,7 @@
 
 // Delta returns what this host knows beyond the versions. It fails if ctx ends or the
 // edge stops before.
-func (e *Edge) Delta(ctx context.Context, since [registry.NumParts]uint64) (*Delta, error) {
+func (e *Edge) Delta(ctx context.Context, since [registry.NumParts]registry.Version) (*Delta, error) {
 	answer := make(chan *Delta, 1)
 	e.post(func(c *control) {
 		answer <- c.delta(since, time.Now())
--- a/core/edge/gossip_test.go
+++ b/core/edge/gossip_test.go
@@ -85,6 +85,7 @@
 		h := &control{
 			edge:       e,
 			fleet:      fleet.New(m),
+			learned:    true,
 			zones:      map[string]zoneState{},
 			hostStates: map[string]hostState{},
 		}
--- a/core/edge/heartbeat.go
+++ b/core/edge/heartbeat.go
@@ -112,8 +112,10 @@
 // newHeartbeat returns a heartbeat with the status of each part.
 func (c *control) newHeartbeat(now time.Time) *Heartbeat {
 	t := &Heartbeat{
-		From:   c.fleet.Self(),
-		Limits: ofRound(c.edge.balancer.StatedLimits(now), maxLimits, c.round),
+		From:     c.fleet.Self(),
+		Settled:  c.settled(now),
+		Declared: c.declared(),
+		Limits:   ofRound(c.edge.balancer.StatedLimits(now), maxLimits, c.round),
 	}
 	for p := range registry.NumParts {
 		t.Parts[p] = PartStatus{
@@ -126,6 +128,14 @@
 	return t
 }
 
+// declared returns the version of the declaration in force, or 0.
+func (c *control) declared() uint64 {
+	if d := c.registry.Declaration(); d != nil {
+		return d.Version
+	}
+	return 0
+}
+
 // ageOf returns the age of t, or -1 if t is zero.
 func ageOf(t, now time.Time) time.Duration {
 	if t.IsZero() {
@@ -139,7 +149,8 @@
 	c.fleet.RecordHeartbeat(t.From, now)
 	c.edge.balancer.RecordStatedLimits(t.Limits, now.Add(-transitAllowance))
 	c.handleChanges(t, now)
-	behind := false
+	// A declaration counts by its own version, whatever the platform holds.
+	behind := t.Declared > c.declared() || (!c.learned && t.Settled)
 	for p := range registry.NumParts {
 		behind = c.handlePartStatus(p, &t.Parts[p], now) || behind
 	}
@@ -157,9 +168,9 @@
 		}
 	}
 	if behind || unknownHost {
-		c.fetch(t.From)
+		c.fetch(t)
 	}
-	if t.lacksEndpoints() && c.registry.Version(registry.Endpoints) > 0 {
+	if (t.lacksEndpoints() || (!t.Settled && c.settled(now))) && !c.lacksEndpoints() {
 		// The other host has just started, so it gets a heartbeat at once.
 		c.edge.options.Transport.SendHeartbeat([]fleet.Member{t.From}, c.newZoneHeartbeat(now))
 	}
@@ -175,7 +186,7 @@
 // host has changes that this one lacks.
 func (c *control) handlePartStatus(p registry.Part, n *PartStatus, now time.Time) bool {
 	c.stepDown(p, n)
-	if n.Age < 0 || n.Version < c.registry.Version(p) {
+	if n.Age < 0 || n.Version.Before(c.registry.Version(p)) {
 		return false
 	}
 	current := now.Add(-n.Age - transitAllowance)
@@ -189,16 +200,24 @@
 	return false
 }
 
-// fetch asks another host for what this one lacks. Only one fetch runs at a time.
-func (c *control) fetch(m fleet.Member) {
+// fetch asks the sender of a heartbeat for what this host lacks. A host that has just
+// started asks for everything: it may have read the platform's copy, and what the copy
+// lacks lies before that. Only one fetch runs at a time.
+func (c *control) fetch(t *Heartbeat) {
 	if c.fetching {
 		return
 	}
+	m := t.From
 	c.fetching = true
 	began := time.Now()
-	since := [registry.NumParts]uint64{}
+	since := [registry.NumParts]registry.Version{}
 	for p := range registry.NumParts {
-		since[p] = c.registry.Version(p)
+		if c.learned || !t.Settled {
+			since[p] = c.registry.Version(p)
+		}
+	}
+	if t.Declared > c.declared() {
+		since[registry.OperatorRecords] = registry.Version{}
 	}
 	c.edge.tomb.Go(func() error {
 		ctx, cancel := context.WithTimeout(c.edge.tomb.Context(context.Background()), fetchTimeout)
@@ -210,6 +229,7 @@
 				c.edge.options.Log("fetch", "from", m.Name, "outcome", "failed", "err", err)
 				return
 			}
+			c.learned = c.learned || t.Settled
 			c.applyDelta(b, m.Name, began, time.Now())
 		})
 		return nil
@@ -224,14 +244,14 @@
 	changed := false
 	for _, u := range b.Updates {
 		p := u.Part
-		if p < 0 || p >= registry.NumParts || u.Version < c.registry.Version(p) {
+		if p < 0 || p >= registry.NumParts {
 			continue
 		}
 		current := time.Time{}
 		if b.Ages[p] >= 0 {
 			current = now.Add(-b.Ages[p] - transitAllowance)
 		}
-		if current.After(c.registry.CurrentAt(p)) {
+		if current.After(c.registry.CurrentAt(p)) && !u.Version.Before(c.registry.Version(p)) {
 			c.readers[p].source = b.Readers[p]
 		}
 		if c.apply(u, current, now) {
@@ -245,21 +265,26 @@
 	}
 }
 
-// apply applies an update and reports whether any of it matters to traffic.
+// apply applies an update and reports whether any of it matters to traffic. What the sender
+// of the update lacked goes out with the next heartbeats too.
 func (c *control) apply(u registry.Update, current, now time.Time) bool {
-	since := c.registry.Version(u.Part)
-	if !c.registry.Apply(u, current, now) {
-		return false
+	era := c.registry.Version(u.Part).Era
+	e := c.registry.Apply(u, current, now)
+	if e.Changed || e.Kept {
+		c.recentChanges.add(u.Part, e.Since, now)
+	}
+	if v := c.registry.Version(u.Part); v.Era > era && era > 0 {
+		c.edge.options.Log("platform", "part", int(u.Part), "outcome", "restored", "era", v.Era, "version", v, "kept", e.Kept)
 	}
-	c.recentChanges.add(u.Part, since, now)
-	return true
+	return e.Changed
 }
 
-// handleChanges applies the changes in a heartbeat that this host lacks.
+// handleChanges applies the changes in a heartbeat. Those up to the known version may hold
+// what the platform lost.
 func (c *control) handleChanges(t *Heartbeat, now time.Time) {
 	b := &Delta{}
 	for _, u := range t.Changes {
-		if p := u.Part; p >= 0 && p < registry.NumParts && u.Version > c.registry.Version(p) {
+		if p := u.Part; p >= 0 && p < registry.NumParts && (u.Version.After(c.registry.Version(p)) || holdsEarlierEra(&u)) {
 			b.Updates = append(b.Updates, u)
 		}
 	}
@@ -273,6 +298,13 @@
 	c.applyDelta(b, t.From.Name, now, now)
 }
 
+// holdsEarlierEra reports whether an update holds records of an earlier era than its own.
+func holdsEarlierEra(u *registry.Update) bool {
+	return slices.ContainsFunc(u.Records, func(r registry.Record) bool {
+		return r.Version.Era < u.Version.Era
+	})
+}
+
 // logUpdate logs an update that matters to traffic: where it came from and how long
 // that took.
 func (c *control) logUpdate(p registry.Part, from string, records int, took time.Duration, now time.Time) {
@@ -281,7 +313,7 @@
 }
 
 // delta returns what this host knows beyond the versions.
-func (c *control) delta(since [registry.NumParts]uint64, now time.Time) *Delta {
+func (c *control) delta(since [registry.NumParts]registry.Version, now time.Time) *Delta {
 	b := &Delta{
 		Members: c.fleet.Known(),
 		Limits:  c.edge.balancer.StatedLimits(now),
@@ -289,7 +321,7 @@
 	for p := range registry.NumParts {
 		b.Ages[p] = ageOf(c.registry.CurrentAt(p), now)
 		b.Readers[p] = c.readers[p].source
-		if c.registry.Version(p) > 0 {
+		if !c.registry.Version(p).IsZero() {
 			b.Updates = append(b.Updates, c.registry.Since(p, since[p], now))
 		}
 	}
--- a/core/edge/messages.go
+++ b/core/edge/messages.go
@@ -12,6 +12,10 @@
 // of times, since hosts' clocks differ.
 type Heartbeat struct {
 	From fleet.Member `json:"from"`
+	// Settled is true once the host serves by what it knows.
+	Settled bool `json:"settled,omitempty"`
+	// Declared is the version of the declaration in force at the host, or 0.
+	Declared uint64 `json:"declared,omitempty"`
 	// Parts is the status of each part of the platform's records at the host.
 	Parts [registry.NumParts]PartStatus `json:"news"`
 	// Changes are the latest changes, as far as there is room for them. A host that
@@ -44,9 +48,9 @@
 
 // PartStatus is how much a host knows of a part.
 type PartStatus struct {
-	Version uint64 `json:"version"`
+	Version registry.Version `json:"version"`
 	// Changed is a version after which nothing changed that matters to traffic.
-	Changed uint64 `json:"changed"`
+	Changed registry.Version `json:"changed"`
 	// Age is how long ago the part was known to be current; negative stands for
 	// never.
 	Age time.Duration `json:"age"`
--- a/core/edge/reader.go
+++ b/core/edge/reader.go
@@ -38,6 +38,14 @@
 	registry.Endpoints:       endpointsInterval + 450*time.Millisecond,
 }
 
+const (
+	// fullReadDelayPerHost is the delay of a full read after the history was lost, for
+	// each host before this one in the order: about the time in which that one reads
+	// and tells the others. maxFullReadDelay bounds it.
+	fullReadDelayPerHost = 60 * time.Millisecond
+	maxFullReadDelay     = 300 * time.Millisecond
+)
+
 // takeoverDelay is added to staleAfter for each position in the order of hosts.
 const takeoverDelay = 200 * time.Millisecond
 
@@ -53,6 +61,9 @@
 	failures int
 	// full makes the next read a full one.
 	full bool
+	// losses is the number of times that the history was lost since changes were
+	// last read.
+	losses int
 	// source is the host that read the newest state of the part.
 	source string
 }
@@ -66,10 +77,10 @@
 	r.reading = true
 	since := c.registry.Version(p)
 	if r.full {
-		since = 0
+		since = registry.Version{}
 	}
 	wait := time.Duration(0)
-	if p == registry.OperatorRecords && since > 0 {
+	if p == registry.OperatorRecords && !since.IsZero() {
 		wait = operatorWait
 	}
 	r.nextRead = now.Add(readInterval(p))
@@ -131,14 +142,20 @@
 		c.registry.PlatformReturned(now)
 	}
 	r.failures = 0
+	if !u.Full {
+		r.losses = 0
+	}
 	r.full = false
 	r.active = true
 	r.source = c.fleet.Self().Name
 	known := c.registry.Version(p)
 	changed := c.apply(u, currentAt(p, readAt, now), now)
-	if u.Version < known {
+	if u.Version.Before(known) {
 		c.edge.options.Log("platform", "part", int(p), "outcome", "older", "version", u.Version, "known", known, "whole", u.Full)
 	}
+	if v := c.registry.Version(p); p == registry.OperatorRecords && v.Era > known.Era && !known.IsZero() {
+		c.enlistLive = true
+	}
 	c.publish(now)
 	if changed {
 		c.logUpdate(p, "platform", len(u.Records), now.Sub(readAt), now)
@@ -160,13 +177,17 @@
 }
 
 // readFailed handles a failed read. If the platform has lost its history, a full read
-// follows at once. Else there is a backoff, and a host other than the first one in
-// the order no longer reads for the others.
+// follows soon. Else there is a backoff. In both cases a host other than the first one
+// in the order no longer reads for the others.
 func (c *control) readFailed(p registry.Part, err error, now time.Time) {
 	r := &c.readers[p]
 	if c.edge.options.Transport.HistoryLost(err) {
 		r.full = true
-		r.nextRead = now
+		r.nextRead = now.Add(c.fullReadDelay(r))
+		r.losses++
+		if fleet.Position(c.live, c.fleet.Self().Name) > 0 {
+			r.active = false
+		}
 		c.edge.options.Log("platform", "part", int(p), "outcome", "history lost", "version", c.registry.Version(p))
 		return
 	}
@@ -181,6 +202,17 @@
 	}
 }
 
+// fullReadDelay returns the delay of a full read after the history was lost. Hosts before
+// this one in the order read first, and this one learns from them. A platform that loses
+// its history again and again is read at the intervals of one that fails.
+func (c *control) fullReadDelay(r *reader) time.Duration {
+	d := min(maxFullReadDelay, time.Duration(fleet.Position(c.live, c.fleet.Self().Name))*fullReadDelayPerHost)
+	if r.losses > 0 {
+		d += min(maxBackoff, minBackoff<<min(r.losses-1, 4))
+	}
+	return d
+}
+
 // stepDown ends this host's reading of a part if a host before it in the order reads
 // it.
 func (c *control) stepDown(p registry.Part, n *PartStatus) {
--- a/core/registry/record.go
+++ b/core/registry/record.go
@@ -46,8 +46,14 @@
 // Record is a change of one of the platform's records. Exactly one of Declaration,
 // DrainedZone and Endpoint is set.
 type Record struct {
-	// Version is the platform's counter at the change.
-	Version uint64 `json:"version"`
+	// Version is the platform's version at the change.
+	Version Version `json:"version"`
+	// Listed is true if the record was read with the whole part. It may have been written
+	// in an earlier era than that of Version.
+	Listed bool `json:"listed,omitempty"`
+	// Contradicted is true if the platform's copy holds the opposite, which holds unless the
+	// writer of the record writes again.
+	Contradicted bool `json:"contradicted,omitempty"`
 	// Removed is true if the record was deleted. Then only its name is known.
 	Removed bool `json:"removed,omitempty"`
 	// ExpiresIn is how long an endpoint that is missing from the platform's records still
@@ -63,16 +69,25 @@
 // Update is the result of reading one part.
 type Update struct {
 	Part Part `json:"part"`
-	// Full is true if Records hold the whole part. What they lack was removed.
+	// Full is true if Records hold the whole part. What they lack was removed, unless the
+	// platform lost it.
 	Full bool `json:"whole,omitempty"`
 	// Since is the version after which Records hold all changes. A receiver whose version
 	// is older must not apply them, since it would miss the changes in between.
-	Since uint64 `json:"since,omitempty"`
-	// Version is the platform's counter up to which the part is complete.
-	Version uint64   `json:"version"`
+	Since Version `json:"since,omitzero"`
+	// Version is the platform's version up to which the part is complete.
+	Version Version  `json:"version"`
 	Records []Record `json:"records,omitempty"`
 }
 
+// position returns the record's place among other versions of it.
+func (c *Record) position() position {
+	return position{
+		Version: c.Version,
+		listed:  c.Listed,
+	}
+}
+
 // equivalent reports whether two reports of an endpoint differ in nothing that other hosts
 // have to know.
 func (e *Endpoint) equivalent(o *Endpoint) bool {
--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -34,21 +34,27 @@
 	// then, endpoints that are missing from its records still count as present.
 	graceUntil time.Time
 	// compacted is the newest version of a removal that is no longer remembered.
-	compacted uint64
+	compacted Version
+	// unconfirmed holds records of the platform's copy that contradict what is known.
+	unconfirmed map[subject]unconfirmed
+	// effect and era are the effect of the update that is being applied, and the newest
+	// era at that time.
+	effect Effect
+	era    uint64
 	// revision counts the changes that affect traffic.
 	revision uint64
 }
 
 type versioned[T any] struct {
-	version   uint64
+	position
 	value     T
 	removedAt time.Time
 }
 
 type entry struct {
 	Endpoint
-	// version is the platform's counter at the last change that affects traffic.
-	version uint64
+	// position is the platform's version at the last change that affects traffic.
+	position
 	// removedAt is when the endpoint was found to be removed, or zero.
 	removedAt time.Time
 	// goneAt is when a missing endpoint counts as removed unless it is listed again, or
@@ -57,10 +63,10 @@
 }
 
 type partState struct {
-	// version is the platform's counter up to which the part is complete.
-	version uint64
+	// version is the platform's version up to which the part is complete.
+	version Version
 	// changedVersion is a version after which nothing changed that affects traffic.
-	changedVersion uint64
+	changedVersion Version
 	// currentAt is when the part was last known to be current.
 	currentAt time.Time
 }
@@ -70,17 +76,18 @@
 	return &Registry{
 		drainedZones: map[string]*versioned[bool]{},
 		endpoints:    map[string]*entry{},
+		unconfirmed:  map[subject]unconfirmed{},
 	}
 }
 
-// Version returns the platform's counter up to which a part is complete.
-func (r *Registry) Version(p Part) uint64 {
+// Version returns the platform's version up to which a part is complete.
+func (r *Registry) Version(p Part) Version {
 	return r.states[p].version
 }
 
 // ChangedVersion returns a version after which nothing in a part has changed that affects
 // traffic.
-func (r *Registry) ChangedVersion(p Part) uint64 {
+func (r *Registry) ChangedVersion(p Part) Version {
 	return r.states[p].changedVersion
 }
 
@@ -112,40 +119,101 @@
 // Confirm records that a part was current at the time currentAt, was complete up to version,
 // and had no change that affects traffic after changedVersion. It reports false if this
 // registry may lack changes up to there.
-func (r *Registry) Confirm(p Part, version, changedVersion uint64, currentAt time.Time) bool {
+func (r *Registry) Confirm(p Part, version, changedVersion Version, currentAt time.Time) bool {
 	s := &r.states[p]
-	if s.version < changedVersion || s.version == 0 {
+	if s.version.Before(changedVersion) || s.version.IsZero() {
 		return false
 	}
-	if version >= s.version {
+	if !version.Before(s.version) {
 		s.version = version
-		s.changedVersion = max(s.changedVersion, changedVersion)
+		s.changedVersion = s.changedVersion.later(changedVersion)
 		s.currentAt = later(s.currentAt, currentAt)
 	}
 	return true
 }
 
-// Apply merges an update that was read at the time currentAt. It ignores one that is older
-// than the known version, and one that starts after it and so lacks the changes in between.
-// It reports whether anything changed that affects traffic.
-func (r *Registry) Apply(u Update, currentAt, now time.Time) bool {
+// Effect is what an update did.
+type Effect struct {
+	// Changed is true if anything changed that affects traffic.
+	Changed bool
+	// Kept is true if a record of the update was older than what is known, so that its
+	// sender may lack that.
+	Kept bool
+	// Since is a version after which all changed and kept records lie, if there are any.
+	Since Version
+}
+
+// note adds a changed or kept record to the effect.
+func (e *Effect) note(v Version) {
+	if v.Number > 0 {
+		v.Number--
+	}
+	if v.Before(e.Since) {
+		e.Since = v
+	}
+}
+
+// Apply merges an update that was read at the time currentAt. It ignores one that starts
+// after the known version, and so lacks the changes in between. An update that is older than
+// the known version changes only what it knows better: a host that read the platform before
+// its return from a copy knows of changes that the copy lacks.
+func (r *Registry) Apply(u Update, currentAt, now time.Time) Effect {
 	s := &r.states[u.Part]
-	if u.Version < s.version || (!u.Full && u.Since > s.version) {
-		return false
+	known := s.version
+	newEra := !known.IsZero() && known.Era < u.Version.Era
+	if !u.Full && (newEra || known.Before(u.Since)) {
+		return Effect{}
 	}
 	before := r.revision
+	r.effect = Effect{
+		Since: known,
+	}
+	r.era = max(known.Era, u.Version.Era)
+	if u.Version.Before(known) {
+		r.applyOlder(u, now)
+		r.effect.Changed = r.revision != before
+		return r.effect
+	}
+	if newEra {
+		r.graceUntil = later(r.graceUntil, now.Add(returnGrace))
+		r.dropUnconfirmed(u.Part)
+	}
 	if u.Full {
-		r.removeUnlisted(u, now)
+		r.removeUnlisted(u, newEra, now)
 	}
 	for i := range u.Records {
 		r.apply(&u.Records[i], now)
 	}
-	if r.revision != before || s.version == 0 {
+	r.effect.Changed = r.revision != before
+	if r.effect.Changed || known.IsZero() || newEra {
 		s.changedVersion = u.Version
 	}
 	s.version = u.Version
 	s.currentAt = later(s.currentAt, currentAt)
-	return r.revision != before
+	return r.effect
+}
+
+// applyOlder merges the records of an update that is older than the known version. One of
+// an earlier era may lack what came after the copy, so that only a newer declaration counts.
+func (r *Registry) applyOlder(u Update, now time.Time) {
+	known := r.states[u.Part].version
+	for i := range u.Records {
+		c := &u.Records[i]
+		unknown := false
+		switch {
+		case c.Declaration != nil:
+		case u.Version.Era < known.Era:
+			continue
+		case c.Endpoint != nil:
+			unknown = r.endpoints[c.Endpoint.ID] == nil
+		default:
+			unknown = r.drainedZones[c.DrainedZone] == nil && c.Version.Era == known.Era
+		}
+		// What is unknown here was removed by the known version.
+		if !unknown {
+			r.apply(c, now)
+		}
+	}
 }
 
 func (r *Registry) apply(c *Record, now time.Time) {
@@ -158,9 +226,9 @@
 		if e := r.endpoints[c.Endpoint.ID]; e == nil || !e.equivalent(c.Endpoint) {
 			r.upsert(c, now)
 		}
-		r.markMissing(c.Endpoint.ID, c.Version, now.Add(c.ExpiresIn))
+		r.markMissing(c, now.Add(c.ExpiresIn))
 	case c.Endpoint != nil && c.Removed:
-		r.remove(c.Endpoint.ID, c.Version, now)
+		r.remove(c, now)
 	case c.Endpoint != nil:
 		r.upsert(c, now)
 	}
@@ -170,13 +238,16 @@
 // may go back to an older version.
 func (r *Registry) setDeclaration(c *Record) {
 	if r.declaration != nil && c.Declaration.Version <= r.declaration.value.Version {
+		if c.Declaration.Version < r.declaration.value.Version {
+			r.keep(r.declaration.Version)
+		}
 		return
 	}
 	r.declaration = &versioned[*route.Declaration]{
-		version: c.Version,
-		value:   c.Declaration,
+		position: c.position(),
+		value:    c.Declaration,
 	}
-	r.revision++
+	r.changed(c)
 }
 
 func (r *Registry) setZoneDrained(c *Record, now time.Time) {
@@ -185,17 +256,29 @@
 		z = &versioned[bool]{}
 		r.drainedZones[c.DrainedZone] = z
 	}
-	if c.Version < z.version || z.value == !c.Removed {
+	if z.newerThan(c.position()) {
+		r.keepZone(c, z, now)
+		return
+	}
+	r.confirm(c)
+	if c.Contradicted {
+		r.setAside(&Record{
+			Version:     c.Version,
+			Removed:     !c.Removed,
+			DrainedZone: c.DrainedZone,
+		}, now)
+	}
+	z.position = c.position()
+	if z.value == !c.Removed {
 		return
 	}
-	z.version = c.Version
 	z.value = !c.Removed
 	z.removedAt = time.Time{}
 	if c.Removed {
 		z.removedAt = now
 		r.markZoneCold(c.DrainedZone, now)
 	}
-	r.revision++
+	r.changed(c)
 }
 
 // markZoneCold makes the endpoints of a zone count as cold: they got no requests while the
@@ -226,15 +309,17 @@
 	if e == nil {
 		r.endpoints[n.ID] = &entry{
 			Endpoint: n,
-			version:  c.Version,
+			position: c.position(),
 		}
-		r.revision++
+		r.changed(c)
 		return
 	}
 	absent := !e.removedAt.IsZero() || !e.goneAt.IsZero()
-	if older(&n, &e.Endpoint) || (absent && c.Version <= e.version) {
+	if older(&n, &e.Endpoint) || (absent && !c.position().newerThan(e.position)) {
+		r.keepEndpoint(c, e, now)
 		return
 	}
+	r.confirm(c)
 	colder := n.ColdUntil.Sub(e.ColdUntil) > coldTolerance && n.ColdLeft > 0
 	if !absent && e.equivalent(&n) && !colder {
 		e.Sequence = n.Sequence
@@ -243,11 +328,15 @@
 	if n.StartedAt.Equal(e.StartedAt) {
 		n.ColdUntil = later(n.ColdUntil, e.ColdUntil)
 	}
+	p := c.position()
+	if e.newerThan(p) {
+		p = e.position
+	}
 	*e = entry{
 		Endpoint: n,
-		version:  max(c.Version, e.version),
+		position: p,
 	}
-	r.revision++
+	r.changed(c)
 }
 
 // older reports whether a is an earlier report than b of the same endpoint.
@@ -260,14 +349,25 @@
 
 // remove records that an endpoint was removed. After an outage of the platform the
 // endpoint counts as missing until the end of the grace period.
-func (r *Registry) remove(id string, version uint64, now time.Time) {
-	e := r.endpoints[id]
-	if e == nil || !e.removedAt.IsZero() || version < e.version {
+func (r *Registry) remove(c *Record, now time.Time) {
+	e := r.endpoints[c.Endpoint.ID]
+	if e == nil || e.newerThan(c.position()) {
 		return
 	}
-	e.version = version
-	r.revision++
-	if now.Before(r.graceUntil) && !e.Leaving {
+	r.confirm(c)
+	if c.Contradicted {
+		x := e.Endpoint
+		r.setAside(&Record{
+			Version:  c.Version,
+			Endpoint: &x,
+		}, now)
+	}
+	if !e.removedAt.IsZero() {
+		return
+	}
+	e.position = c.position()
+	r.changed(c)
+	if now.Before(r.graceUntil) && !e.Leaving && c.Version.Era == r.era {
 		if e.goneAt.IsZero() {
 			e.goneAt = r.graceUntil
 		}
@@ -279,20 +379,28 @@
 // markMissing merges another host's view of an endpoint that is missing from the platform's
 // records and counts as present until the given time. If both hosts know a time, the earlier
 // one holds.
-func (r *Registry) markMissing(id string, version uint64, until time.Time) {
-	e := r.endpoints[id]
-	if e == nil || !e.removedAt.IsZero() || version < e.version || (version == e.version && !e.goneAt.IsZero()) {
+func (r *Registry) markMissing(c *Record, until time.Time) {
+	e := r.endpoints[c.Endpoint.ID]
+	if e == nil || !e.removedAt.IsZero() || e.newerThan(c.position()) || (c.Version == e.Version && !e.goneAt.IsZero()) {
 		return
 	}
 	if e.goneAt.IsZero() || until.Before(e.goneAt) {
 		e.goneAt = until
 	}
-	e.version = version
+	e.position = c.position()
+	r.changed(c)
+}
+
+// changed records a change that affects traffic.
+func (r *Registry) changed(c *Record) {
 	r.revision++
+	r.effect.note(c.Version)
 }
 
-// removeUnlisted removes the records that a read of the whole part lacks.
-func (r *Registry) removeUnlisted(u Update, now time.Time) {
+// removeUnlisted removes the records that a read of the whole part lacks. After the
+// platform's return from a copy a zone stays drained for a while: the operator may have
+// drained it after the copy was made.
+func (r *Registry) removeUnlisted(u Update, newEra bool, now time.Time) {
 	seen := map[string]bool{}
 	zones := map[string]bool{}
 	for i := range u.Records {
@@ -304,18 +412,30 @@
 	if u.Part == Endpoints {
 		for id := range r.endpoints {
 			if !seen[id] {
-				r.remove(id, u.Version, now)
+				r.remove(&Record{
+					Version: u.Version,
+					Removed: true,
+					Endpoint: &Endpoint{
+						ID: id,
+					},
+				}, now)
 			}
 		}
 		return
 	}
-	for z, v := range r.drainedZones {
-		if v.value && !zones[z] {
-			r.setZoneDrained(&Record{
-				Version:     u.Version,
-				Removed:     true,
-				DrainedZone: z,
-			}, now)
+	for name, z := range r.drainedZones {
+		if !z.value || zones[name] {
+			continue
+		}
+		c := &Record{
+			Version:     u.Version,
+			Removed:     true,
+			DrainedZone: name,
+		}
+		if newEra {
+			r.keepZone(c, z, now)
+		} else {
+			r.setZoneDrained(c, now)
 		}
 	}
 }
@@ -331,29 +451,34 @@
 			r.revision++
 		}
 		if !e.removedAt.IsZero() && now.Sub(e.removedAt) > tombstoneTTL {
-			r.compacted = max(r.compacted, e.version)
+			r.compacted = r.compacted.later(e.Version)
 			delete(r.endpoints, id)
 		}
 	}
+	r.acceptUnconfirmed(now)
 	return r.revision != before
 }
 
-// Since returns what changed in a part after the version, as of now, or the whole part if
-// removals after the version may be forgotten.
-func (r *Registry) Since(p Part, version uint64, now time.Time) Update {
+// Since returns what changed in a part after the version, as of now. It returns the whole
+// part if removals after the version may be forgotten, and to a host of an earlier era,
+// which may know of changes that the platform lost.
+func (r *Registry) Since(p Part, version Version, now time.Time) Update {
 	u := Update{
 		Part:    p,
 		Since:   version,
 		Version: r.states[p].version,
+		Full:    version.Era < r.states[p].version.Era,
 	}
 	if p == OperatorRecords {
-		u.Records = r.operatorRecordsSince(version)
+		u.Records = r.operatorRecordsSince(version, u.Full)
 		return u
 	}
-	u.Full = version < r.compacted
+	u.Full = u.Full || version.Before(r.compacted)
 	for _, e := range r.endpoints {
-		if (u.Full && e.removedAt.IsZero()) || (!u.Full && e.version > version) {
-			u.Records = append(u.Records, e.record(now))
+		if u.Full || e.After(version) {
+			c := e.record(now)
+			c.Contradicted = c.Removed && r.isSetAside(&c)
+			u.Records = append(u.Records, c)
 		}
 	}
 	sort.Slice(u.Records, func(i, j int) bool {
@@ -366,7 +491,8 @@
 	x := e.Endpoint
 	x.ColdLeft = max(0, x.ColdUntil.Sub(now))
 	c := Record{
-		Version:  e.version,
+		Version:  e.Version,
+		Listed:   e.listed,
 		Removed:  !e.removedAt.IsZero(),
 		Endpoint: &x,
 	}
@@ -381,21 +507,25 @@
 	return c
 }
 
-func (r *Registry) operatorRecordsSince(version uint64) []Record {
+func (r *Registry) operatorRecordsSince(version Version, full bool) []Record {
 	s := []Record{}
-	if d := r.declaration; d != nil && d.version > version {
+	if d := r.declaration; d != nil && (full || d.After(version)) {
 		s = append(s, Record{
-			Version:     d.version,
+			Version:     d.Version,
+			Listed:      d.listed,
 			Declaration: d.value,
 		})
 	}
 	for n, z := range r.drainedZones {
-		if z.version > version {
-			s = append(s, Record{
-				Version:     z.version,
+		if full || z.After(version) {
+			c := Record{
+				Version:     z.Version,
+				Listed:      z.listed,
 				Removed:     !z.value,
 				DrainedZone: n,
-			})
+			}
+			c.Contradicted = r.isSetAside(&c)
+			s = append(s, c)
 		}
 	}
 	sort.Slice(s, func(i, j int) bool {
--- /dev/null
+++ b/core/registry/restore_test.go
@@ -0,0 +1,279 @@
+package registry_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"heatherford/core/registry"
+	"heatherford/core/route"
+)
+
+// inEra returns a version.
+func inEra(era, number uint64) registry.Version {
+	return registry.Version{
+		Era:    era,
+		Number: number,
+	}
+}
+
+// listing returns a read of a whole part.
+func listing(p registry.Part, era, number uint64, records ...registry.Record) registry.Update {
+	for i := range records {
+		records[i].Version.Era = era
+		records[i].Listed = true
+	}
+	return registry.Update{
+		Part:    p,
+		Full:    true,
+		Version: inEra(era, number),
+		Records: records,
+	}
+}
+
+// changes returns a read of what changed after a version of the same era.
+func changes(p registry.Part, era, since, number uint64, records ...registry.Record) registry.Update {
+	for i := range records {
+		records[i].Version.Era = era
+	}
+	return registry.Update{
+		Part:    p,
+		Since:   inEra(era, since),
+		Version: inEra(era, number),
+		Records: records,
+	}
+}
+
+func drain(zone string, version uint64, over bool) registry.Record {
+	return registry.Record{
+		Version:     at(version),
+		Removed:     over,
+		DrainedZone: zone,
+	}
+}
+
+func declared(version, number uint64) registry.Record {
+	return registry.Record{
+		Version: at(number),
+		Declaration: &route.Declaration{
+			Version: version,
+		},
+	}
+}
+
+// tell has b learn what a knows, as hosts do by heartbeats and fetches.
+func tell(a, b *registry.Registry, now time.Time) {
+	for p := range registry.NumParts {
+		if !b.Confirm(p, a.Version(p), a.ChangedVersion(p), now) {
+			b.Apply(a.Since(p, b.Version(p), now), now, now)
+		}
+	}
+}
+
+// TestEraBeforeVersion guards against a platform whose every answer is thrown away, since
+// its counter was higher before it returned from a copy.
+func TestEraBeforeVersion(t *testing.T) {
+	c := qt.New(t)
+	r := registry.New()
+	r.Apply(listing(registry.OperatorRecords, 1, 68, declared(14, 68)), start, start)
+	r.Apply(listing(registry.OperatorRecords, 2, 60, declared(12, 50)), start, start)
+	c.Check(r.Version(registry.OperatorRecords), qt.Equals, inEra(2, 60))
+	c.Check(r.Declaration().Version, qt.Equals, uint64(14))
+	r.Apply(changes(registry.OperatorRecords, 2, 60, 61, declared(16, 61)), start, start)
+	c.Check(r.Declaration().Version, qt.Equals, uint64(16))
+	// An answer that left the platform before brings nothing back.
+	late := r.Apply(changes(registry.OperatorRecords, 1, 68, 90, drain("east", 90, false)), start, start)
+	c.Check(late.Changed, qt.IsFalse)
+	c.Check(r.Version(registry.OperatorRecords), qt.Equals, inEra(2, 61))
+	c.Check(r.ZoneDrained("east"), qt.IsFalse)
+}
+
+// TestChangesOfTheNextEra guards against a gap: changes after a version of another history
+// are no complete account.
+func TestChangesOfTheNextEra(t *testing.T) {
+	c := qt.New(t)
+	r := registry.New()
+	r.Apply(listing(registry.Endpoints, 1, 68, endpointRecord("a", 30, 1)), start, start)
+	r.Apply(changes(registry.Endpoints, 2, 50, 70, removal("a", 70)), start, start)
+	c.Check(r.Version(registry.Endpoints), qt.Equals, inEra(1, 68))
+	c.Check(usable(r), qt.DeepEquals, []string{"a"})
+}
+
+// TestCopyBringsBackAnEndpoint guards against requests to an endpoint that had gone. If the
+// platform still lists it after rewriteWait, it lives.
+func TestCopyBringsBackAnEndpoint(t *testing.T) {
+	c := qt.New(t)
+	r := registry.New()
+	r.Apply(listing(registry.Endpoints, 1, 60, endpointRecord("a", 30, 1), endpointRecord("b", 31, 1)), start, start)
+	r.Apply(changes(registry.Endpoints, 1, 60, 66, removal("a", 65), removal("b", 66)), start, start)
+	e := r.Apply(listing(registry.Endpoints, 2, 62, endpointRecord("a", 30, 1), endpointRecord("b", 31, 1)), start, start)
+	c.Check(e.Kept, qt.IsTrue)
+	c.Check(usable(r), qt.DeepEquals, []string{})
+	// b lapses, a does not.
+	late := start.Add(10 * time.Second)
+	r.Apply(changes(registry.Endpoints, 2, 62, 63, removal("b", 63)), start.Add(5*time.Second), start.Add(5*time.Second))
+	r.Expire(late)
+	c.Check(usable(r), qt.DeepEquals, []string{}, qt.Commentf("no read shows yet that a lives"))
+	r.Apply(changes(registry.Endpoints, 2, 63, 63), late, late)
+	r.Expire(late)
+	c.Check(usable(r), qt.DeepEquals, []string{"a"})
+}
+
+// TestEndpointWrittenAnew has an endpoint that had gone register again after the return: it
+// is in use at once, though its version was given out before.
+func TestEndpointWrittenAnew(t *testing.T) {
+	c := qt.New(t)
+	r := registry.New()
+	r.Apply(listing(registry.Endpoints, 1, 60, endpointRecord("a", 30, 1)), start, start)
+	r.Apply(changes(registry.Endpoints, 1, 60, 66, removal("a", 66)), start, start)
+	r.Apply(listing(registry.Endpoints, 2, 62), start, start)
+	r.Apply(changes(registry.Endpoints, 2, 62, 63, endpointRecord("a", 63, 2)), start, start)
+	c.Check(usable(r), qt.DeepEquals, []string{"a"})
+}
+
+// TestLeavingKept guards against requests to an endpoint that has said that it leaves, where
+// the copy holds its state before.
+func TestLeavingKept(t *testing.T) {
+	c := qt.New(t)
+	r := registry.New()
+	r.Apply(listing(registry.Endpoints, 1, 60, endpointRecord("a", 30, 1)), start, start)
+	leaving := endpointRecord("a", 66, 7)
+	leaving.Endpoint.Leaving = true
+	r.Apply(changes(registry.Endpoints, 1, 60, 66, leaving), start, start)
+	r.Apply(listing(registry.Endpoints, 2, 62, endpointRecord("a", 30, 1)), start, start)
+	c.Check(usable(r), qt.DeepEquals, []string{})
+}
+
+// TestMissingInTheCopy checks that an endpoint that the copy lacks stays in use for two
+// seconds, unless it leaves, and longer if it is back by then.
+func TestMissingInTheCopy(t *testing.T) {
+	c := qt.New(t)
+	r := registry.New()
+	r.Apply(listing(registry.Endpoints, 1, 60, endpointRecord("a", 58, 1), endpointRecord("b", 59, 1), endpointRecord("c", 60, 2)), start, start)
+	leaving := endpointRecord("c", 61, 3)
+	leaving.Endpoint.Leaving = true
+	r.Apply(changes(registry.Endpoints, 1, 60, 61, leaving), start, start)
+	r.Apply(listing(registry.Endpoints, 2, 50), start, start)
+	c.Check(usable(r), qt.DeepEquals, []string{"a", "b"})
+	r.Apply(changes(registry.Endpoints, 2, 50, 51, endpointRecord("b", 51, 2)), start, start.Add(time.Second))
+	r.Expire(start.Add(2 * time.Second))
+	c.Check(usable(r), qt.DeepEquals, []string{"b"})
+}
+
+// TestDrainKept checks that a zone stays drained though the copy lacks that, until the
+// operator has written again or the wait has ended.
+func TestDrainKept(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		rewrite bool
+	}{
+		{
+			name:    "written again",
+			rewrite: true,
+		},
+		{
+			name: "not written again",
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			r := registry.New()
+			r.Apply(listing(registry.OperatorRecords, 1, 60), start, start)
+			r.Apply(changes(registry.OperatorRecords, 1, 60, 66, drain("east", 66, false)), start, start)
+			r.Apply(listing(registry.OperatorRecords, 2, 62), start, start)
+			c.Check(r.ZoneDrained("east"), qt.IsTrue)
+			if test.rewrite {
+				r.Apply(changes(registry.OperatorRecords, 2, 62, 63, drain("east", 63, false)), start, start)
+			}
+			late := start.Add(10 * time.Second)
+			r.Apply(changes(registry.OperatorRecords, 2, 62, 63), late, late)
+			r.Expire(late)
+			c.Check(r.ZoneDrained("east"), qt.Equals, test.rewrite)
+		})
+	}
+}
+
+// TestDrainThatWasOver checks that a drain which the copy brings back does not count, and
+// that one which the operator writes anew does.
+func TestDrainThatWasOver(t *testing.T) {
+	c := qt.New(t)
+	r := registry.New()
+	r.Apply(listing(registry.OperatorRecords, 1, 60, drain("east", 55, false)), start, start)
+	r.Apply(changes(registry.OperatorRecords, 1, 60, 66, drain("east", 66, true)), start, start)
+	r.Apply(listing(registry.OperatorRecords, 2, 62, drain("east", 55, false)), start, start)
+	c.Check(r.ZoneDrained("east"), qt.IsFalse)
+	r.Apply(changes(registry.OperatorRecords, 2, 62, 64, drain("east", 64, false)), start, start)
+	c.Check(r.ZoneDrained("east"), qt.IsTrue)
+}
+
+// TestHostsShareWhatTheCopyLacks has a reader that lags behind another host read the copy:
+// it learns from that host what the platform lost, and a host that starts with the copy
+// alone learns it too.
+func TestHostsShareWhatTheCopyLacks(t *testing.T) {
+	c := qt.New(t)
+	reader, ahead, fresh := registry.New(), registry.New(), registry.New()
+	for _, r := range []*registry.Registry{reader, ahead} {
+		r.Apply(listing(registry.OperatorRecords, 1, 60, drain("west", 50, false)), start, start)
+		r.Apply(listing(registry.Endpoints, 1, 60, endpointRecord("a", 30, 1), endpointRecord("b", 31, 1)), start, start)
+	}
+	ahead.Apply(changes(registry.OperatorRecords, 1, 60, 66, drain("north", 64, false), drain("west", 65, true)), start, start)
+	ahead.Apply(changes(registry.Endpoints, 1, 60, 66, removal("a", 66)), start, start)
+	for _, r := range []*registry.Registry{reader, fresh} {
+		r.Apply(listing(registry.OperatorRecords, 2, 61, drain("west", 50, false)), start, start)
+		r.Apply(listing(registry.Endpoints, 2, 61, endpointRecord("a", 30, 1), endpointRecord("b", 31, 1)), start, start)
+	}
+	// The one that is ahead learns of the new era from the reader, and tells what it kept.
+	for p := range registry.NumParts {
+		c.Assert(ahead.Confirm(p, reader.Version(p), reader.ChangedVersion(p), start), qt.IsFalse)
+		e := ahead.Apply(reader.Since(p, ahead.Version(p), start), start, start)
+		c.Assert(e.Kept, qt.IsTrue)
+		reader.Apply(ahead.Since(p, e.Since, start), start, start)
+		fresh.Apply(ahead.Since(p, registry.Version{}, start), start, start)
+	}
+	for _, r := range []*registry.Registry{ahead, reader, fresh} {
+		c.Check(usable(r), qt.DeepEquals, []string{"b"})
+		c.Check(r.ZoneDrained("north"), qt.IsTrue)
+		c.Check(r.ZoneDrained("west"), qt.IsFalse)
+		// Nobody writes again: what the platform holds counts in the end.
+		late := start.Add(10 * time.Second)
+		for p := range registry.NumParts {
+			r.Apply(changes(p, 2, 61, 61), late, late)
+		}
+		r.Expire(late)
+		c.Check(usable(r), qt.DeepEquals, []string{"a", "b"})
+		c.Check(r.ZoneDrained("north"), qt.IsFalse)
+		c.Check(r.ZoneDrained("west"), qt.IsTrue)
+	}
+}
+
+// TestSecondReturn has the platform return twice, each time without what was written since.
+func TestSecondReturn(t *testing.T) {
+	c := qt.New(t)
+	a, b := registry.New(), registry.New()
+	a.Apply(listing(registry.Endpoints, 1, 60, endpointRecord("a", 30, 1), endpointRecord("b", 31, 1)), start, start)
+	a.Apply(changes(registry.Endpoints, 1, 60, 66, removal("a", 66)), start, start)
+	tell(a, b, start)
+	a.Apply(listing(registry.Endpoints, 2, 61, endpointRecord("a", 30, 1), endpointRecord("b", 31, 1)), start, start)
+	tell(a, b, start)
+	a.Apply(changes(registry.Endpoints, 2, 61, 62, removal("b", 62)), start, start.Add(3*time.Second))
+	tell(a, b, start.Add(3*time.Second))
+	a.Apply(listing(registry.Endpoints, 3, 61, endpointRecord("a", 30, 1), endpointRecord("b", 31, 1)), start, start.Add(4*time.Second))
+	tell(a, b, start.Add(4*time.Second))
+	for _, r := range []*registry.Registry{a, b} {
+		c.Check(r.Version(registry.Endpoints), qt.Equals, inEra(3, 61))
+		c.Check(usable(r), qt.DeepEquals, []string{})
+	}
+}
+
+// TestVersionText checks the form in which hosts exchange versions.
+func TestVersionText(t *testing.T) {
+	c := qt.New(t)
+	v := registry.Version{}
+	c.Assert(v.UnmarshalText([]byte("2.68")), qt.IsNil)
+	c.Check(v, qt.Equals, inEra(2, 68))
+	c.Check(v.String(), qt.Equals, "2.68")
+	for _, text := range []string{"", "68", "2.", ".68", "2.-1", "2.68.1", "x.1"} {
+		c.Check(v.UnmarshalText([]byte(text)), qt.IsNotNil, qt.Commentf("%q", text))
+	}
+}
--- a/io/host/host.go
+++ b/io/host/host.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"net/netip"
 	"net/url"
-	"strconv"
 	"sync"
 	"time"
 
@@ -62,7 +61,7 @@
 	// Hear takes in a tick.
 	Hear func(t *edge.Heartbeat)
 	// Book returns what this host knows beyond the versions.
-	Book func(ctx context.Context, since [registry.NumParts]uint64) (*edge.Delta, error)
+	Book func(ctx context.Context, since [registry.NumParts]registry.Version) (*edge.Delta, error)
 	// Take does what another host passes on.
 	Take func(ctx context.Context, c *edge.ForwardRequest) *edge.ForwardResult
 	// Log writes a line of a kind with pairs of keys and values.
@@ -180,14 +179,12 @@
 }
 
 func (l *Link) serveBook(w http.ResponseWriter, r *http.Request) {
-	since := [registry.NumParts]uint64{}
+	since := [registry.NumParts]registry.Version{}
 	for p, n := range parameters {
-		v, err := strconv.ParseUint(r.URL.Query().Get(n), 10, 64)
-		if err != nil {
+		if err := since[p].UnmarshalText([]byte(r.URL.Query().Get(n))); err != nil {
 			http.Error(w, "the parameter "+n+" is not a version", http.StatusBadRequest)
 			return
 		}
-		since[p] = v
 	}
 	b, err := l.options.Book(r.Context(), since)
 	if err != nil {
@@ -199,10 +196,10 @@
 }
 
 // Fetch asks another host for what it knows beyond the versions.
-func (l *Link) Fetch(ctx context.Context, from fleet.Member, since [registry.NumParts]uint64) (*edge.Delta, error) {
+func (l *Link) Fetch(ctx context.Context, from fleet.Member, since [registry.NumParts]registry.Version) (*edge.Delta, error) {
 	v := url.Values{}
 	for p, n := range parameters {
-		v.Set(n, strconv.FormatUint(since[p], 10))
+		v.Set(n, since[p].String())
 	}
 	q, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+from.PeerAddr.String()+bookPath+"?"+v.Encode(), nil)
 	if err != nil {
