soak: a table that returns from a copy

The table is away, comes back some seconds old, and the operator writes the newest configuration again. Each host is asked all the while for a route that only the newest configuration has: no process goes back behind one by which it served, and in calm times every host serves by it within 2 s.

--- a/cmd/heatherford-soak/fault.go
+++ b/cmd/heatherford-soak/fault.go
@@ -20,7 +20,7 @@
 	way := w.ways[w.random.IntN(len(w.ways))]
 	store := w.stores[host]
 	d := time.Duration(200+w.random.IntN(1800)) * time.Millisecond
-	switch w.random.IntN(15) {
+	switch w.random.IntN(17) {
 	case 0:
 		w.on(group, host, "kill", func(p *process) { p.signal(syscall.SIGKILL) })
 	case 1:
@@ -67,6 +67,8 @@
 		})
 	case 13, 14:
 		w.limit(group)
+	case 15, 16:
+		w.restore(group, d)
 	}
 }
 
--- a/cmd/heatherford-soak/process.go
+++ b/cmd/heatherford-soak/process.go
@@ -25,7 +25,9 @@
 	cmd *exec.Cmd
 	// done is closed when the process has ended.
 	done chan struct{}
-	log  *bytes.Buffer
+	// started counts the starts.
+	started int
+	log     *bytes.Buffer
 }
 
 const (
@@ -126,6 +128,7 @@
 	done := make(chan struct{})
 	p.cmd = c
 	p.done = done
+	p.started++
 	go func() {
 		// The exit code tells nothing beside the log.
 		_ = c.Wait()
@@ -134,6 +137,13 @@
 	return nil
 }
 
+// starts returns the number of starts so far.
+func (p *process) starts() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.started
+}
+
 // signal sends a signal to the process that start started last.
 func (p *process) signal(s syscall.Signal) {
 	p.mu.Lock()
--- a/cmd/heatherford-soak/world.go
+++ b/cmd/heatherford-soak/world.go
@@ -87,10 +87,16 @@
 	endpoints []*desk.Endpoint
 	ledger    ledger
 	faults    []string
-	version   int
 	closers   []func()
+
+	// mu guards the fields below.
+	mu sync.Mutex
+	// version and service are those of the newest configuration.
+	version int
+	service string
+	// copies are the table's newest copies, in order.
+	copies []*rows.Copy
 	// busy holds the hosts that a fault is at work on.
-	mu   sync.Mutex
 	busy map[int]bool
 	// calmed is true once the faults have ended.
 	calmed bool
@@ -134,11 +140,20 @@
 	if !w.until(startTime, w.usable) {
 		return fmt.Errorf("the hosts are of no use after %s", startTime)
 	}
+	w.copies = []*rows.Copy{w.table.Copy()}
 	for i := range clients {
 		group.Go(func() {
 			w.client(ctx, i)
 		})
 	}
+	for _, p := range w.processes {
+		group.Go(func() {
+			w.watch(ctx, p)
+		})
+	}
+	group.Go(func() {
+		w.keepCopies(ctx)
+	})
 	for end := time.Now().Add(w.options.Length); time.Now().Before(end); {
 		w.fault(&group)
 		time.Sleep(time.Duration(w.random.IntN(900)) * time.Millisecond)
@@ -231,7 +246,10 @@
 
 // configure puts the next version in force.
 func (w *world) configure(service string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.version += 1 + w.random.IntN(3)
+	w.service = service
 	w.table.Put("op", "config", desk.Configuration(w.version, service))
 }
 
@@ -280,7 +298,9 @@
 	w.configure("two")
 	leaving := w.endpoints[1]
 	leaving.Drain()
-	time.Sleep(drainTime)
+	time.Sleep(applyTime)
+	w.checkApplied()
+	time.Sleep(drainTime - applyTime)
 	drained := time.Now()
 	asked, served, _ := w.ledger.counts()
 	time.Sleep(calmTime - recoverTime)
--- a/standin/desk/configuration.go
+++ b/standin/desk/configuration.go
@@ -12,7 +12,12 @@
 	PathUnsafe = "/charge/"
 )
 
-// Configuration returns a configuration of the version, in which both routes lead to
+// PathOf returns the prefix of a route that only the configuration of the version has.
+func PathOf(version int) string {
+	return fmt.Sprintf("/at/%d/", version)
+}
+
+// Configuration returns a configuration of the version, in which all routes lead to
 // the service.
 func Configuration(version int, service string) string {
 	route := func(name, prefix, kind string) map[string]any {
@@ -53,6 +58,7 @@
 		"resources": []any{
 			route("safe", PathSafe, "safe"),
 			route("unsafe", PathUnsafe, "unsafe"),
+			route("at", PathOf(version), "safe"),
 			services("one"),
 			services("two"),
 		},
--- a/standin/desk/endpoint.go
+++ b/standin/desk/endpoint.go
@@ -126,6 +126,8 @@
 
 	mu       sync.Mutex
 	sequence int
+	// written is the state in the newest entry.
+	written  string
 	draining bool
 	silent   bool
 	// rejecting is true while every other request is rejected, and came counts them.
@@ -196,6 +198,11 @@
 	if e.draining {
 		state = "draining"
 	}
+	// An entry does not change if only the sequence does.
+	if state == e.written && e.options.Table.Has("servers", e.options.ID) {
+		return
+	}
+	e.written = state
 	b, err := json.Marshal(map[string]any{
 		"address": e.address,
 		"born":    e.born.UnixMilli(),
--- a/standin/rows/table.go
+++ b/standin/rows/table.go
@@ -46,10 +46,10 @@
 	// forgotten is the version before which no history is left.
 	forgotten uint64
 	// era counts the returns from a copy, from 1 on.
-	era uint64
-	changed   chan struct{}
-	faults    Faults
-	calls     map[string]int
+	era     uint64
+	changed chan struct{}
+	faults  Faults
+	calls   map[string]int
 }
 
 // New returns an empty table.
@@ -73,6 +73,14 @@
 	})
 }
 
+// Has reports whether a row exists.
+func (t *Table) Has(table, key string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r, ok := t.rows[table+"\x00\x00"+key]
+	return ok && !r.Removed
+}
+
 // Remove removes a row.
 func (t *Table) Remove(table, key string) {
 	t.mu.Lock()
