--- /dev/null
+++ b/core/edge/quarantine_test.go
@@ -0,0 +1,159 @@
+package edge
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+const (
+	// deadlyPath is the path of the request that crashes endpoints.
+	deadlyPath = "/look/deadly"
+	// crashedFor is how long an endpoint is down after a crash.
+	crashedFor = 700 * time.Millisecond
+	// crashTime is how long a deadly request runs until its endpoint crashes.
+	crashTime = 10 * time.Millisecond
+)
+
+// crashing is endpoints that a deadly request crashes. It is safe for concurrent use.
+type crashing struct {
+	mu sync.Mutex
+	// crashed is closed when an endpoint crashes, by endpoint.
+	crashed map[string]chan struct{}
+	downTo  map[string]time.Time
+	// sends holds when the deadly request was sent to an endpoint, crashes when one
+	// crashed.
+	sends   []time.Time
+	crashes []time.Time
+}
+
+func newCrashing() *crashing {
+	return &crashing{
+		crashed: map[string]chan struct{}{},
+		downTo:  map[string]time.Time{},
+	}
+}
+
+// send answers for an endpoint.
+func (x *crashing) send(ctx context.Context, s *EndpointRequest) (*Reply, error) {
+	deadly := s.Request.Target == deadlyPath
+	work := time.Duration(20+len(s.Request.ID)) * time.Millisecond
+	x.mu.Lock()
+	if time.Now().Before(x.downTo[s.Target.ID]) {
+		x.mu.Unlock()
+		return nil, &Failure{
+			Reason: "unreachable",
+		}
+	}
+	crashed := x.crashed[s.Target.ID]
+	if crashed == nil {
+		crashed = make(chan struct{})
+		x.crashed[s.Target.ID] = crashed
+	}
+	if deadly {
+		x.sends = append(x.sends, time.Now())
+		work = crashTime
+	}
+	x.mu.Unlock()
+	select {
+	case <-crashed:
+	case <-ctx.Done():
+		return nil, &Failure{
+			Sent:   true,
+			Reason: "reset",
+			Cause:  ctx.Err(),
+		}
+	case <-time.After(work):
+		if !deadly {
+			return answerOK(ctx, s)
+		}
+		x.crash(s.Target.ID)
+	}
+	return nil, &Failure{
+		Sent:   true,
+		Reason: "reset",
+	}
+}
+
+// crash ends all requests at an endpoint, which is down for a while.
+func (x *crashing) crash(id string) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.crashed[id] == nil {
+		return
+	}
+	close(x.crashed[id])
+	delete(x.crashed, id)
+	x.crashes = append(x.crashes, time.Now())
+	x.downTo[id] = time.Now().Add(crashedFor)
+}
+
+// sendsAfter returns how often the deadly request was sent from d after the third crash on.
+func (x *crashing) sendsAfter(d time.Duration) int {
+	const third = 3
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	n := 0
+	for _, t := range x.sends {
+		if len(x.crashes) >= third && t.Sub(x.crashes[third-1]) > d {
+			n++
+		}
+	}
+	return n
+}
+
+// load has clients send ordinary requests to the hosts until ctx ends, the same few again
+// and again, and returns the number of those that were not served.
+func load(ctx context.Context, s []*Edge) (asked, missed int) {
+	mu, group := sync.Mutex{}, sync.WaitGroup{}
+	for i := 0; ctx.Err() == nil; i++ {
+		group.Go(func() {
+			a := s[i%len(s)].Serve(context.Background(), request(fmt.Sprint("/look/", i%5)))
+			mu.Lock()
+			defer mu.Unlock()
+			asked++
+			if a == nil || a.Status != http.StatusOK {
+				missed++
+			}
+		})
+		<-time.After(15 * time.Millisecond)
+	}
+	group.Wait()
+	return asked, missed
+}
+
+// TestDeadlyRequest guards against a request that crashes one endpoint after the other: it
+// comes again and again, at any host, and is sent to few endpoints after the third crash.
+func TestDeadlyRequest(t *testing.T) {
+	k := newCluster(t)
+	x := newCrashing()
+	k.setSend(x.send)
+	for i := range 8 {
+		k.addEndpoint(fmt.Sprint("more", i), []string{"z1", "z2"}[i%2])
+	}
+	s := []*Edge{k.start("a", "z1"), k.start("b", "z1"), k.start("c", "z2"), k.start("d", "z2")}
+	k.waitReady(s...)
+	ctx, cancel := context.WithTimeout(t.Context(), 6*time.Second)
+	defer cancel()
+	group := sync.WaitGroup{}
+	group.Go(func() {
+		for i := 0; ctx.Err() == nil; i++ {
+			group.Go(func() {
+				s[i%len(s)].Serve(context.Background(), request(deadlyPath))
+			})
+			<-time.After(120 * time.Millisecond)
+		}
+	})
+	asked, missed := load(ctx, s)
+	group.Wait()
+	k.c.Logf("%d crashes, %d sends from 3 s after the third on; %d of %d other requests missed", len(x.crashes), x.sendsAfter(3*time.Second), missed, asked)
+	// The users' bound, and their goal of an endpoint or two beyond the third crash.
+	const mostSends, mostCrashes = 3, 5
+	k.c.Check(x.sendsAfter(3*time.Second) <= mostSends, qt.IsTrue)
+	k.c.Check(len(x.crashes) <= mostCrashes, qt.IsTrue)
+}
