core/balance: a test of a flood that meets a limited endpoint after an idle time

No test flooded a limited endpoint that was idle, so that a burst of 4 s passed all of core/balance and core/edge, though it breaks the users' bound of 1.5 times the limit and 5 in a window of 4 s.

--- a/core/balance/limit_test.go
+++ b/core/balance/limit_test.go
@@ -299,3 +299,33 @@
 	b.Check(b.stated(), qt.Equals, *limitOf(2))
 	b.Check(b.balancer.endpoints["e"].limited(), qt.IsTrue)
 }
+
+// TestFloodOfAnIdleEndpoint guards against a flood that meets an endpoint with a limit after
+// an idle time: what the limit allowed in that time does not add up.
+func TestFloodOfAnIdleEndpoint(t *testing.T) {
+	// The users' bound on the requests in any window: 1.5 times the limit, and 5.
+	const (
+		window    = 4 * time.Second
+		overshoot = 1.5
+		slack     = 5
+		step      = 10 * time.Millisecond
+	)
+	for _, rate := range []float64{0.5, 3, 8, 20} {
+		b := newLimitBench(t)
+		b.release(b.acquire(), limitOf(rate))
+		b.after(time.Minute)
+		sent := 0
+		for range window / step {
+			b.acquire()
+			b.balancer.AdmitWaiting(b.now)
+			for p := range b.balancer.endpoints["e"].inFlight {
+				b.release(p, limitOf(rate))
+				sent++
+			}
+			b.after(step)
+		}
+		bound := overshoot*rate*window.Seconds() + slack
+		b.Check(float64(sent) <= bound, qt.IsTrue, qt.Commentf("%d requests in %s at a limit of %g, %g allowed", sent, window, rate, bound))
+		b.Check(float64(sent) >= rate*window.Seconds()/overshoot-1, qt.IsTrue, qt.Commentf("%d requests in %s at a limit of %g", sent, window, rate))
+	}
+}
