soak: a request that crashes the endpoints that run it

An endpoint of the stand-in that begins to run such a request resets all its connections, refuses new ones for 1.2 s, and comes back as another incarnation. The request comes again at all hosts every 90 ms for 6 s, beside the other faults. The check is the users' bound: three sends later than 3 s after the third crash.

--- a/cmd/heatherford-soak/fault.go
+++ b/cmd/heatherford-soak/fault.go
@@ -20,7 +20,7 @@
 	way := w.ways[w.random.IntN(len(w.ways))]
 	store := w.stores[host]
 	d := time.Duration(200+w.random.IntN(1800)) * time.Millisecond
-	switch w.random.IntN(17) {
+	switch w.random.IntN(19) {
 	case 0:
 		w.on(group, host, "kill", func(p *process) { p.signal(syscall.SIGKILL) })
 	case 1:
@@ -69,6 +69,8 @@
 		w.limit(group)
 	case 15, 16:
 		w.restore(group, d)
+	case 17, 18:
+		w.sendDeadly(group)
 	}
 }
 
--- a/cmd/heatherford-soak/restore.go
+++ b/cmd/heatherford-soak/restore.go
@@ -127,13 +127,18 @@
 // askAt sends a request to a host on the route that only the version has, and returns the
 // status, or 0 if there is no answer.
 func (w *world) askAt(ctx context.Context, h *http.Client, p *process, version, n int) int {
-	q, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.callers+desk.PathOf(version), nil)
+	return w.askPath(ctx, h, p, desk.PathOf(version), fmt.Sprintf("w%d", n))
+}
+
+// askPath sends a request to a host on a path, with an identifier that ends with a name, and
+// returns the status, or 0 if there is no answer.
+func (w *world) askPath(ctx context.Context, h *http.Client, p *process, path, name string) int {
+	q, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.callers+path, nil)
 	if err != nil {
 		return 0
 	}
 	q.Host = desk.Host
-	id := fmt.Sprintf("s%d-w-%s-%d", w.options.Seed, p.name, n)
-	q.Header.Set(desk.HeaderID, id)
+	q.Header.Set(desk.HeaderID, fmt.Sprintf("s%d-%s-%s%s", w.options.Seed, p.name, name, path))
 	q.Header.Set(desk.HeaderDeadline, fmt.Sprint(watchTimeout.Milliseconds()))
 	w.ledger.note(func() { w.ledger.asks = append(w.ledger.asks, time.Now()) })
 	a, err := h.Do(q)
--- a/cmd/heatherford-soak/world.go
+++ b/cmd/heatherford-soak/world.go
@@ -96,6 +96,8 @@
 	service string
 	// copies are the table's newest copies, in order.
 	copies []*rows.Copy
+	// deadly are the requests that crash endpoints.
+	deadly []*deadly
 	// busy holds the hosts that a fault is at work on.
 	busy map[int]bool
 	// calmed is true once the faults have ended.
@@ -217,6 +219,7 @@
 func (w *world) addEndpoint(zone, service string) error {
 	const slots = 4
 	var err error
+	way := (*relay.Relay)(nil)
 	e, startErr := desk.Start(desk.Options{
 		ID:      fmt.Sprintf("i-%s-%s-%d", zone, service, len(w.endpoints)),
 		Service: service,
@@ -225,12 +228,16 @@
 		Work:    20 * time.Millisecond,
 		Table:   w.table,
 		Runs:    w.runs,
+		Crash: func(q *http.Request) time.Duration {
+			return w.crash(way, q)
+		},
 		Address: func(own string) string {
 			r, relayErr := relay.New("127.0.0.1:0", own)
 			if relayErr != nil {
 				err = relayErr
 				return own
 			}
+			way = r
 			w.ways = append(w.ways, r)
 			w.closers = append(w.closers, r.Close)
 			return r.Addr().String()
@@ -330,6 +337,7 @@
 	w.settleRepeats("one")
 	w.settleRepeats("two")
 	w.settleLimits()
+	w.settleDeadly()
 	for _, id := range w.ledger.unsafe {
 		if n := w.runs.Of(id); n > 1 {
 			w.ledger.broken = append(w.ledger.broken, fmt.Sprintf("%s ran %d times", id, n))
--- a/standin/desk/endpoint.go
+++ b/standin/desk/endpoint.go
@@ -111,6 +111,9 @@
 	// Address is registered in place of the endpoint's own if it is not empty,
 	// such as that of a relay.
 	Address func(own string) string
+	// Crash is called when a request begins to run, if it is not nil, and returns how long
+	// the endpoint is down from now on, or 0 if it does not crash.
+	Crash func(r *http.Request) time.Duration
 }
 
 // Endpoint is an endpoint that registers itself. It is safe for concurrent use.
@@ -119,12 +122,13 @@
 	listener net.Listener
 	server   *http.Server
 	address  string
-	born     time.Time
 	slots    chan struct{}
 	end      chan struct{}
 	group    sync.WaitGroup
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// born is when the incarnation started or will start.
+	born     time.Time
 	sequence int
 	// written is the state in the newest entry.
 	written  string
@@ -190,7 +194,7 @@
 func (e *Endpoint) write() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.silent {
+	if e.silent || time.Now().Before(e.born) {
 		return
 	}
 	e.sequence++
@@ -224,6 +228,15 @@
 	e.options.Table.Put("servers", e.options.ID, string(b))
 }
 
+// restart begins the next incarnation, which reports first after a time.
+func (e *Endpoint) restart(after time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.born = time.Now().Add(after)
+	e.sequence = 0
+	e.written = ""
+}
+
 // Drain reports that the endpoint leaves.
 func (e *Endpoint) Drain() {
 	e.mu.Lock()
@@ -301,6 +314,12 @@
 	e.options.Runs.mu.Lock()
 	e.options.Runs.runs[id]++
 	e.options.Runs.mu.Unlock()
+	if e.options.Crash != nil {
+		if d := e.options.Crash(r); d > 0 {
+			e.restart(d)
+			panic(http.ErrAbortHandler)
+		}
+	}
 	select {
 	case <-time.After(e.options.Work):
 	case <-left:
--- a/standin/relay/relay.go
+++ b/standin/relay/relay.go
@@ -13,14 +13,18 @@
 
 // Relay passes connections on to a target. It is safe for concurrent use.
 type Relay struct {
-	listener net.Listener
-	target   string
-	group    sync.WaitGroup
+	target string
+	group  sync.WaitGroup
+	// end is closed when the relay is closed.
+	end chan struct{}
 
-	mu sync.Mutex
+	mu       sync.Mutex
+	listener net.Listener
 	// links are all connections, also those that were lost track of.
 	links  map[*link]struct{}
 	closed bool
+	// crashed is true while the relay does not listen after a crash.
+	crashed bool
 	// delay is how long bytes take one way.
 	delay time.Duration
 	// refusing is true while new connections are reset.
@@ -36,6 +40,7 @@
 	r := &Relay{
 		listener: l,
 		target:   target,
+		end:      make(chan struct{}),
 		links:    map[*link]struct{}{},
 	}
 	r.group.Go(r.accept)
@@ -44,6 +49,8 @@
 
 // Addr returns the address that the relay listens on.
 func (r *Relay) Addr() net.Addr {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	return r.listener.Addr()
 }
 
@@ -69,6 +76,42 @@
 	r.refusing = on
 }
 
+// Crash resets all connections and listens no more for a time, as a target that has crashed.
+// A relay that is closed meanwhile does not listen again.
+func (r *Relay) Crash(d time.Duration) {
+	r.mu.Lock()
+	if r.closed || r.crashed {
+		r.mu.Unlock()
+		return
+	}
+	r.crashed = true
+	l := r.listener
+	r.mu.Unlock()
+	_ = l.Close()
+	r.Cut()
+	r.group.Go(func() {
+		select {
+		case <-time.After(d):
+		case <-r.end:
+			return
+		}
+		next, err := net.Listen("tcp", l.Addr().String())
+		if err != nil {
+			// Another process has taken the port: the target stays down.
+			return
+		}
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if r.closed {
+			_ = next.Close()
+			return
+		}
+		r.crashed = false
+		r.listener = next
+		r.group.Go(r.accept)
+	})
+}
+
 // SetDelay sets how long bytes take one way on new connections.
 func (r *Relay) SetDelay(d time.Duration) {
 	r.mu.Lock()
@@ -87,10 +130,11 @@
 
 // Close ends the relay and all its connections.
 func (r *Relay) Close() {
-	_ = r.listener.Close()
 	r.mu.Lock()
 	r.closed = true
+	_ = r.listener.Close()
 	r.mu.Unlock()
+	close(r.end)
 	r.Cut()
 	r.group.Wait()
 }
@@ -114,8 +158,11 @@
 }
 
 func (r *Relay) accept() {
+	r.mu.Lock()
+	l := r.listener
+	r.mu.Unlock()
 	for {
-		c, err := r.listener.Accept()
+		c, err := l.Accept()
 		if err != nil {
 			return
 		}
