core/edge: a host that has joined waits for heartbeats before it reads as the first

Cause: a host that joins knows only those that joined before it. Each one that precedes all of these in the order takes itself for the first and reads at once, so that the reads depend on the order in which the hosts join. Load scrambles that order and delays the heartbeats by which such readers step down.

Change: as long as a host knows nothing, it reads as the first one only two heartbeats after it has joined. By then it knows of the hosts that joined with it. The others wait for a second as before.

--- a/cmd/heatherford-soak/soak_test.go
+++ b/cmd/heatherford-soak/soak_test.go
@@ -20,6 +20,9 @@
 		1,
 		// Hosts did not keep to the limit that an endpoint states.
 		3,
+		// Declarations were never in force after the table's return from a copy, and a
+		// request took down one endpoint after the other.
+		7,
 	} {
 		r := run(options{
 			Seed:    seed,
--- a/core/edge/control.go
+++ b/core/edge/control.go
@@ -51,7 +51,11 @@
 	// maxStartReadDelay in all.
 	startReadDelay        = time.Second
 	startReadDelayPerHost = 20 * time.Millisecond
-	maxStartReadDelay     = 2 * time.Second
+	// firstReadDelay is how long a host waits after it has joined until it reads as the
+	// first one in the order: hosts that join at the same time do not know of each
+	// other before their heartbeats.
+	firstReadDelay    = 2 * fleet.HeartbeatInterval
+	maxStartReadDelay = 2 * time.Second
 	// learnDelay is how long a host that has joined waits to learn from others what the
 	// platform may have lost, before it serves by what it has read itself: three
 	// heartbeats. maxLearnDelay bounds the wait of one that cannot join.
@@ -73,11 +77,14 @@
 	zones      map[string]zoneState
 	zoneCursor int
 	// started is when the host started. joined is true once the platform lists it.
-	started  time.Time
-	joined   bool
-	joining  bool
-	nextJoin time.Time
-	fetching bool
+	started time.Time
+	joined  bool
+	// firstRead is when the first read may begin of a host that has joined and knows
+	// nothing.
+	firstRead time.Time
+	joining   bool
+	nextJoin  time.Time
+	fetching  bool
 	// learned is true once a host that serves has told this one all that it knows, and
 	// learnUntil is when this host no longer waits for that.
 	learned    bool
@@ -216,6 +223,7 @@
 			c.joined = true
 			c.fleet.AddListed(s, time.Now())
 			c.stopLearning(len(s), time.Now())
+			c.firstRead = time.Now().Add(firstReadDelay)
 			// Which host reads depends on the live hosts.
 			c.updateLive(time.Now())
 			c.edge.options.Log("join", "outcome", "joined", "hosts", len(s))
--- a/core/edge/reader.go
+++ b/core/edge/reader.go
@@ -117,6 +117,8 @@
 	switch {
 	case current.IsZero() && !c.joined:
 		return now.Sub(c.started) > maxStartReadDelay
+	case current.IsZero() && now.Before(c.firstRead):
+		return false
 	case position == 0:
 		return true
 	case current.IsZero():
