--- a/cmd/heatherford-soak/restore.go
+++ b/cmd/heatherford-soak/restore.go
@@ -43,7 +43,7 @@
 	}
 }
 
-// restore has the table be away and come back from a copy. The operator writes the newest
+// restore has the table be away and come back restored from a copy. The operator writes the newest
 // configuration again, some time later.
 func (w *world) restore(group *sync.WaitGroup, away time.Duration) {
 	later := time.Duration(w.random.IntN(600)) * time.Millisecond
--- /dev/null
+++ b/core/edge/join.go
@@ -0,0 +1,83 @@
+package edge
+
+import (
+	"context"
+	"time"
+
+	"heatherford/core/fleet"
+)
+
+// settled reports whether this host serves by what it knows: another host has told it what
+// the platform may have lost, or none did in time.
+func (c *control) settled(now time.Time) bool {
+	return c.learned || !now.Before(c.learnUntil)
+}
+
+// join adds the host to the platform's list of hosts, once. It retries after a
+// failure.
+func (c *control) join(now time.Time) {
+	if c.joining || now.Before(c.nextJoin) || (c.joined && !c.enlistLive) {
+		return
+	}
+	c.joining = true
+	if c.joined {
+		c.enlist()
+		return
+	}
+	self := c.fleet.Self()
+	c.edge.tomb.Go(func() error {
+		ctx, cancel := context.WithTimeout(c.edge.tomb.Context(context.Background()), joinTimeout)
+		defer cancel()
+		s, err := c.edge.options.Transport.Join(ctx, self)
+		c.edge.post(func(c *control) {
+			c.joining = false
+			c.nextJoin = time.Now().Add(joinRetryInterval)
+			if err != nil {
+				c.edge.options.Log("join", "outcome", "failed", "err", err)
+				return
+			}
+			c.joined = true
+			c.fleet.AddListed(s, time.Now())
+			c.stopLearning(len(s), time.Now())
+			c.firstRead = time.Now().Add(firstReadDelay)
+			// Which host reads depends on the live hosts.
+			c.updateLive(time.Now())
+			c.edge.options.Log("join", "outcome", "joined", "hosts", len(s))
+		})
+		return nil
+	})
+}
+
+// stopLearning bounds the time in which a host that has joined learns from others. A host
+// that is alone on the list has nobody to learn from.
+func (c *control) stopLearning(listed int, now time.Time) {
+	end := now.Add(learnDelay)
+	if listed <= 1 {
+		end = now
+	}
+	if end.Before(c.learnUntil) {
+		c.learnUntil = end
+	}
+}
+
+// enlist adds the live hosts to the platform's list, which may have lost them. It is
+// repeated after a failure.
+func (c *control) enlist() {
+	live := fleet.NotLeaving(c.live)
+	c.edge.tomb.Go(func() error {
+		ctx, cancel := context.WithTimeout(c.edge.tomb.Context(context.Background()), joinTimeout)
+		defer cancel()
+		err := c.edge.options.Transport.Enlist(ctx, live)
+		c.edge.post(func(c *control) {
+			c.joining = false
+			c.nextJoin = time.Now().Add(joinRetryInterval)
+			c.enlistLive = err != nil
+			if err != nil {
+				c.edge.options.Log("enlist", "outcome", "failed", "err", err)
+				return
+			}
+			c.edge.options.Log("enlist", "outcome", "enlisted", "hosts", len(live))
+		})
+		return nil
+	})
+}
--- /dev/null
+++ b/core/registry/apply.go
@@ -0,0 +1,315 @@
+package registry
+
+import (
+	"time"
+
+	"heatherford/core/route"
+)
+
+// Effect is what an update did.
+type Effect struct {
+	// Changed is true if anything changed that affects traffic.
+	Changed bool
+	// Kept is true if a record of the update was older than what is known, so that its
+	// sender may lack that.
+	Kept bool
+	// Since is a version after which all changed and kept records lie, if there are any.
+	Since Version
+}
+
+// note adds a changed or kept record to the effect.
+func (e *Effect) note(v Version) {
+	if v.Number > 0 {
+		v.Number--
+	}
+	if v.Before(e.Since) {
+		e.Since = v
+	}
+}
+
+// Apply merges an update that was read at the time currentAt. It ignores one that starts
+// after the known version, and so lacks the changes in between. An update that is older than
+// the known version changes only what it knows better: a host that read the platform before
+// its return from a copy knows of changes that the copy lacks.
+func (r *Registry) Apply(u Update, currentAt, now time.Time) Effect {
+	s := &r.states[u.Part]
+	known := s.version
+	newEra := !known.IsZero() && known.Era < u.Version.Era
+	if !u.Full && (newEra || known.Before(u.Since)) {
+		return Effect{}
+	}
+	before := r.revision
+	r.effect = Effect{
+		Since: known,
+	}
+	r.era = max(known.Era, u.Version.Era)
+	if u.Version.Before(known) {
+		r.applyOlder(u, now)
+		r.effect.Changed = r.revision != before
+		return r.effect
+	}
+	if newEra {
+		r.graceUntil = later(r.graceUntil, now.Add(returnGrace))
+		r.dropUnconfirmed(u.Part)
+	}
+	if u.Full {
+		r.removeUnlisted(u, newEra, now)
+	}
+	for i := range u.Records {
+		r.apply(&u.Records[i], now)
+	}
+	r.effect.Changed = r.revision != before
+	if r.effect.Changed || known.IsZero() || newEra {
+		s.changedVersion = u.Version
+	}
+	s.version = u.Version
+	s.currentAt = later(s.currentAt, currentAt)
+	return r.effect
+}
+
+// applyOlder merges the records of an update that is older than the known version. One of
+// an earlier era may lack what came after the copy, so that only a newer declaration counts.
+func (r *Registry) applyOlder(u Update, now time.Time) {
+	known := r.states[u.Part].version
+	for i := range u.Records {
+		c := &u.Records[i]
+		unknown := false
+		switch {
+		case c.Declaration != nil:
+		case u.Version.Era < known.Era:
+			continue
+		case c.Endpoint != nil:
+			unknown = r.endpoints[c.Endpoint.ID] == nil
+		default:
+			unknown = r.drainedZones[c.DrainedZone] == nil && c.Version.Era == known.Era
+		}
+		// What is unknown here was removed by the known version.
+		if !unknown {
+			r.apply(c, now)
+		}
+	}
+}
+
+func (r *Registry) apply(c *Record, now time.Time) {
+	switch {
+	case c.Declaration != nil:
+		r.setDeclaration(c)
+	case c.DrainedZone != "":
+		r.setZoneDrained(c, now)
+	case c.Endpoint != nil && c.ExpiresIn > 0:
+		if e := r.endpoints[c.Endpoint.ID]; e == nil || !e.equivalent(c.Endpoint) {
+			r.upsert(c, now)
+		}
+		r.markMissing(c, now.Add(c.ExpiresIn))
+	case c.Endpoint != nil && c.Removed:
+		r.remove(c, now)
+	case c.Endpoint != nil:
+		r.upsert(c, now)
+	}
+}
+
+// setDeclaration takes over a declaration unless an equal or newer one is known: no host
+// may go back to an older version.
+func (r *Registry) setDeclaration(c *Record) {
+	if r.declaration != nil && c.Declaration.Version <= r.declaration.value.Version {
+		if c.Declaration.Version < r.declaration.value.Version {
+			r.keep(r.declaration.Version)
+		}
+		return
+	}
+	r.declaration = &versioned[*route.Declaration]{
+		position: c.position(),
+		value:    c.Declaration,
+	}
+	r.changed(c)
+}
+
+func (r *Registry) setZoneDrained(c *Record, now time.Time) {
+	z := r.drainedZones[c.DrainedZone]
+	if z == nil {
+		z = &versioned[bool]{}
+		r.drainedZones[c.DrainedZone] = z
+	}
+	if z.newerThan(c.position()) {
+		r.keepZone(c, z, now)
+		return
+	}
+	r.confirm(c)
+	if c.Contradicted {
+		r.setAside(&Record{
+			Version:     c.Version,
+			Removed:     !c.Removed,
+			DrainedZone: c.DrainedZone,
+		}, now)
+	}
+	z.position = c.position()
+	if z.value == !c.Removed {
+		return
+	}
+	z.value = !c.Removed
+	z.removedAt = time.Time{}
+	if c.Removed {
+		z.removedAt = now
+		r.markZoneCold(c.DrainedZone, now)
+	}
+	r.changed(c)
+}
+
+// markZoneCold makes the endpoints of a zone count as cold: they got no requests while the
+// zone was drained, and their own reports lag.
+func (r *Registry) markZoneCold(zone string, now time.Time) {
+	for _, e := range r.endpoints {
+		if e.Zone == zone {
+			e.ColdUntil = later(e.ColdUntil, now.Add(r.coldFor(e.Upstream)))
+		}
+	}
+}
+
+func (r *Registry) coldFor(upstream string) time.Duration {
+	if r.declaration != nil {
+		if u, ok := r.declaration.value.Upstreams[upstream]; ok {
+			return u.ColdFor
+		}
+	}
+	return defaultColdFor
+}
+
+func (r *Registry) upsert(c *Record, now time.Time) {
+	n := *c.Endpoint
+	if n.ColdLeft > 0 {
+		n.ColdUntil = now.Add(n.ColdLeft)
+	}
+	e := r.endpoints[n.ID]
+	if e == nil {
+		r.endpoints[n.ID] = &entry{
+			Endpoint: n,
+			position: c.position(),
+		}
+		r.changed(c)
+		return
+	}
+	absent := !e.removedAt.IsZero() || !e.goneAt.IsZero()
+	if older(&n, &e.Endpoint) || (absent && !c.position().newerThan(e.position)) {
+		r.keepEndpoint(c, e, now)
+		return
+	}
+	r.confirm(c)
+	colder := n.ColdUntil.Sub(e.ColdUntil) > coldTolerance && n.ColdLeft > 0
+	if !absent && e.equivalent(&n) && !colder {
+		e.Sequence = n.Sequence
+		return
+	}
+	if n.StartedAt.Equal(e.StartedAt) {
+		n.ColdUntil = later(n.ColdUntil, e.ColdUntil)
+	}
+	p := c.position()
+	if e.newerThan(p) {
+		p = e.position
+	}
+	*e = entry{
+		Endpoint: n,
+		position: p,
+	}
+	r.changed(c)
+}
+
+// older reports whether a is an earlier report than b of the same endpoint.
+func older(a, b *Endpoint) bool {
+	if !a.StartedAt.Equal(b.StartedAt) {
+		return a.StartedAt.Before(b.StartedAt)
+	}
+	return a.Sequence < b.Sequence
+}
+
+// remove records that an endpoint was removed. After an outage of the platform the
+// endpoint counts as missing until the end of the grace period.
+func (r *Registry) remove(c *Record, now time.Time) {
+	e := r.endpoints[c.Endpoint.ID]
+	if e == nil || e.newerThan(c.position()) {
+		return
+	}
+	r.confirm(c)
+	if c.Contradicted {
+		x := e.Endpoint
+		r.setAside(&Record{
+			Version:  c.Version,
+			Endpoint: &x,
+		}, now)
+	}
+	if !e.removedAt.IsZero() {
+		return
+	}
+	e.position = c.position()
+	r.changed(c)
+	if now.Before(r.graceUntil) && !e.Leaving && c.Version.Era == r.era {
+		if e.goneAt.IsZero() {
+			e.goneAt = r.graceUntil
+		}
+		return
+	}
+	e.removedAt = now
+}
+
+// markMissing merges another host's view of an endpoint that is missing from the platform's
+// records and counts as present until the given time. If both hosts know a time, the earlier
+// one holds.
+func (r *Registry) markMissing(c *Record, until time.Time) {
+	e := r.endpoints[c.Endpoint.ID]
+	if e == nil || !e.removedAt.IsZero() || e.newerThan(c.position()) || (c.Version == e.Version && !e.goneAt.IsZero()) {
+		return
+	}
+	if e.goneAt.IsZero() || until.Before(e.goneAt) {
+		e.goneAt = until
+	}
+	e.position = c.position()
+	r.changed(c)
+}
+
+// changed records a change that affects traffic.
+func (r *Registry) changed(c *Record) {
+	r.revision++
+	r.effect.note(c.Version)
+}
+
+// removeUnlisted removes the records that a read of the whole part lacks. After the
+// platform's return from a copy a zone stays drained for a while: the operator may have
+// drained it after the copy was made.
+func (r *Registry) removeUnlisted(u Update, newEra bool, now time.Time) {
+	seen := map[string]bool{}
+	zones := map[string]bool{}
+	for i := range u.Records {
+		if e := u.Records[i].Endpoint; e != nil {
+			seen[e.ID] = true
+		}
+		zones[u.Records[i].DrainedZone] = true
+	}
+	if u.Part == Endpoints {
+		for id := range r.endpoints {
+			if !seen[id] {
+				r.remove(&Record{
+					Version: u.Version,
+					Removed: true,
+					Endpoint: &Endpoint{
+						ID: id,
+					},
+				}, now)
+			}
+		}
+		return
+	}
+	for name, z := range r.drainedZones {
+		if !z.value || zones[name] {
+			continue
+		}
+		c := &Record{
+			Version:     u.Version,
+			Removed:     true,
+			DrainedZone: name,
+		}
+		if newEra {
+			r.keepZone(c, z, now)
+		} else {
+			r.setZoneDrained(c, now)
+		}
+	}
+}
--- /dev/null
+++ b/core/registry/since.go
@@ -0,0 +1,81 @@
+package registry
+
+import (
+	"sort"
+	"time"
+)
+
+// Since returns what changed in a part after the version, as of now. It returns the whole
+// part if removals after the version may be forgotten, and to a host of an earlier era,
+// which may know of changes that the platform lost.
+func (r *Registry) Since(p Part, version Version, now time.Time) Update {
+	u := Update{
+		Part:    p,
+		Since:   version,
+		Version: r.states[p].version,
+		Full:    version.Era < r.states[p].version.Era,
+	}
+	if p == OperatorRecords {
+		u.Records = r.operatorRecordsSince(version, u.Full)
+		return u
+	}
+	u.Full = u.Full || version.Before(r.compacted)
+	for _, e := range r.endpoints {
+		if u.Full || e.After(version) {
+			c := e.record(now)
+			c.Contradicted = c.Removed && r.isSetAside(&c)
+			u.Records = append(u.Records, c)
+		}
+	}
+	sort.Slice(u.Records, func(i, j int) bool {
+		return u.Records[i].Endpoint.ID < u.Records[j].Endpoint.ID
+	})
+	return u
+}
+
+func (e *entry) record(now time.Time) Record {
+	x := e.Endpoint
+	x.ColdLeft = max(0, x.ColdUntil.Sub(now))
+	c := Record{
+		Version:  e.Version,
+		Listed:   e.listed,
+		Removed:  !e.removedAt.IsZero(),
+		Endpoint: &x,
+	}
+	switch {
+	case c.Removed:
+		c.Endpoint = &Endpoint{
+			ID: e.ID,
+		}
+	case !e.goneAt.IsZero():
+		c.ExpiresIn = max(time.Millisecond, e.goneAt.Sub(now))
+	}
+	return c
+}
+
+func (r *Registry) operatorRecordsSince(version Version, full bool) []Record {
+	s := []Record{}
+	if d := r.declaration; d != nil && (full || d.After(version)) {
+		s = append(s, Record{
+			Version:     d.Version,
+			Listed:      d.listed,
+			Declaration: d.value,
+		})
+	}
+	for n, z := range r.drainedZones {
+		if full || z.After(version) {
+			c := Record{
+				Version:     z.Version,
+				Listed:      z.listed,
+				Removed:     !z.value,
+				DrainedZone: n,
+			}
+			c.Contradicted = r.isSetAside(&c)
+			s = append(s, c)
+		}
+	}
+	sort.Slice(s, func(i, j int) bool {
+		return s[i].DrainedZone < s[j].DrainedZone
+	})
+	return s
+}
