core/edge: the planned stop of an endpoint is no crash

Callers could be refused for a request that was in flight at planned stops: an endpoint that ends after its drain breaks its connections and refuses new ones, just as one that crashes, and three such stops without a completed run between them would block an innocent request. Found by reading, not seen.

An endpoint that leaves or has left is out of the balancer's list by then, so that only one in use counts.

--- a/core/balance/balancer.go
+++ b/core/balance/balancer.go
@@ -167,3 +167,12 @@
 	const weight = 0.05
 	p.refusedShare += weight * (x - p.refusedShare)
 }
+
+// InUse reports whether an incarnation of an endpoint may get new requests: it neither
+// leaves nor has left, and its zone is not drained.
+func (b *Balancer) InUse(id string, startedAt time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.endpoints[id]
+	return s != nil && s.StartedAt.Equal(startedAt)
+}
--- a/core/edge/quarantine_test.go
+++ b/core/edge/quarantine_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -284,3 +285,32 @@
 	k.c.Assert(r.Refusal, qt.IsNotNil)
 	k.c.Check(r.Refusal.Code, qt.Equals, code.RequestQuarantined)
 }
+
+// TestPlannedStopIsNoCrash guards against the same where endpoints leave, and end with
+// requests in flight.
+func TestPlannedStopIsNoCrash(t *testing.T) {
+	k := newCluster(t)
+	x := newCrashing()
+	a := k.start("a", "z1")
+	k.waitReady(a)
+	k.setSend(x.send)
+	k.setRefuses(x.refuses)
+	group := sync.WaitGroup{}
+	group.Go(func() {
+		q := request("/look/1")
+		q.ID = strings.Repeat("x", 1000)
+		a.Serve(context.Background(), q)
+	})
+	k.eventually(time.Second, "the request in flight", func() bool {
+		return x.used() != ""
+	})
+	leaving := x.used()
+	before := usableSlots(a)
+	k.removeEndpoint(leaving)
+	k.eventually(restoreBound, "the endpoint out of use", func() bool {
+		return usableSlots(a) < before
+	})
+	x.crash(leaving)
+	group.Wait()
+	k.c.Check(a.quarantine.Empty(), qt.IsTrue)
+}
