core/edge, cmd/heatherford: one set-up for tests of crashes, one check of golden files

Two tests of crashes set up the same world, and two of explain compared their golden file in the same words; a constant stood between two that belong together. No assertion, bound or behaviour changes.

--- a/cmd/heatherford/explain_test.go
+++ b/cmd/heatherford/explain_test.go
@@ -11,6 +11,18 @@
 
 var update = flag.Bool("update", false, "rewrite the golden files")
 
+// checkGolden compares output with a golden file, and rewrites the file with -update.
+func checkGolden(c *qt.C, golden string, got []byte) {
+	c.Helper()
+	if *update {
+		const mode = 0o644
+		c.Assert(os.WriteFile(golden, got, mode), qt.IsNil)
+	}
+	want, err := os.ReadFile(golden)
+	c.Assert(err, qt.IsNil)
+	c.Check(string(got), qt.Equals, string(want))
+}
+
 // TestExplain tells the story of a request that hopped between two hosts.
 func TestExplain(t *testing.T) {
 	c := qt.New(t)
@@ -20,14 +32,7 @@
 		stderr: b,
 	}
 	c.Assert(explain(e, []string{"9c41d07be2a35f68", "testdata/explain/host-1.log", "testdata/explain/host-2.log"}), qt.IsNil)
-	const golden = "testdata/explain/story.golden"
-	if *update {
-		const mode = 0o644
-		c.Assert(os.WriteFile(golden, b.Bytes(), mode), qt.IsNil)
-	}
-	want, err := os.ReadFile(golden)
-	c.Assert(err, qt.IsNil)
-	c.Check(b.String(), qt.Equals, string(want))
+	checkGolden(c, "testdata/explain/story.golden", b.Bytes())
 	c.Check(explain(e, []string{"other", "testdata/explain/host-1.log"}), qt.ErrorMatches, `heatherford: no line of request other; lines left out: 1 \[2007\]`)
 	c.Check(explain(e, nil), qt.IsNotNil)
 	c.Check(explain(e, []string{"x", "testdata/explain/none.log"}), qt.IsNotNil)
@@ -42,12 +47,5 @@
 		stderr: b,
 	}
 	c.Assert(explain(e, []string{"5f01", "testdata/explain/quarantine.log"}), qt.IsNil)
-	const golden = "testdata/explain/quarantine.golden"
-	if *update {
-		const mode = 0o644
-		c.Assert(os.WriteFile(golden, b.Bytes(), mode), qt.IsNil)
-	}
-	want, err := os.ReadFile(golden)
-	c.Assert(err, qt.IsNil)
-	c.Check(b.String(), qt.Equals, string(want))
+	checkGolden(c, "testdata/explain/quarantine.golden", b.Bytes())
 }
--- a/core/edge/control.go
+++ b/core/edge/control.go
@@ -50,11 +50,11 @@
 	// maxStartReadDelay in all.
 	startReadDelay        = time.Second
 	startReadDelayPerHost = 20 * time.Millisecond
+	maxStartReadDelay     = 2 * time.Second
 	// firstReadDelay is how long a host waits after it has joined until it reads as the
 	// first one in the order: hosts that join at the same time do not know of each
 	// other before their heartbeats.
-	firstReadDelay    = 2 * fleet.HeartbeatInterval
-	maxStartReadDelay = 2 * time.Second
+	firstReadDelay = 2 * fleet.HeartbeatInterval
 	// learnDelay is how long a host that has joined waits to learn from others what the
 	// platform may have lost, before it serves by what it has read itself: three
 	// heartbeats. maxLearnDelay bounds the wait of one that cannot join.
--- a/core/edge/quarantine_test.go
+++ b/core/edge/quarantine_test.go
@@ -158,9 +158,8 @@
 	return asked, missed
 }
 
-// TestDeadlyRequest guards against a request that crashes one endpoint after the other: it
-// comes again and again, at any host, and is sent to few endpoints after the third crash.
-func TestDeadlyRequest(t *testing.T) {
+// newCrashingCluster returns a cluster of four hosts whose twelve endpoints crash.
+func newCrashingCluster(t *testing.T) (*cluster, *crashing, []*Edge) {
 	k := newCluster(t)
 	x := newCrashing()
 	k.setSend(x.send)
@@ -170,6 +169,13 @@
 	}
 	s := []*Edge{k.start("a", "z1"), k.start("b", "z1"), k.start("c", "z2"), k.start("d", "z2")}
 	k.waitReady(s...)
+	return k, x, s
+}
+
+// TestDeadlyRequest guards against a request that crashes one endpoint after the other: it
+// comes again and again, at any host, and is sent to few endpoints after the third crash.
+func TestDeadlyRequest(t *testing.T) {
+	k, x, s := newCrashingCluster(t)
 	ctx, cancel := context.WithTimeout(t.Context(), 6*time.Second)
 	defer cancel()
 	group := sync.WaitGroup{}
@@ -193,15 +199,7 @@
 // TestCrashesWithoutDeadlyRequest guards against innocent requests that are refused: on a
 // day of crashes the same few requests are in flight at many of them.
 func TestCrashesWithoutDeadlyRequest(t *testing.T) {
-	k := newCluster(t)
-	x := newCrashing()
-	k.setSend(x.send)
-	k.setRefuses(x.refuses)
-	for i := range 8 {
-		k.addEndpoint(fmt.Sprint("more", i), []string{"z1", "z2"}[i%2])
-	}
-	s := []*Edge{k.start("a", "z1"), k.start("b", "z1"), k.start("c", "z2"), k.start("d", "z2")}
-	k.waitReady(s...)
+	k, x, s := newCrashingCluster(t)
 	ctx, cancel := context.WithTimeout(t.Context(), 6*time.Second)
 	defer cancel()
 	group := sync.WaitGroup{}
