--- a/review/kit/bodies.go
+++ b/review/kit/bodies.go
@@ -148,7 +148,7 @@
 			}
 		}
 	}
-	w.configure(1, []routeSpec{{"booking", "/booking/", "unsafe", "booking-desk", "8000ms"}}, []string{"booking-desk"})
+	w.configure([]routeSpec{{"booking", "/booking/", "unsafe", "booking-desk", "8000ms"}}, []string{"booking-desk"})
 	for z := range zones {
 		if err := w.addHost(z); err != nil {
 			return verdict{}, err
--- a/review/kit/deadly.go
+++ b/review/kit/deadly.go
@@ -60,7 +60,7 @@
 			return verdict{}, err
 		}
 	}
-	w.configure(1, []routeSpec{
+	w.configure([]routeSpec{
 		{"look", "/look/", "safe", "rota-view", "2500ms"},
 		{"book", "/book/", "unsafe", "rota-view", "2500ms"},
 	}, []string{"rota-view"})
--- a/review/kit/main.go
+++ b/review/kit/main.go
@@ -31,9 +31,10 @@
 
 func run(name, record, program string) int {
 	cases := map[string]func(w *world, trouble bool) (verdict, error){
-		"silence": playSilence,
-		"deadly":  playDeadly,
-		"bodies":  playBodies,
+		"silence":  playSilence,
+		"deadly":   playDeadly,
+		"bodies":   playBodies,
+		"evacuate": playEvacuate,
 	}
 	play := cases[name]
 	if play == nil {
--- a/review/kit/silence.go
+++ b/review/kit/silence.go
@@ -69,7 +69,7 @@
 			}
 		}
 	}
-	w.configure(1, []routeSpec{{"reassign", "/reassign/", "unsafe", "steward-dispatch", "4000ms"}}, []string{"steward-dispatch"})
+	w.configure([]routeSpec{{"reassign", "/reassign/", "unsafe", "steward-dispatch", "4000ms"}}, []string{"steward-dispatch"})
 	for z := range zones {
 		if err := w.addHost(z); err != nil {
 			return verdict{}, err
--- a/review/kit/world.go
+++ b/review/kit/world.go
@@ -122,7 +122,7 @@
 }
 
 // configure writes the operator's configuration.
-func (w *world) configure(version int, routes []routeSpec, services []string) {
+func (w *world) configure(routes []routeSpec, services []string) {
 	resources := []any{}
 	for _, r := range routes {
 		resources = append(resources, map[string]any{
@@ -151,12 +151,15 @@
 		},
 	})
 	w.put("op", "config", map[string]any{
-		"version":   fmt.Sprintf("r%d", version),
+		"version":   configVersion,
 		"resources": resources,
 	})
-	w.note("operator: configuration r%d is acknowledged", version)
+	w.note("operator: configuration %s is acknowledged", configVersion)
 }
 
+// configVersion is the version of the configuration.
+const configVersion = "r7"
+
 // siteHost is the host of all routes.
 const siteHost = "jepu9.example"
 
