--- a/review/kit/main.go
+++ b/review/kit/main.go
@@ -35,6 +35,7 @@
 		"deadly":   playDeadly,
 		"bodies":   playBodies,
 		"evacuate": playEvacuate,
+		"lapse":    playLapse,
 	}
 	play := cases[name]
 	if play == nil {
