--- a/review/kit2/client.go
+++ b/review/kit2/client.go
@@ -42,7 +42,10 @@
 	path   string
 	body   string
 	object string
-	wait   time.Duration
+	// wait is the deadline that the client states, and leave how long it stays, if that is
+	// shorter.
+	wait  time.Duration
+	leave time.Duration
 }
 
 // ask sends a request to a host and waits for the answer.
@@ -51,7 +54,11 @@
 		id:   fmt.Sprintf("q%08d", ids.Add(1)),
 		sent: time.Now(),
 	}
-	ctx, cancel := context.WithTimeout(ctx, c.wait)
+	stay := c.wait
+	if c.leave > 0 {
+		stay = c.leave
+	}
+	ctx, cancel := context.WithTimeout(ctx, stay)
 	defer cancel()
 	q, err := http.NewRequestWithContext(ctx, c.method, "http://"+c.host.callers+c.path, io.NopCloser(strings.NewReader(c.body)))
 	if err != nil {
--- a/review/kit2/main.go
+++ b/review/kit2/main.go
@@ -23,8 +23,10 @@
 type play func(w *world, trouble bool) ([]string, error)
 
 var plays = map[string]play{
-	"return": playReturn,
-	"midway": playMidway,
+	"return":   playReturn,
+	"midway":   playMidway,
+	"left":     playLeft,
+	"suspects": playSuspects,
 }
 
 func main() {
--- a/review/kit2/midway.go
+++ b/review/kit2/midway.go
@@ -21,6 +21,10 @@
 	maxRetries    = 3
 	countedCrash  = 3
 	midwayClients = 8
+	// leftRun is how long an endpoint runs the request before it crashes, and leftStay how
+	// long its client stays.
+	leftRun  = 700 * time.Millisecond
+	leftStay = 400 * time.Millisecond
 )
 
 // crashes holds when a deadly request reached endpoints. It is safe for concurrent use.
@@ -80,7 +84,38 @@
 	}
 }
 
+// dieLate ends the endpoint some time after it began to run the deadly request, whether or not
+// anybody waits for the answer.
+func dieLate(c *crashes) func(e *endpoint, w http.ResponseWriter, r *http.Request) bool {
+	return func(e *endpoint, _ http.ResponseWriter, r *http.Request) bool {
+		if r.URL.Path != deadlyPath {
+			return false
+		}
+		n := c.add()
+		e.world.record.note("endpoint: %s runs the deadly request %s, arrival %d, with %s ms left", e.id, r.Header.Get(headerID), n, r.Header.Get(headerDeadline))
+		time.Sleep(leftRun)
+		e.world.record.note("endpoint: %s crashes by the deadly request; %d others are at work there", e.id, e.busy())
+		e.crash()
+		time.AfterFunc(midwayDown, func() {
+			if err := e.restart(); err != nil {
+				e.world.record.note("endpoint: %s is not back: %s", e.id, err)
+			}
+		})
+		panic(http.ErrAbortHandler)
+	}
+}
+
 func playMidway(w *world, trouble bool) ([]string, error) {
+	return playDeadly(w, trouble, dieMidway, 0)
+}
+
+func playLeft(w *world, trouble bool) ([]string, error) {
+	return playDeadly(w, trouble, dieLate, leftStay)
+}
+
+// playDeadly has a request come again and again whose client leaves after some time
+// unless that is 0, and that ends endpoints as the function says.
+func playDeadly(w *world, trouble bool, die func(c *crashes) func(e *endpoint, w http.ResponseWriter, r *http.Request) bool, leave time.Duration) ([]string, error) {
 	w.configure(3, []routeSpec{{"r-one", "/one/", "safe", "one", 3 * time.Second}}, "one")
 	c := &crashes{}
 	zones := []string{"n1", "n2", "s1"}
@@ -89,7 +124,7 @@
 		if err != nil {
 			return nil, err
 		}
-		e.handle = dieMidway(c)
+		e.handle = die(c)
 		e.register()
 	}
 	for i, z := range zones {
@@ -121,6 +156,7 @@
 				method: http.MethodGet,
 				path:   deadlyPath,
 				wait:   2 * time.Second,
+				leave:  leave,
 			})
 			w.record.note("client: the deadly request, as %s at %s: %d", a.id, h.name, a.status)
 			time.Sleep(midwayInterval)
