review/10: an object's requests are refused for good after endpoints have crashed

Case 10, as a script: the endpoints of a zone are down for 4 s and come back, while several of them run requests of the same content. The content counts as one that crashes endpoints; it is never sent again, so that no run clears it.

--- a/review/kit2/main.go
+++ b/review/kit2/main.go
@@ -25,6 +25,7 @@
 var plays = map[string]play{
 	"return":   playReturn,
 	"midway":   playMidway,
+	"notice":   playNotice,
 	"left":     playLeft,
 	"suspects": playSuspects,
 }
