--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -3,4 +3,4 @@
 set -u
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.."
-exec target/review/kit2 -case midway -record "$folder/record.txt"
+exec target/review/kit2 -case notice -record "$folder/record.txt"
--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -3,4 +3,4 @@
 set -u
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.."
-exec target/review/kit2 -case left -record "$folder/record.txt"
+exec target/review/kit2 -case suspects -record "$folder/record.txt"
--- a/review/kit2/notice.go
+++ b/review/kit2/notice.go
@@ -15,10 +15,10 @@
 	noticeFar       = 4
 	noticeClients   = 12
 	noticeOthers    = 10
-	noticeWork      = 500 * time.Millisecond
+	noticeWork      = 1400 * time.Millisecond
 	noticeDown      = 4 * time.Second
-	noticeSettle    = 10 * time.Second
-	noticeJudged    = 12 * time.Second
+	noticeSettle    = 12 * time.Second
+	noticeJudged    = 14 * time.Second
 	// minRequests and minPart are the bounds of the rule.
 	minRequests = 20
 	minPart     = 0.25
@@ -70,7 +70,7 @@
 					method: http.MethodGet,
 					path:   prefix + o,
 					object: o,
-					wait:   2 * time.Second,
+					wait:   4 * time.Second,
 				})
 				if ctx.Err() == nil {
 					s.add(a)
@@ -85,7 +85,7 @@
 }
 
 func playNotice(w *world, trouble bool) ([]string, error) {
-	routes := []routeSpec{{"r-one", "/one/", "safe", "one", 3 * time.Second}}
+	routes := []routeSpec{{"r-one", "/one/", "safe", "one", 4 * time.Second}}
 	w.configure(3, routes, "one")
 	own := []*endpoint{}
 	for i := range noticeEndpoints + noticeFar {
@@ -111,7 +111,7 @@
 		return nil, err
 	}
 	time.Sleep(3 * time.Second)
-	w.configure(5, append(routes, routeSpec{"r-notice", "/notice/", "safe", "one", 3 * time.Second}), "one")
+	w.configure(5, append(routes, routeSpec{"r-notice", "/notice/", "safe", "one", 4 * time.Second}), "one")
 	time.Sleep(configApply + time.Second)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -131,9 +131,11 @@
 	time.Sleep(5 * time.Second)
 	say("before")
 	if trouble {
+		g := sync.WaitGroup{}
 		for _, e := range own {
-			e.crash()
+			g.Go(e.crash)
 		}
+		g.Wait()
 		w.record.note("endpoints: all %d of n1 are down", len(own))
 		time.Sleep(noticeDown)
 		for _, e := range own {
