--- a/review/kit2/notice.go
+++ b/review/kit2/notice.go
@@ -15,8 +15,9 @@
 	noticeFar       = 4
 	noticeClients   = 12
 	noticeOthers    = 10
-	noticeWork      = 1400 * time.Millisecond
+	noticeWork      = 2800 * time.Millisecond
 	noticeDown      = 4 * time.Second
+	noticeQuiet     = 150 * time.Millisecond
 	noticeSettle    = 12 * time.Second
 	noticeJudged    = 14 * time.Second
 	// minRequests and minPart are the bounds of the rule.
@@ -28,6 +29,30 @@
 type served struct {
 	mu        sync.Mutex
 	all, good int
+	// sent holds when each client has sent the request that it waits for.
+	sent map[int]time.Time
+}
+
+// send notes that a client sends a request now.
+func (s *served) send(client int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.sent == nil {
+		s.sent = map[int]time.Time{}
+	}
+	s.sent[client] = time.Now()
+}
+
+// quietFor reports whether no client's request ends within a time, so that none sends a new one.
+func (s *served) quietFor(d time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, t := range s.sent {
+		if time.Until(t.Add(noticeWork)) < d {
+			return false
+		}
+	}
+	return true
 }
 
 func (s *served) add(a answer) {
@@ -64,13 +89,14 @@
 			time.Sleep(time.Duration(i) * noticeWork / time.Duration(clients))
 			for n := int64(0); ctx.Err() == nil; n++ {
 				o := object(n*int64(clients) + int64(i))
+				s.send(i)
 				a := ask(ctx, &call{
 					client: c,
 					host:   h,
 					method: http.MethodGet,
 					path:   prefix + o,
 					object: o,
-					wait:   4 * time.Second,
+					wait:   8 * time.Second,
 				})
 				if ctx.Err() == nil {
 					s.add(a)
@@ -85,7 +111,7 @@
 }
 
 func playNotice(w *world, trouble bool) ([]string, error) {
-	routes := []routeSpec{{"r-one", "/one/", "safe", "one", 4 * time.Second}}
+	routes := []routeSpec{{"r-one", "/one/", "safe", "one", 8 * time.Second}}
 	w.configure(3, routes, "one")
 	own := []*endpoint{}
 	for i := range noticeEndpoints + noticeFar {
@@ -111,7 +137,7 @@
 		return nil, err
 	}
 	time.Sleep(3 * time.Second)
-	w.configure(5, append(routes, routeSpec{"r-notice", "/notice/", "safe", "one", 4 * time.Second}), "one")
+	w.configure(5, append(routes, routeSpec{"r-notice", "/notice/", "safe", "one", 8 * time.Second}), "one")
 	time.Sleep(configApply + time.Second)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -128,8 +154,11 @@
 		m, l := added.take()
 		w.record.note("clients: %s, on the first route %d of %d served, on the added one %d of %d", when, k, n, l, m)
 	}
-	time.Sleep(5 * time.Second)
+	time.Sleep(7 * time.Second)
 	say("before")
+	for end := time.Now().Add(noticeWork); !added.quietFor(noticeQuiet) && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
 	if trouble {
 		g := sync.WaitGroup{}
 		for _, e := range own {
