--- a/review/kit2/endpoint.go
+++ b/review/kit2/endpoint.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -47,6 +48,8 @@
 	sequence int
 	draining bool
 	running  int
+	// paths counts the requests at work by their paths.
+	paths map[string]int
 }
 
 // addEndpoint starts an endpoint. Its work takes the time.
@@ -81,6 +84,7 @@
 	e.sequence = 0
 	e.draining = false
 	e.running = 0
+	e.paths = map[string]int{}
 	e.free = make(chan struct{}, e.slots)
 	e.server = &http.Server{
 		Handler:           e,
@@ -150,10 +154,18 @@
 	return e.running
 }
 
-func (e *endpoint) count(n int) {
+// busyOn returns the number of requests at work that have the path.
+func (e *endpoint) busyOn(path string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.paths[path]
+}
+
+func (e *endpoint) count(path string, n int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.running += n
+	e.paths[path] += n
 }
 
 // ServeHTTP implements http.Handler.
@@ -191,9 +203,9 @@
 	case <-r.Context().Done():
 		return
 	}
-	e.count(1)
+	e.count(r.URL.Path, 1)
 	defer func() {
-		e.count(-1)
+		e.count(r.URL.Path, -1)
 		<-free
 	}()
 	select {
@@ -218,6 +230,8 @@
 type routeSpec struct {
 	name, prefix, kind, service string
 	timeout                     time.Duration
+	// attempts is the most endpoints of a client attempt; 0 stands for 2.
+	attempts int
 }
 
 // hostName is the host name of all routes.
@@ -249,7 +263,7 @@
 				"targetLatency":   "800ms",
 				"priority":        1,
 				"service":         r.service,
-				"maxAttempts":     2,
+				"maxAttempts":     cmp.Or(r.attempts, 2),
 				"sessionAffinity": true,
 				"allowedRegions":  []string{},
 			},
--- a/review/kit2/midway.go
+++ b/review/kit2/midway.go
@@ -116,7 +116,7 @@
 // playDeadly has a request come again and again whose client leaves after some time
 // unless that is 0, and that ends endpoints as the function says.
 func playDeadly(w *world, trouble bool, die func(c *crashes) func(e *endpoint, w http.ResponseWriter, r *http.Request) bool, leave time.Duration) ([]string, error) {
-	w.configure(3, []routeSpec{{"r-one", "/one/", "safe", "one", 3 * time.Second}}, "one")
+	w.configure(3, []routeSpec{{name: "r-one", prefix: "/one/", kind: "safe", service: "one", timeout: 3 * time.Second}}, "one")
 	c := &crashes{}
 	zones := []string{"n1", "n2", "s1"}
 	for i := range midwayEndpoints {
--- a/review/kit2/notice.go
+++ b/review/kit2/notice.go
@@ -18,6 +18,8 @@
 	noticeWork      = 2800 * time.Millisecond
 	noticeDown      = 4 * time.Second
 	noticeQuiet     = 150 * time.Millisecond
+	noticePath      = "/notice/today"
+	minEndpoints    = 3
 	noticeSettle    = 12 * time.Second
 	noticeJudged    = 14 * time.Second
 	// minRequests and minPart are the bounds of the rule.
@@ -110,8 +112,23 @@
 	return g
 }
 
+// noticeMoment reports whether three endpoints of the first zone or more run requests for the
+// one object, none elsewhere does, and no client is about to send one.
+func (w *world) noticeMoment(s *served) bool {
+	n := 0
+	for _, e := range w.endpoints {
+		switch k := e.busyOn(noticePath); {
+		case k > 0 && e.zone == "n1":
+			n++
+		case k > 0:
+			return false
+		}
+	}
+	return n >= minEndpoints && s.quietFor(noticeQuiet)
+}
+
 func playNotice(w *world, trouble bool) ([]string, error) {
-	routes := []routeSpec{{"r-one", "/one/", "safe", "one", 8 * time.Second}}
+	routes := []routeSpec{{name: "r-one", prefix: "/one/", kind: "safe", service: "one", timeout: 8 * time.Second}}
 	w.configure(3, routes, "one")
 	own := []*endpoint{}
 	for i := range noticeEndpoints + noticeFar {
@@ -137,7 +154,7 @@
 		return nil, err
 	}
 	time.Sleep(3 * time.Second)
-	w.configure(5, append(routes, routeSpec{"r-notice", "/notice/", "safe", "one", 8 * time.Second}), "one")
+	w.configure(5, append(routes, routeSpec{name: "r-notice", prefix: "/notice/", kind: "safe", service: "one", timeout: 8 * time.Second, attempts: 1}), "one")
 	time.Sleep(configApply + time.Second)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -156,9 +173,13 @@
 	}
 	time.Sleep(7 * time.Second)
 	say("before")
-	for end := time.Now().Add(noticeWork); !added.quietFor(noticeQuiet) && time.Now().Before(end); {
+	const most = 20 * time.Second
+	for end := time.Now().Add(most); !w.noticeMoment(added) && time.Now().Before(end); {
 		time.Sleep(time.Millisecond)
 	}
+	for _, e := range w.endpoints {
+		w.record.note("endpoints: %s runs %d requests, %d of them for the one object", e.id, e.busy(), e.busyOn(noticePath))
+	}
 	if trouble {
 		g := sync.WaitGroup{}
 		for _, e := range own {
--- a/review/kit2/return.go
+++ b/review/kit2/return.go
@@ -72,7 +72,7 @@
 }
 
 func playReturn(w *world, trouble bool) ([]string, error) {
-	first := []routeSpec{{"r-one", "/one/", "unsafe", "one", 3 * time.Second}}
+	first := []routeSpec{{name: "r-one", prefix: "/one/", kind: "unsafe", service: "one", timeout: 3 * time.Second}}
 	w.configure(3, first, "one")
 	own := []*endpoint{}
 	for i := range returnEndpoints {
@@ -141,7 +141,7 @@
 	w.record.note("clients: answers by status: %s", t.take())
 	cancel()
 	g.Wait()
-	acked := w.configure(5, append(first, routeSpec{"r-new", "/new/", "safe", "one", 3 * time.Second}), "one")
+	acked := w.configure(5, append(first, routeSpec{name: "r-new", prefix: "/new/", kind: "safe", service: "one", timeout: 3 * time.Second}), "one")
 	time.Sleep(configApply + time.Second)
 	broken := []string{}
 	const probes = 5
--- a/review/kit2/suspects.go
+++ b/review/kit2/suspects.go
@@ -73,7 +73,7 @@
 }
 
 func playSuspects(w *world, trouble bool) ([]string, error) {
-	w.configure(3, []routeSpec{{"r-one", "/one/", "safe", "one", 3 * time.Second}}, "one")
+	w.configure(3, []routeSpec{{name: "r-one", prefix: "/one/", kind: "safe", service: "one", timeout: 3 * time.Second}}, "one")
 	d := deadlies{}
 	paths := []string{}
 	for i := range suspectsDeadly {
