core/quarantine, core/edge: a blocked request is tried again on the software that crashed

Callers got 503 (code 3022) for all requests of a content, for good, after the endpoints of a zone had crashed at one moment while three or more of them ran it.

Cause: three crashes blocked a content, and only a completed run ended the block, which a blocked request cannot have.

Change: a trial, as there was for other software already. One copy at a time over all hosts goes to one endpoint that all hosts choose alike and whose owner decides; a run ends the block everywhere, a crash makes the next trial wait for longer, and there are three in all. Hosts that fell silent within 30 s count when the owner is found, so that two parts of a fleet do not both grant one.

--- a/core/edge/block.go
+++ b/core/edge/block.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"slices"
 	"strconv"
 	"time"
@@ -8,6 +9,8 @@
 	"github.com/cespare/xxhash/v2"
 
 	"heatherford/core/balance"
+	"heatherford/core/code"
+	"heatherford/core/fleet"
 	"heatherford/core/internal/hash"
 	"heatherford/core/quarantine"
 	"heatherford/core/route"
@@ -50,14 +53,31 @@
 	trial bool
 }
 
+// candidate is the endpoint that may try a blocked request. The zero value is none.
+type candidate struct {
+	id     string
+	weight uint64
+}
+
+// consider replaces the candidate if the endpoint comes before it. All hosts choose the same one,
+// and another one for each trial.
+func (c *candidate) consider(f quarantine.Fingerprint, b *quarantine.Block, id string) {
+	w := hash.Mix(xxhash.Sum64(f[:])+uint64(b.Trials), xxhash.Sum64String(id))
+	if c.id == "" || w > c.weight {
+		c.id = id
+		c.weight = w
+	}
+}
+
 // runnersOf returns the endpoints of an upstream whose software runs a blocked request, or else
-// the one that may try it. All hosts choose the same one, so that its owner decides.
+// the one that may try it: one of other software, or else of the software that crashed. All hosts
+// choose the same one, so that its owner decides.
 func (r *requestState) runnersOf(b *quarantine.Block, upstream string) runners {
 	f := r.request.fingerprint()
 	x := runners{
 		ids: map[string]bool{},
 	}
-	tried, most := "", uint64(0)
+	other, again := candidate{}, candidate{}
 	for _, t := range r.edge.balancer.Targets(upstream) {
 		if !r.route.Allows(r.edge.options.Zones[t.Zone]) {
 			continue
@@ -66,13 +86,16 @@
 		case b.Allows(s):
 			x.ids[t.ID] = true
 		case b.Tries(s):
-			if w := hash.Mix(xxhash.Sum64(f[:]), xxhash.Sum64String(t.ID)); tried == "" || w > most {
-				tried, most = t.ID, w
-			}
+			other.consider(f, b, t.ID)
+		case b.TriesAgain(s) && !b.Crashed(incarnationOf(t)):
+			again.consider(f, b, t.ID)
 		}
 	}
-	if len(x.ids) == 0 && tried != "" {
-		x.ids[tried] = true
+	if other.id == "" {
+		other = again
+	}
+	if len(x.ids) == 0 && other.id != "" {
+		x.ids[other.id] = true
 		x.trial = true
 	}
 	return x
@@ -98,17 +121,58 @@
 
 // mayRun reports whether a request may be sent to an endpoint that this host owns: it is not
 // blocked, or not for the endpoint's software. A trial is recorded and told to all hosts.
-func (e *Edge) mayRun(t balance.Target, a *attempt) bool {
+func (e *Edge) mayRun(ctx context.Context, t balance.Target, a *attempt) bool {
 	b := e.blockOf(a.request)
 	s := softwareOf(t)
 	switch {
 	case b == nil, b.Allows(s):
 		return true
-	case !a.trial, !e.quarantine.BeginTrial(a.request.fingerprint(), incarnationOf(t), s, time.Now()):
+	case !a.trial, !b.Tries(s) && !b.TriesAgain(s), !e.grantsTrials(t):
 		return false
-	default:
-		e.tellSuspects()
-		return true
+	}
+	// There are few trials, and one at an endpoint that is down would be lost.
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	if e.options.Transport.Probe(ctx, t) != ProbeAccepted || !e.beginTrial(t, a.request.fingerprint()) {
+		return false
+	}
+	e.tellSuspects()
+	return true
+}
+
+// beginTrial records that a blocked request is sent to an endpoint as a trial, unless it must not
+// be.
+func (e *Edge) beginTrial(t balance.Target, f quarantine.Fingerprint) bool {
+	now, n, s := time.Now(), incarnationOf(t), softwareOf(t)
+	return e.quarantine.BeginTrial(f, n, s, now) || e.quarantine.BeginRetrial(f, n, s, now)
+}
+
+// grantsTrials reports whether this host decides on trials at an endpoint: it owns it even if the
+// hosts that fell silent lately are still there. Of the parts of a fleet that do not hear each
+// other, one decides.
+func (e *Edge) grantsTrials(t balance.Target) bool {
+	v := e.View()
+	hosts := append(slices.Clone(v.Live), v.Silent...)
+	return fleet.Owner(ownerCandidates(hosts, e.options.Zones, t.Zone), t.ID) == e.options.Self.Name
+}
+
+// quarantined returns the refusal of a blocked request.
+func (e *Edge) quarantined(q *Request, b *quarantine.Block) *Answer {
+	return refusedAnswer(code.RequestQuarantined, q.blockedDetail(), b.RetryAt)
+}
+
+// quarantinedResult returns the refusal of a blocked request by the owner of its endpoint.
+func (e *Edge) quarantinedResult(q *Request) *ForwardResult {
+	r := &Refusal{
+		Code:   code.RequestQuarantined,
+		Detail: q.blockedDetail(),
+	}
+	// A run may have ended the block meanwhile.
+	if b := e.blockOf(q); b != nil {
+		r.RetryIn = max(0, time.Until(b.RetryAt))
+	}
+	return &ForwardResult{
+		Refusal: r,
 	}
 }
 
--- a/core/edge/control.go
+++ b/core/edge/control.go
@@ -50,6 +50,9 @@
 	// heartbeats. maxLearnDelay bounds the wait of one that cannot join.
 	learnDelay    = 3 * fleet.HeartbeatInterval
 	maxLearnDelay = maxStartReadDelay
+	// silentMemory is how long a host that fell silent may still be running behind a network
+	// outage, for decisions that only one host may take.
+	silentMemory = 30 * time.Second
 	// pauseThreshold is the gap between two steps from which on the host counts as
 	// paused: its process did not run.
 	pauseThreshold = time.Second
@@ -108,6 +111,9 @@
 	// when it was last live.
 	live []fleet.Member
 	seen map[string]fleet.Member
+	// silentSince is when each host fell silent that is not live, unless it had said that it
+	// leaves.
+	silentSince map[string]time.Time
 	// starvedAt is when the last gap between two steps ended that was longer than
 	// starvedGap.
 	starvedAt time.Time
@@ -247,9 +253,11 @@
 		}
 		c.seen[m.Name] = m
 		delete(before, m.Name)
+		delete(c.silentSince, m.Name)
 	}
 	for n, m := range before {
 		delete(c.hostStates, n)
+		c.recordSilent(m, now)
 		c.edge.options.Log("host", "name", n, "zone", m.Zone, "state", "silent")
 	}
 	c.live = live
@@ -258,6 +266,30 @@
 	}
 }
 
+// recordSilent records that a host fell silent.
+func (c *control) recordSilent(m fleet.Member, now time.Time) {
+	if m.Leaving {
+		return
+	}
+	if c.silentSince == nil {
+		c.silentSince = map[string]time.Time{}
+	}
+	c.silentSince[m.Name] = now
+}
+
+// silent returns the hosts that fell silent within silentMemory.
+func (c *control) silent(now time.Time) []fleet.Member {
+	s := []fleet.Member{}
+	for n, t := range c.silentSince {
+		if now.Sub(t) > silentMemory {
+			delete(c.silentSince, n)
+			continue
+		}
+		s = append(s, c.seen[n])
+	}
+	return s
+}
+
 // stateOf returns the state of a live host for logs. A host that is back as another
 // process without having left has ended by itself, or was killed.
 func (c *control) stateOf(m fleet.Member) string {
@@ -284,6 +316,7 @@
 		Table:          c.table,
 		EndpointsKnown: !c.lacksEndpoints() && c.settled(now),
 		Live:           c.live,
+		Silent:         c.silent(now),
 		BudgetHosts:    c.fleet.BudgetHosts(now),
 		Leaving:        c.fleet.Self().Leaving,
 		IsolatedSince:  c.edge.reach.IsolatedSince(),
--- a/core/edge/edge.go
+++ b/core/edge/edge.go
@@ -103,6 +103,8 @@
 	EndpointsKnown bool
 	// Live are the live hosts, in the order that all hosts agree on.
 	Live []fleet.Member
+	// Silent are the hosts that fell silent lately, without having said that they leave.
+	Silent []fleet.Member
 	// BudgetHosts is the number of hosts over which fleet-wide budgets are divided.
 	BudgetHosts int
 	// Leaving is true once the host is about to stop.
--- a/core/edge/forward.go
+++ b/core/edge/forward.go
@@ -8,7 +8,6 @@
 	"heatherford/core/balance"
 	"heatherford/core/code"
 	"heatherford/core/fleet"
-	"heatherford/core/quarantine"
 	"heatherford/core/registry"
 )
 
@@ -206,14 +205,8 @@
 			},
 		})
 	}
-	if !e.mayRun(p.Target, a) {
-		return e.finish(p, balance.Withdrawn, nil, time.Now(), a, &ForwardResult{
-			Refusal: &Refusal{
-				Code:    code.RequestQuarantined,
-				Detail:  a.request.blockedDetail(),
-				RetryIn: quarantine.Memory,
-			},
-		})
+	if !e.mayRun(ctx, p.Target, a) {
+		return e.finish(p, balance.Withdrawn, nil, time.Now(), a, e.quarantinedResult(a.request))
 	}
 	began := time.Now()
 	a.endpointsAt = e.View().CurrentAt[registry.Endpoints]
--- a/core/edge/placement.go
+++ b/core/edge/placement.go
@@ -31,7 +31,7 @@
 	return func(e *registry.Endpoint) balance.Placement {
 		hosts, ok := zones[e.Zone]
 		if !ok {
-			hosts = c.ownerCandidates(e.Zone)
+			hosts = ownerCandidates(c.live, c.edge.options.Zones, e.Zone)
 			zones[e.Zone] = hosts
 			limitShares[e.Zone] = c.limitShare(e.Zone, budgetHosts)
 		}
@@ -124,11 +124,12 @@
 	return ""
 }
 
-// ownerCandidates returns the hosts that send to the endpoints of a zone: those of the
+// ownerCandidates returns those of the hosts that send to the endpoints of a zone: those of the
 // zone that reach endpoints and are not leaving, or those of its region if the zone has
-// none. While no host reaches any endpoint, all count: the endpoints may be down.
-func (c *control) ownerCandidates(zone string) []fleet.Member {
-	all := fleet.NotLeaving(c.live)
+// none. While no host reaches any endpoint, all count: the endpoints may be down. Zones holds the
+// region of each zone.
+func ownerCandidates(hosts []fleet.Member, zones map[string]string, zone string) []fleet.Member {
+	all := fleet.NotLeaving(hosts)
 	if s := fleet.Reaching(all); len(s) > 0 {
 		all = s
 	}
@@ -137,7 +138,7 @@
 		return s
 	}
 	for _, m := range all {
-		if m.Region == c.edge.options.Zones[zone] {
+		if m.Region == zones[zone] {
 			s = append(s, m)
 		}
 	}
--- a/core/edge/serve.go
+++ b/core/edge/serve.go
@@ -11,7 +11,6 @@
 	"heatherford/core/balance"
 	"heatherford/core/budget"
 	"heatherford/core/code"
-	"heatherford/core/quarantine"
 	"heatherford/core/route"
 )
 
@@ -181,7 +180,7 @@
 	}
 	block := r.edge.blockOf(q)
 	if !r.mayBeSent(block) {
-		return refusedAnswer(code.RequestQuarantined, q.blockedDetail(), time.Now().Add(quarantine.Memory))
+		return r.edge.quarantined(q, block)
 	}
 	r.setDeadline()
 	if r.edge.leavesBefore(r.deadline) {
@@ -189,7 +188,7 @@
 	}
 	r.prepare()
 	if r.restrict(block); r.ask.Only != nil && len(r.ask.Only) == 0 {
-		return refusedAnswer(code.RequestQuarantined, q.blockedDetail(), time.Now().Add(quarantine.Memory))
+		return r.edge.quarantined(q, block)
 	}
 	ctx, cancel := context.WithDeadline(ctx, r.deadline)
 	defer cancel()
--- a/core/quarantine/block_test.go
+++ b/core/quarantine/block_test.go
@@ -143,3 +143,75 @@
 	c.Check(a.Block(f, at(5)).Allows(long), qt.IsFalse)
 	c.Check(a.Block(f, at(5)).Tries("desk v2"), qt.IsTrue)
 }
+
+// TestRetrial guards against a request that stays blocked although it crashes nothing, and against
+// one that crashes endpoint after endpoint of the software by which it was blocked: three trials
+// in all, each after a longer pause.
+func TestRetrial(t *testing.T) {
+	c := qt.New(t)
+	f := fingerprint("/a")
+	for _, innocent := range []bool{false, true} {
+		l, _ := blocked(f)
+		trials := []time.Duration{}
+		for now := at(2); now.Before(at(600)) && l.Block(f, now) != nil; now = now.Add(100 * time.Millisecond) {
+			x := fmt.Sprint("x", len(trials))
+			if !l.BeginRetrial(f, x, software, now) {
+				c.Check(l.Block(f, now).RetryAt.After(now), qt.IsTrue)
+				continue
+			}
+			trials = append(trials, now.Sub(at(2)))
+			c.Check(l.BeginRetrial(f, "y", software, now), qt.IsFalse)
+			if innocent {
+				l.RecordRun(f, software, now.Add(time.Second))
+				continue
+			}
+			l.RecordCrash(crash(x, now.Add(time.Second)), []quarantine.Fingerprint{f})
+		}
+		if innocent {
+			c.Check(trials, qt.HasLen, 1)
+			c.Check(l.Block(f, at(600)), qt.IsNil)
+			continue
+		}
+		c.Check(trials, qt.HasLen, 3)
+		c.Check(trials[0] < 3*time.Second, qt.IsTrue)
+		c.Check(trials[1]-trials[0] < trials[2]-trials[1], qt.IsTrue)
+		c.Check(l.Block(f, at(600)), qt.IsNotNil)
+	}
+}
+
+// TestRetrialsAreTold checks that trials at one host count at all, and that those before a run
+// that ended the block do not.
+func TestRetrialsAreTold(t *testing.T) {
+	c := qt.New(t)
+	f := fingerprint("/a")
+	a, b := blocked(f)
+	c.Assert(a.BeginRetrial(f, "x", software, at(5)), qt.IsTrue)
+	b.Merge(a.Reports(0, 0, at(5)), at(5))
+	c.Check(b.BeginRetrial(f, "y", software, at(6)), qt.IsFalse)
+	c.Check(b.Block(f, at(6)).Trials, qt.Equals, 1)
+	before := a.Reports(0, 0, at(6))
+	a.RecordRun(f, software, at(6))
+	b.Merge(a.Reports(0, 0, at(7)), at(7))
+	b.Merge(before, at(7))
+	for i := range quarantine.BlockAfter {
+		b.RecordCrash(crash(fmt.Sprint("again", i), at(20)), []quarantine.Fingerprint{f})
+	}
+	c.Check(b.Block(f, at(20)).Trials, qt.Equals, 0)
+	c.Check(b.BeginRetrial(f, "z", software, at(20)), qt.IsTrue)
+}
+
+// TestNoRetrialBesideOtherSoftware checks that nothing is risked on software that crashed while
+// other software runs the request, or if it is not known which software crashed.
+func TestNoRetrialBesideOtherSoftware(t *testing.T) {
+	c := qt.New(t)
+	f := fingerprint("/a")
+	l := newList()
+	for i := range quarantine.BlockAfter {
+		l.RecordCrash(quarantine.Crash{
+			Incarnation: fmt.Sprint("e", i),
+			At:          at(0),
+		}, []quarantine.Fingerprint{f})
+	}
+	c.Check(l.Block(f, at(60)).TriesAgain(""), qt.IsFalse)
+	c.Check(l.Block(f, at(60)).TriesAgain(software), qt.IsFalse)
+}
--- a/core/quarantine/list.go
+++ b/core/quarantine/list.go
@@ -18,11 +18,6 @@
 	maxEntries  = 256
 	maxCrashes  = 8
 	maxSoftware = 8
-	// maxTrials bounds the trials of a blocked request. Hosts that do not hear of each
-	// other's trials in time may begin one more.
-	maxTrials = 2
-	// trialTime is how long the outcome of a trial may take to be known to all hosts.
-	trialTime = 10 * time.Second
 	// maxNameBytes is the longest name of an endpoint's incarnation or software that is
 	// kept.
 	maxNameBytes = 128
@@ -57,8 +52,12 @@
 	// name stands for software that is not known.
 	completedAt map[string]time.Time
 	// trials is when the request was sent to an incarnation of other software although it
-	// was blocked.
-	trials map[string]time.Time
+	// was blocked, and retrials is the same for software that crashed.
+	trials   map[string]time.Time
+	retrials map[string]time.Time
+	// clearedAt is when the run completed that last ended the block. Trials up to then do not
+	// count.
+	clearedAt time.Time
 	// seenAt is when the request last came or crashed an endpoint.
 	seenAt time.Time
 }
@@ -68,6 +67,7 @@
 		crashes:     map[string]Crash{},
 		completedAt: map[string]time.Time{},
 		trials:      map[string]time.Time{},
+		retrials:    map[string]time.Time{},
 	}
 }
 
@@ -183,10 +183,24 @@
 		}
 	}
 	if blocked && !e.isBlocked() {
+		// A request that crashes endpoints again is judged anew.
+		e.clearedAt = later(e.clearedAt, at)
+		e.dropTrials()
 		l.log("quarantine", "fingerprint", f, "state", "cleared", "crashes", len(e.crashes), "software", software)
 	}
 }
 
+// dropTrials drops the trials that do not count any more.
+func (e *entry) dropTrials() {
+	for _, m := range []map[string]time.Time{e.trials, e.retrials} {
+		for n, t := range m {
+			if !t.After(e.clearedAt) {
+				delete(m, n)
+			}
+		}
+	}
+}
+
 // Crashes returns the number of endpoints that crashed with a request in flight since its
 // last completed run.
 func (l *List) Crashes(f Fingerprint) int {
--- a/core/quarantine/report.go
+++ b/core/quarantine/report.go
@@ -22,6 +22,8 @@
 	CompletedAge *time.Duration `json:"completed_age,omitempty"`
 	// Trials holds the age of the trial at each incarnation.
 	Trials map[string]time.Duration `json:"trials,omitempty"`
+	// Retrials holds the age of the trial at each incarnation of software that crashed.
+	Retrials map[string]time.Duration `json:"retrials,omitempty"`
 	// SeenAge is how long ago the request last came or crashed an endpoint.
 	SeenAge time.Duration `json:"seen_age"`
 }
@@ -62,6 +64,7 @@
 		Software: map[string]string{},
 		Runs:     agesOf(e.completedAt, now),
 		Trials:   agesOf(e.trials, now),
+		Retrials: agesOf(e.retrials, now),
 		SeenAge:  now.Sub(e.seenAt),
 	}
 	for n, c := range e.crashes {
@@ -122,7 +125,8 @@
 	}
 	if e := l.entries[r.Request]; e != nil {
 		e.seenAt = later(e.seenAt, now.Add(-r.SeenAge))
-		e.mergeTrials(r, now)
+		e.mergeTrials(e.trials, r.Trials, now)
+		e.mergeTrials(e.retrials, r.Retrials, now)
 	}
 }
 
@@ -141,11 +145,12 @@
 	}
 }
 
-// mergeTrials merges the trials of a report.
-func (e *entry) mergeTrials(r *Report, now time.Time) {
-	for n, d := range r.Trials {
-		if _, known := e.trials[n]; !known && validAge(d) && validName(n) && len(e.trials) < maxCrashes {
-			e.trials[n] = now.Add(-d)
+// mergeTrials merges the trials of a report into those of an entry.
+func (e *entry) mergeTrials(known map[string]time.Time, told map[string]time.Duration, now time.Time) {
+	for n, d := range told {
+		t := now.Add(-d)
+		if _, ok := known[n]; !ok && validAge(d) && validName(n) && len(known) < maxCrashes && t.After(e.clearedAt) {
+			known[n] = t
 		}
 	}
 }
