core/quarantine: what is blocked, on trial or new is told first

A request that crashes endpoints was held back by the host that had met its crashes, while hosts of other zones sent it on for seconds.

Cause: heartbeats hold 12 of up to 256 suspected requests, in the order of their fingerprints and for ten minutes, however little each says; a full round to other zones took over ten seconds.

Change: what changed since it was last told goes first, in the order of its importance, and what is blocked is told three times before what met one crash is told once. What has run since its only crash is not told, and what is not blocked is told three times to each audience. A run that ends a block is told at once. A list holds 1,024 requests in place of 256; TestBoundedMemory has that bound, and reads all of them by the new order.

--- a/core/edge/announce.go
+++ b/core/edge/announce.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"heatherford/core/fleet"
+	"heatherford/core/quarantine"
 	"heatherford/core/registry"
 )
 
@@ -55,7 +56,7 @@
 func (c *control) announce(routes int, now time.Time) {
 	c.announcementsLeft--
 	c.nextAnnouncement = now.Add(announcementInterval)
-	t := c.newHeartbeat(now)
+	t := c.newHeartbeat(quarantine.ToOthers, now)
 	t.Changes = c.recentChanges.ofPart(registry.OperatorRecords, c.registry, changesAge, routes, now)
 	c.edge.options.Transport.SendHeartbeat(c.fleet.AnnouncementTargets(c.live, c.announcementRound, now), t)
 	c.announcementRound++
--- a/core/edge/block.go
+++ b/core/edge/block.go
@@ -197,7 +197,9 @@
 		return
 	}
 	f := q.fingerprint()
-	e.quarantine.RecordRun(f, softwareOf(t), time.Now())
+	if e.quarantine.RecordRun(f, softwareOf(t), time.Now()) {
+		e.tellSuspects()
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.unexplained.answer(t, began, time.Now())
--- a/core/edge/control.go
+++ b/core/edge/control.go
@@ -95,9 +95,9 @@
 	announcementsLeft int
 	nextAnnouncement  time.Time
 	announcementRound int
-	// round counts the gossip rounds of a large zone, and suspectsRound the heartbeats.
-	round         int
-	suspectsRound int
+	// round counts the gossip rounds of a large zone, and leavingRound the heartbeats.
+	round        int
+	leavingRound int
 
 	nextLiveness        time.Time
 	nextZoneHeartbeat   time.Time
--- a/core/edge/heartbeat.go
+++ b/core/edge/heartbeat.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"heatherford/core/fleet"
+	"heatherford/core/quarantine"
 	"heatherford/core/registry"
 )
 
@@ -61,7 +62,7 @@
 // newZoneHeartbeat returns a heartbeat for hosts of the own zone, with the states of
 // own endpoints. Of more than maxOwnedStates it holds those of the round.
 func (c *control) newZoneHeartbeat(now time.Time) *Heartbeat {
-	t := c.newHeartbeat(now)
+	t := c.newHeartbeat(quarantine.ToZone, now)
 	t.Owned = ofRound(c.edge.balancer.OwnedStates(now), maxOwnedStates, c.round)
 	return t
 }
@@ -95,7 +96,7 @@
 // sendRemoteHeartbeat sends a heartbeat to the relay hosts of the other zones.
 func (c *control) sendRemoteHeartbeat(now time.Time) {
 	c.nextRemoteHeartbeat = now.Add(remoteInterval)
-	t := c.newHeartbeat(now)
+	t := c.newHeartbeat(quarantine.ToOthers, now)
 	t.Changes = c.recentChanges.updates(c.registry, changesAge, now)
 	if c.isRelay() {
 		t.Zones = []ZoneStatus{c.ownZoneStatus()}
@@ -103,17 +104,17 @@
 	c.edge.options.Transport.SendHeartbeat(c.fleet.RemoteTargets(c.live), t)
 }
 
-// newHeartbeat returns a heartbeat with the status of each part.
-func (c *control) newHeartbeat(now time.Time) *Heartbeat {
+// newHeartbeat returns a heartbeat to an audience with the status of each part.
+func (c *control) newHeartbeat(to quarantine.Audience, now time.Time) *Heartbeat {
 	t := &Heartbeat{
 		From:     c.fleet.Self(),
 		Settled:  c.settled(now),
 		Declared: c.declared(),
 		Limits:   ofRound(c.edge.balancer.StatedLimits(now), maxLimits, c.round),
-		Leaving:  ofRound(c.edge.balancer.ListedLeaving(now), maxLeaving, c.suspectsRound),
-		Suspects: c.edge.quarantine.Reports(maxSuspects, c.suspectsRound, now),
+		Leaving:  ofRound(c.edge.balancer.ListedLeaving(now), maxLeaving, c.leavingRound),
+		Suspects: c.edge.quarantine.Reports(maxSuspects, to, now),
 	}
-	c.suspectsRound++
+	c.leavingRound++
 	for p := range registry.NumParts {
 		t.Parts[p] = PartStatus{
 			Version: c.registry.Version(p),
@@ -342,7 +343,7 @@
 		Limits:  c.edge.balancer.StatedLimits(now),
 		Leaving: c.edge.balancer.Leaving(),
 
-		Suspects: c.edge.quarantine.Reports(0, 0, now),
+		Suspects: c.edge.quarantine.Reports(0, quarantine.ToOthers, now),
 	}
 	for p := range registry.NumParts {
 		b.Ages[p] = c.toldAge(p, now)
--- a/core/edge/quarantine_test.go
+++ b/core/edge/quarantine_test.go
@@ -138,14 +138,15 @@
 	x.downTo[id] = time.Now().Add(x.downFor)
 }
 
-// sendsAfter returns how often the deadly request was sent from d after the third crash on.
-func (x *crashing) sendsAfter(d time.Duration) int {
-	const third = 3
+// lateSends returns how often the deadly request was sent later than the users' window after the
+// third crash.
+func (x *crashing) lateSends() int {
+	const third, window = 3, 3 * time.Second
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	n := 0
 	for _, t := range x.sends {
-		if len(x.crashes) >= third && t.Sub(x.crashes[third-1]) > d {
+		if len(x.crashes) >= third && t.Sub(x.crashes[third-1]) > window {
 			n++
 		}
 	}
@@ -203,10 +204,10 @@
 	})
 	asked, missed := load(ctx, s)
 	group.Wait()
-	k.c.Logf("%d crashes, %d sends from 3 s after the third on; %d of %d other requests missed", len(x.crashes), x.sendsAfter(3*time.Second), missed, asked)
+	k.c.Logf("%d crashes, %d sends from 3 s after the third on; %d of %d other requests missed", len(x.crashes), x.lateSends(), missed, asked)
 	// The users' bound, and their goal of an endpoint or two beyond the third crash.
 	const mostSends, mostCrashes = 3, 5
-	k.c.Check(x.sendsAfter(3*time.Second) <= mostSends, qt.IsTrue)
+	k.c.Check(x.lateSends() <= mostSends, qt.IsTrue)
 	k.c.Check(len(x.crashes) <= mostCrashes, qt.IsTrue)
 }
 
--- a/core/edge/retrial_test.go
+++ b/core/edge/retrial_test.go
@@ -16,12 +16,12 @@
 	"heatherford/core/registry"
 )
 
-// listAs lists the next incarnations of endpoints with a version of their software.
-func (k *cluster) listAs(software string, zones map[string]string) {
+// relistVersioned is relist for endpoints that state the version of their software.
+func (k *cluster) relistVersioned(zones map[string]string) {
 	for id, z := range zones {
 		e := k.endpoint(id, z)
 		e.StartedAt = time.Now()
-		e.Software = software
+		e.Software = "v1"
 		k.platform.put(registry.Endpoints, id, registry.Record{
 			Endpoint: &e,
 		})
@@ -35,7 +35,7 @@
 	x := newCrashing()
 	k.setSend(x.send)
 	k.setRefuses(x.refuses)
-	k.listAs("v1", fourEndpoints)
+	k.relistVersioned(fourEndpoints)
 	s := []*Edge{k.start("a", "z1"), k.start("b", "z1"), k.start("c", "z2")}
 	k.waitReady(s...)
 	return k, x, s
@@ -50,7 +50,7 @@
 		x.mu.Unlock()
 		if back.After(listed[id]) && time.Now().After(back) {
 			listed[id] = back
-			k.listAs("v1", map[string]string{
+			k.relistVersioned(map[string]string{
 				id: z,
 			})
 		}
@@ -92,8 +92,8 @@
 		for i := range 6 {
 			first[fmt.Sprint("more", i)] = "z1"
 		}
-		k.listAs("v1", zones)
-		k.listAs("v1", first)
+		k.relistVersioned(zones)
+		k.relistVersioned(first)
 		s := []*Edge{k.start("a", "z1"), k.start("c", "z2")}
 		k.waitReady(s...)
 		ctx, cancel := context.WithCancel(t.Context())
@@ -126,7 +126,7 @@
 		}
 		k.c.Assert(len(x.crashes) >= 3, qt.IsTrue)
 		<-time.After(x.downFor)
-		k.listAs("v1", first)
+		k.relistVersioned(first)
 		<-time.After(12 * time.Second)
 		mu.Lock()
 		asked, served = 0, 0
@@ -146,7 +146,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		k, x, s := newDeadlyCluster(t)
 		k.askOften(x, s, 5*time.Minute)
-		n := x.sendsAfter(3 * time.Second)
+		n := x.lateSends()
 		k.c.Check(n <= 3, qt.IsTrue, qt.Commentf("%d sends", n))
 		k.c.Check(n >= 1, qt.IsTrue, qt.Commentf("no trial"))
 	})
@@ -169,7 +169,7 @@
 		k.askOften(x, s, 25*time.Second)
 		k.isolate("a", false)
 		k.askOften(x, s, 2*time.Minute)
-		n := x.sendsAfter(3 * time.Second)
+		n := x.lateSends()
 		k.c.Check(n <= 3, qt.IsTrue, qt.Commentf("%d sends", n))
 	})
 }
@@ -179,7 +179,7 @@
 func TestVirtualOneTrialAtATime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		k := newCluster(t)
-		k.listAs("v1", fourEndpoints)
+		k.relistVersioned(fourEndpoints)
 		s := []*Edge{k.start("a", "z1"), k.start("b", "z1"), k.start("c", "z2")}
 		k.waitReady(s...)
 		mu, running, most := sync.Mutex{}, 0, 0
@@ -232,3 +232,39 @@
 		}
 	})
 }
+
+// TestVirtualNewsAfterManyCrashes guards against hosts of other zones that hear for seconds nothing
+// of a request that crashes endpoints, since many others were in flight at earlier crashes.
+func TestVirtualNewsAfterManyCrashes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		k := newCluster(t)
+		s := []*Edge{k.start("a", "z1"), k.start("b", "z1"), k.start("c", "z2"), k.start("d", "z2")}
+		k.waitReady(s...)
+		for i, e := range s {
+			for n := range 60 {
+				q := request(fmt.Sprint("/look/", i, "/", n))
+				e.quarantine.RecordCrash(quarantine.Crash{
+					Incarnation: fmt.Sprint("early", i, n/10),
+					Software:    "desk v1",
+					At:          time.Now(),
+				}, []quarantine.Fingerprint{q.fingerprint()})
+			}
+			e.tellSuspects()
+		}
+		<-time.After(300 * time.Millisecond)
+		for i := range 3 {
+			s[1].quarantine.RecordCrash(quarantine.Crash{
+				Incarnation: fmt.Sprint("x", i),
+				Software:    "desk v1",
+				At:          time.Now(),
+			}, []quarantine.Fingerprint{request(deadlyPath).fingerprint()})
+			s[1].tellSuspects()
+			<-time.After(300 * time.Millisecond)
+		}
+		// A relay of the other zone tells its hosts with its next heartbeat.
+		<-time.After(200 * time.Millisecond)
+		for _, e := range s {
+			k.c.Check(e.blockOf(request(deadlyPath)), qt.IsNotNil)
+		}
+	})
+}
--- a/core/edge/unexplained_test.go
+++ b/core/edge/unexplained_test.go
@@ -68,7 +68,7 @@
 				}
 				group.Wait()
 				k.c.Check(len(x.crashes) >= 3, qt.IsTrue)
-				n := x.sendsAfter(3 * time.Second)
+				n := x.lateSends()
 				k.c.Check(n <= 3, qt.IsTrue, qt.Commentf("%d sends", n))
 				// What only was in flight at the same moment is served.
 				for i := range 24 {
--- a/core/quarantine/block.go
+++ b/core/quarantine/block.go
@@ -184,6 +184,7 @@
 		return false
 	}
 	e.trials[incarnation] = now
+	e.change(now)
 	l.logTrial(f, e, incarnation, software)
 	return true
 }
@@ -197,6 +198,7 @@
 		return false
 	}
 	e.retrials[incarnation] = now
+	e.change(now)
 	l.logTrial(f, e, incarnation, software)
 	return true
 }
--- a/core/quarantine/list.go
+++ b/core/quarantine/list.go
@@ -15,7 +15,7 @@
 	Memory = 10 * time.Minute
 	// maxEntries bounds the requests that are remembered, maxCrashes the crashes, and
 	// maxSoftware the software with completed runs, that are remembered of each.
-	maxEntries  = 256
+	maxEntries  = 1024
 	maxCrashes  = 8
 	maxSoftware = 8
 	// maxNameBytes is the longest name of an endpoint's incarnation or software that is
@@ -60,6 +60,12 @@
 	clearedAt time.Time
 	// seenAt is when the request last came or crashed an endpoint.
 	seenAt time.Time
+	// most is the largest number of crashes since the last one that came after none.
+	most int
+	// changedAt is when the crashes or trials last changed, and told counts the heartbeats to
+	// each audience since that had the request.
+	changedAt time.Time
+	told      [numAudiences]int
 }
 
 func newEntry() *entry {
@@ -124,7 +130,12 @@
 	if _, known := e.crashes[c.Incarnation]; known || len(e.crashes) >= maxCrashes {
 		return
 	}
+	if len(e.crashes) == 0 {
+		e.most = 0
+	}
 	e.crashes[c.Incarnation] = c
+	e.most = max(e.most, len(e.crashes))
+	e.change(c.At)
 	e.seenAt = later(e.seenAt, c.At)
 	if len(e.crashes) >= BlockAfter {
 		l.log("quarantine", "fingerprint", f, "state", "blocked", "crashes", len(e.crashes), "software", c.Software)
@@ -160,13 +171,18 @@
 }
 
 // RecordRun records that a run of a request completed on some software. That clears it of all
-// crashes of this software before. Requests that are not on the list are ignored.
-func (l *List) RecordRun(f Fingerprint, software string, at time.Time) {
+// crashes of this software before. It reports whether the request was blocked and is not any more.
+// Requests that are not on the list are ignored.
+func (l *List) RecordRun(f Fingerprint, software string, at time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if e := l.entries[f]; e != nil {
-		l.clear(f, e, software, at)
+	e := l.entries[f]
+	if e == nil {
+		return false
 	}
+	blocked := e.isBlocked()
+	l.clear(f, e, software, at)
+	return blocked && !e.isBlocked()
 }
 
 // clear drops the crashes of an entry up to a completed run of their software. The caller holds
@@ -180,6 +196,7 @@
 	for n, c := range e.crashes {
 		if !c.At.After(e.lastRun(c.Software)) {
 			delete(e.crashes, n)
+			e.change(at)
 		}
 	}
 	if blocked && !e.isBlocked() {
--- a/core/quarantine/list_test.go
+++ b/core/quarantine/list_test.go
@@ -152,10 +152,11 @@
 		l.RecordCrash(crash(fmt.Sprint("x", i), at(1)), []quarantine.Fingerprint{fingerprint(fmt.Sprint("/", i))})
 	}
 	c.Check(blocks(l, deadly, at(2)), qt.IsTrue)
-	c.Check(len(l.Reports(0, 0, at(2))) <= 256, qt.IsTrue)
+	const most = 1024
+	c.Check(len(l.Reports(0, 0, at(2))) <= most, qt.IsTrue)
 	seen := map[quarantine.Fingerprint]bool{}
-	for round := range 256 / 16 {
-		for _, r := range l.Reports(16, round, at(2)) {
+	for range most/16 + 1 {
+		for _, r := range l.Reports(16, quarantine.ToZone, at(2)) {
 			seen[r.Request] = true
 		}
 	}
@@ -221,3 +222,61 @@
 	}
 	c.Check(seen, qt.HasLen, len(all))
 }
+
+// TestNewsIsToldFirst guards against hosts that hear late of a request that crashes endpoints,
+// since heartbeats hold a few of all those that were in flight at crashes: what is blocked, on
+// trial or cleared goes first.
+func TestNewsIsToldFirst(t *testing.T) {
+	c := qt.New(t)
+	a, b := newList(), newList()
+	for i := range 900 {
+		a.RecordCrash(crash(fmt.Sprint("x", i/10), at(i/90)), []quarantine.Fingerprint{fingerprint(fmt.Sprint("/", i))})
+	}
+	deadly := []quarantine.Fingerprint{}
+	for i := range 6 {
+		deadly = append(deadly, fingerprint(fmt.Sprint("/deadly", i)))
+	}
+	tell := func(now time.Time) {
+		for range 2 {
+			b.Merge(a.Reports(12, quarantine.ToOthers, now), now)
+		}
+	}
+	for i := range quarantine.BlockAfter {
+		a.RecordCrash(crash(fmt.Sprint("e", i), at(20+i)), deadly)
+	}
+	tell(at(23))
+	for _, f := range deadly {
+		c.Check(blocks(b, f, at(23)), qt.IsTrue)
+	}
+	c.Assert(a.BeginRetrial(deadly[0], "t", software, at(30)), qt.IsTrue)
+	tell(at(30))
+	c.Check(b.Block(deadly[0], at(30)).Trials, qt.Equals, 1)
+	a.RecordRun(deadly[0], software, at(31))
+	tell(at(31))
+	c.Check(b.Block(deadly[0], at(31)), qt.IsNil)
+	// The others are told in turn beside them.
+	for range 300 {
+		b.Merge(a.Reports(12, quarantine.ToOthers, at(32)), at(32))
+	}
+	c.Check(b.Reports(0, 0, at(32)), qt.HasLen, 906)
+}
+
+// TestRunsNeedNoWord checks that nothing is told of a request that has run since its only crash,
+// and that other requests that are not blocked are told a few times.
+func TestRunsNeedNoWord(t *testing.T) {
+	c := qt.New(t)
+	l := newList()
+	f, g := fingerprint("/ran"), fingerprint("/once")
+	l.RecordCrash(crash("e", at(0)), []quarantine.Fingerprint{f, g})
+	l.RecordRun(f, software, at(1))
+	told := 0
+	for range 20 {
+		for _, r := range l.Reports(12, quarantine.ToZone, at(2)) {
+			c.Check(r.Request, qt.Equals, g)
+			told++
+		}
+	}
+	c.Check(told, qt.Equals, 3)
+	// Another audience has heard nothing yet.
+	c.Check(l.Reports(12, quarantine.ToOthers, at(2)), qt.HasLen, 1)
+}
--- a/core/quarantine/report.go
+++ b/core/quarantine/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"slices"
 	"time"
 )
@@ -28,33 +29,90 @@
 	SeenAge time.Duration `json:"seen_age"`
 }
 
-// Reports returns at most n reports, the next ones in each round if there are more. With
-// n of 0 it returns all.
-func (l *List) Reports(n, round int, now time.Time) []Report {
+// Audience is a group of hosts that get the same heartbeats.
+type Audience int
+
+// The audiences of heartbeats.
+const (
+	ToZone Audience = iota
+	ToOthers
+	numAudiences
+)
+
+const (
+	// maxTold is how often a request is told that is not blocked. Hosts that learn of it tell
+	// others.
+	maxTold = 3
+	// notTold is the importance of what need not be told.
+	notTold = -1
+)
+
+// Reports returns at most n reports: what matters more and was told less goes first. They count
+// as told to the audience. With n of 0 it returns all reports, which do not count.
+func (l *List) Reports(n int, to Audience, now time.Time) []Report {
 	if l.Empty() {
 		return nil
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	s := []Report{}
+	for _, f := range l.inOrder(n, to) {
+		e := l.entries[f]
+		if n > 0 {
+			e.told[to]++
+		}
+		s = append(s, e.report(f, now))
+	}
+	return s
+}
+
+// inOrder returns the first n requests to tell an audience, or all with n of 0. The caller holds
+// mu.
+func (l *List) inOrder(n int, to Audience) []Fingerprint {
 	keys := make([]Fingerprint, 0, len(l.entries))
-	for f := range l.entries {
-		keys = append(keys, f)
+	for f, e := range l.entries {
+		if n == 0 || e.importance(to) != notTold {
+			keys = append(keys, f)
+		}
 	}
 	slices.SortFunc(keys, func(a, b Fingerprint) int {
-		return bytes.Compare(a[:], b[:])
+		x, y := l.entries[a], l.entries[b]
+		return cmp.Or(
+			cmp.Compare(x.told[to]-x.importance(to), y.told[to]-y.importance(to)),
+			cmp.Compare(y.importance(to), x.importance(to)),
+			y.changedAt.Compare(x.changedAt),
+			bytes.Compare(a[:], b[:]),
+		)
 	})
-	first := 0
-	if n == 0 || n >= len(keys) {
-		n = len(keys)
-	} else {
-		first = round * n
+	if n == 0 {
+		return keys
 	}
-	s := make([]Report, 0, n)
-	for i := range n {
-		f := keys[(first+i)%len(keys)]
-		s = append(s, l.entries[f].report(f, now))
+	return keys[:min(n, len(keys))]
+}
+
+// importance returns how much more often the request is told than one that was in flight at a
+// single crash, or notTold.
+func (e *entry) importance(to Audience) int {
+	const blocked, suspected = 3, 1
+	switch {
+	case e.isBlocked():
+		return blocked
+	case e.told[to] >= maxTold, e.most < 2 && len(e.crashes) == 0:
+		return notTold
+	case e.most >= BlockAfter:
+		// That a block has ended matters as much as the block.
+		return blocked
+	case e.most > 1:
+		return suspected
+	default:
+		return 0
 	}
-	return s
+}
+
+// change marks the entry as changed, so that it is told anew.
+func (e *entry) change(now time.Time) {
+	e.changedAt = later(e.changedAt, now)
+	e.told = [numAudiences]int{}
 }
 
 func (e *entry) report(f Fingerprint, now time.Time) Report {
@@ -151,6 +209,7 @@
 		t := now.Add(-d)
 		if _, ok := known[n]; !ok && validAge(d) && validName(n) && len(known) < maxCrashes && t.After(e.clearedAt) {
 			known[n] = t
+			e.change(t)
 		}
 	}
 }
