core/quarantine, core/edge: a crash is put down to requests that nobody waits for, too

A request whose client leaves before its endpoint crashes was never held back: each time it took down another endpoint with the requests of others.

Cause: only requests whose connections broke counted as in flight. A host closes the connection itself when the client leaves, the deadline passes or another copy wins, while the endpoint works on.

A crash is put down to all of them, and a refused connection to an endpoint that has any is looked into as a broken one is.

--- a/core/edge/block.go
+++ b/core/edge/block.go
@@ -186,7 +186,7 @@
 }
 
 // recordRun clears a request that an endpoint has run to an end. It was sent at began.
-func (e *Edge) recordRun(t balance.Target, q *Request, o balance.Outcome, began time.Time) {
+func (e *Edge) recordRun(t balance.Target, f quarantine.Fingerprint, o balance.Outcome, began time.Time) {
 	if o != balance.Answered && o != balance.Erred {
 		return
 	}
@@ -196,7 +196,6 @@
 	if e.quarantine.Empty() && !unexplained {
 		return
 	}
-	f := q.fingerprint()
 	if e.quarantine.RecordRun(f, softwareOf(t), time.Now()) {
 		e.tellSuspects()
 	}
--- a/core/edge/control.go
+++ b/core/edge/control.go
@@ -204,6 +204,7 @@
 		c.logLimits(now)
 		c.logLeaving(now)
 		c.edge.quarantine.Expire(now)
+		c.edge.visits.Expire(now)
 		c.explainBreakages(now)
 		c.probeUnexplained(now)
 	}
--- a/core/edge/crash.go
+++ b/core/edge/crash.go
@@ -25,8 +25,9 @@
 // breakage is an incarnation of an endpoint whose connections broke with requests in
 // flight. Edge.mu guards it.
 type breakage struct {
-	target   balance.Target
-	at       time.Time
+	target balance.Target
+	at     time.Time
+	// requests are those that the endpoint may have been at work on.
 	requests []quarantine.Fingerprint
 	// answeredAt is when the endpoint first answered a request or a probe that was sent
 	// after the breakage, or zero.
@@ -60,33 +61,11 @@
 // any more, and from a planned stop by an endpoint that had not left. It returns the
 // number of endpoints that crashed with requests of this content in flight, or 0 if this
 // one has not.
-func (e *Edge) recordBreakage(ctx context.Context, t balance.Target, q *Request) int {
+func (e *Edge) recordBreakage(ctx context.Context, t balance.Target, f quarantine.Fingerprint) int {
 	if !e.balancer.InUse(t.ID, t.StartedAt) {
 		return 0
 	}
-	f := q.fingerprint()
-	now := time.Now()
-	incarnation := incarnationOf(t)
-	e.mu.Lock()
-	b := e.breakages[incarnation]
-	if b == nil || now.Sub(b.at) > breakageMemory {
-		b = &breakage{
-			target:  t,
-			at:      now,
-			checked: make(chan struct{}),
-		}
-		e.breakages[incarnation] = b
-		go func() {
-			defer close(b.checked)
-			// An endpoint whose check panics counts as one that has not crashed.
-			_ = e.contain("check of a broken endpoint", func() error {
-				e.checkBreakage(incarnation, b)
-				return nil
-			})
-		}()
-	}
-	b.requests = append(b.requests, f)
-	e.mu.Unlock()
+	b := e.breakageOf(t)
 	select {
 	case <-b.checked:
 	case <-ctx.Done():
@@ -99,10 +78,45 @@
 		return 0
 	}
 	// A request that came after the check counts too.
-	e.quarantine.RecordCrash(crashOf(t, now), []quarantine.Fingerprint{f})
+	e.quarantine.RecordCrash(crashOf(t, b.at), []quarantine.Fingerprint{f})
 	return e.quarantine.Crashes(f)
 }
 
+// recordRefusal records that an endpoint refused a connection. It may have crashed with requests
+// that no host waits for.
+func (e *Edge) recordRefusal(t balance.Target) {
+	if e.balancer.InUse(t.ID, t.StartedAt) && len(e.visits.Present(incarnationOf(t), time.Now())) > 0 {
+		e.breakageOf(t)
+	}
+}
+
+// breakageOf returns the breakage of an incarnation of an endpoint. If there is none it begins
+// one, and finds out whether the endpoint has crashed.
+func (e *Edge) breakageOf(t balance.Target) *breakage {
+	now := time.Now()
+	incarnation := incarnationOf(t)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if b := e.breakages[incarnation]; b != nil && now.Sub(b.at) <= breakageMemory {
+		return b
+	}
+	b := &breakage{
+		target:  t,
+		at:      now,
+		checked: make(chan struct{}),
+	}
+	e.breakages[incarnation] = b
+	go func() {
+		defer close(b.checked)
+		// An endpoint whose check panics counts as one that has not crashed.
+		_ = e.contain("check of a broken endpoint", func() error {
+			e.checkBreakage(incarnation, b)
+			return nil
+		})
+	}()
+	return b
+}
+
 // joined returns fingerprints as one text.
 func joined(s []quarantine.Fingerprint) string {
 	text := []string{}
@@ -127,7 +141,9 @@
 	// A host that is cut off from all endpoints is refused by each of them. The cut may have
 	// ended since.
 	crashed := refused && e.reachesOthers(ctx, t.ID) && e.options.Transport.Probe(ctx, t) == ProbeRefused
+	requests := e.visits.Present(incarnation, time.Now())
 	e.mu.Lock()
+	b.requests = requests
 	b.crashed = crashed
 	if refused && !crashed {
 		e.unexplained.add(b)
--- a/core/edge/edge.go
+++ b/core/edge/edge.go
@@ -124,6 +124,9 @@
 	tomb     tomb.Tomb
 	// quarantine holds the requests that were in flight when endpoints crashed.
 	quarantine *quarantine.List
+	// visits holds the requests that this host has sent to endpoints and that these may still be
+	// at work on.
+	visits quarantine.Visits
 	// reach is what this host knows of its own way to the endpoints, and silentSends the
 	// sends that end once that is found cut.
 	reach       reach.Monitor
--- a/core/edge/forward.go
+++ b/core/edge/forward.go
@@ -8,6 +8,7 @@
 	"heatherford/core/balance"
 	"heatherford/core/code"
 	"heatherford/core/fleet"
+	"heatherford/core/quarantine"
 	"heatherford/core/registry"
 )
 
@@ -99,7 +100,7 @@
 	}
 	return &Failure{
 		Sent:   true,
-		Reason: "reset",
+		Reason: reasonReset,
 		Cause:  err,
 	}
 }
@@ -209,6 +210,8 @@
 		return e.finish(p, balance.Withdrawn, nil, time.Now(), a, e.quarantinedResult(a.request))
 	}
 	began := time.Now()
+	f := a.request.fingerprint()
+	visit := e.visits.Begin(incarnationOf(p.Target), f)
 	a.endpointsAt = e.View().CurrentAt[registry.Endpoints]
 	sendCtx, done := e.silentSends.context(ctx, !a.once)
 	defer done()
@@ -223,15 +226,28 @@
 	if c.Failure != nil && sendCtx.Err() != nil {
 		o = balance.Withdrawn
 	}
+	e.endVisit(visit, c)
 	e.recordReach(o, c)
-	e.recordRun(p.Target, a.request, o, began)
+	e.recordRun(p.Target, f, o, began)
 	result := e.finish(p, o, c.Reply, began, a, c)
-	if o == balance.Broken && c.Failure != nil && c.Failure.Reason == "reset" {
-		c.Failure.Crashes = e.recordBreakage(ctx, p.Target, a.request)
+	switch {
+	case o == balance.Unreachable:
+		e.recordRefusal(p.Target)
+	case o == balance.Broken && c.Failure != nil && c.Failure.Reason == reasonReset:
+		c.Failure.Crashes = e.recordBreakage(ctx, p.Target, f)
 	}
 	return result
 }
 
+// endVisit records that this host no longer waits for an endpoint's answer.
+func (e *Edge) endVisit(v *quarantine.Visit, c *ForwardResult) {
+	if c.Failure != nil && c.Failure.Sent {
+		e.visits.Abandon(v, time.Now())
+		return
+	}
+	e.visits.End(v)
+}
+
 // finish releases a permit with the result of its attempt, and fills in the state of
 // the endpoint and the times.
 func (e *Edge) finish(p *balance.Permit, o balance.Outcome, reply *Reply, began time.Time, a *attempt, c *ForwardResult) *ForwardResult {
--- a/core/edge/request.go
+++ b/core/edge/request.go
@@ -129,6 +129,9 @@
 // sent to any endpoint.
 const ReasonInvalid = "invalid"
 
+// reasonReset is the reason of a failure of the connection before an answer came.
+const reasonReset = "reset"
+
 // Failure is an error of Transport.Send or Transport.Forward.
 type Failure struct {
 	// Sent is true if the endpoint may have received the request.
