core/edge: what runs on the control goroutine cannot queue events for it

A host whose 90 endpoints came back together answered 503 to everything and 404 on a route that was added later, for good, and did not end after SIGTERM.

Cause: explainBreakages runs on the control goroutine and reached post, which waits for room in the queue that only that goroutine empties.

Change: the queue belongs to Edge, and the control goroutine holds only what is shared, so that the compiler refuses such a call. News of crashes wakes it by a channel that never blocks, and is told in one round of heartbeats, however many crashes there are.

--- a/core/edge/block.go
+++ b/core/edge/block.go
@@ -176,13 +176,19 @@
 	}
 }
 
-// tellSuspects tells all hosts at once what this one knows of requests that may crash endpoints.
-func (e *Edge) tellSuspects() {
-	e.post(func(c *control) {
-		now := time.Now()
-		c.announceChange(now)
-		c.sendRemoteHeartbeat(now)
-	})
+// tellSuspects has the control goroutine tell all hosts at once what this one knows of requests
+// that may crash endpoints. It does not wait: several changes at a time are told together.
+func (e *shared) tellSuspects() {
+	select {
+	case e.suspectsChanged <- struct{}{}:
+	default:
+	}
+}
+
+// tellSuspects tells all hosts what this one knows of requests that may crash endpoints.
+func (c *control) tellSuspects(now time.Time) {
+	c.announceChange(now)
+	c.sendRemoteHeartbeat(now)
 }
 
 // recordRun clears a request that an endpoint has run to an end. It was sent at began.
--- a/core/edge/budget_test.go
+++ b/core/edge/budget_test.go
@@ -122,9 +122,9 @@
 		own := 0.0
 		for _, m := range members {
 			x := &control{
-				edge: New(Options{
+				edge: &New(Options{
 					Self: m,
-				}),
+				}).shared,
 				fleet: fleet.New(m),
 			}
 			x.fleet.AddListed(members, start)
--- a/core/edge/control.go
+++ b/core/edge/control.go
@@ -60,7 +60,11 @@
 
 // control is the state of the control goroutine. Only that goroutine uses it.
 type control struct {
-	edge     *Edge
+	edge *shared
+	// background runs a function on a goroutine of its own, and what that returns on the control
+	// goroutine.
+	background func(f func() func(c *control))
+
 	registry *registry.Registry
 	fleet    *fleet.Fleet
 	readers  [registry.NumParts]reader
@@ -141,7 +145,8 @@
 // newControl returns the state of the control goroutine of a host that starts.
 func newControl(e *Edge, now time.Time) *control {
 	c := &control{
-		edge:       e,
+		edge:       &e.shared,
+		background: e.background,
 		registry:   registry.New(),
 		fleet:      fleet.New(e.options.Self),
 		zones:      map[string]zoneState{},
@@ -173,6 +178,11 @@
 				f(c)
 				return nil
 			})
+		case <-e.suspectsChanged:
+			_ = e.contain("suspects", func() error {
+				c.tellSuspects(time.Now())
+				return nil
+			})
 		case <-t.C:
 			if err := c.stepSafely(time.Now()); err != nil {
 				return err
@@ -185,6 +195,7 @@
 
 // step does the periodic work.
 func (c *control) step(now time.Time) {
+	c.edge.steppedAt.Store(&now)
 	if now.Sub(c.lastStep) > pauseThreshold {
 		c.edge.options.Log("pause", "gap", now.Sub(c.lastStep))
 		c.registry.MarkStale()
--- a/core/edge/crash.go
+++ b/core/edge/crash.go
@@ -156,7 +156,7 @@
 
 // recordCrash records that an endpoint crashed with the requests of a breakage in flight, and
 // tells all hosts. The proof is what showed it.
-func (e *Edge) recordCrash(b *breakage, proof string) {
+func (e *shared) recordCrash(b *breakage, proof string) {
 	t := b.target
 	e.mu.Lock()
 	requests := b.requests
--- a/core/edge/edge.go
+++ b/core/edge/edge.go
@@ -117,11 +117,23 @@
 
 // Edge serves requests on one host. It is safe for concurrent use.
 type Edge struct {
+	shared
+	// events is the queue of the control goroutine. Whoever queues an event may have to wait
+	// for that goroutine, so that nothing it calls has access to the queue.
+	events chan func(c *control)
+}
+
+// shared is what the control goroutine and the others use together. It is safe for concurrent use.
+type shared struct {
 	options  Options
 	balancer *balance.Balancer
 	view     atomic.Pointer[View]
-	events   chan func(c *control)
 	tomb     tomb.Tomb
+	// suspectsChanged wakes the control goroutine to tell other hosts what has changed of
+	// requests that may crash endpoints.
+	suspectsChanged chan struct{}
+	// steppedAt is when the control goroutine last began its periodic work.
+	steppedAt atomic.Pointer[time.Time]
 	// quarantine holds the requests that were in flight when endpoints crashed.
 	quarantine *quarantine.List
 	// visits holds the requests that this host has sent to endpoints and that these may still be
@@ -154,6 +166,9 @@
 // New returns an edge that knows no declaration and no endpoints yet.
 func New(o Options) *Edge {
 	e := &Edge{
+		events: make(chan func(c *control), 64),
+	}
+	e.shared = shared{
 		options: o,
 		balancer: balance.New(balance.Options{
 			Self:   o.Self.Name,
@@ -165,13 +180,13 @@
 		}),
 		started:      time.Now(),
 		leaving:      newLeaving(),
-		events:       make(chan func(c *control), 64),
 		retryBudgets: map[string]*budget.Window{},
 
 		unreachableUntil: map[string]time.Time{},
 		breakages:        map[string]*breakage{},
 		unexplained:      unexplained{},
 		quarantine:       quarantine.New(o.Log),
+		suspectsChanged:  make(chan struct{}, 1),
 	}
 	e.view.Store(&View{
 		Live:        []fleet.Member{o.Self},
@@ -183,6 +198,7 @@
 // Start starts the control goroutine. It is called once.
 func (e *Edge) Start() {
 	e.tomb.Go(e.run)
+	e.tomb.Go(e.watch)
 }
 
 // Stop ends the control goroutine and the goroutines that it started, and waits for
@@ -205,7 +221,7 @@
 }
 
 // View returns the newest view.
-func (e *Edge) View() *View {
+func (e *shared) View() *View {
 	return e.view.Load()
 }
 
@@ -213,14 +229,14 @@
 // and the endpoints, and it is not leaving.
 func (e *Edge) Ready() bool {
 	v := e.View()
-	return v.Table != nil && v.EndpointsKnown && !v.Leaving
+	return v.Table != nil && v.EndpointsKnown && !v.Leaving && e.leaving.at.Load() == nil
 }
 
 // HandleHeartbeat passes a heartbeat of another host to the control goroutine. It does
 // not wait until the heartbeat is handled.
 func (e *Edge) HandleHeartbeat(t *Heartbeat) {
 	now := time.Now()
-	e.post(func(c *control) {
+	e.post(context.Background(), func(c *control) {
 		c.handleHeartbeat(t, now)
 	})
 }
@@ -229,7 +245,7 @@
 // edge stops before.
 func (e *Edge) Delta(ctx context.Context, since [registry.NumParts]registry.Version) (*Delta, error) {
 	answer := make(chan *Delta, 1)
-	e.post(func(c *control) {
+	e.post(ctx, func(c *control) {
 		answer <- c.delta(since, time.Now())
 	})
 	select {
@@ -243,14 +259,23 @@
 }
 
 // post queues f for the control goroutine and does not wait until it has run. It
-// blocks while the queue is full, and does nothing once the edge stops.
-func (e *Edge) post(f func(c *control)) {
+// blocks while the queue is full, and does nothing once ctx ends or the edge stops.
+func (e *Edge) post(ctx context.Context, f func(c *control)) {
 	select {
 	case e.events <- f:
+	case <-ctx.Done():
 	case <-e.tomb.Dying():
 	}
 }
 
+// background runs f on a goroutine of its own, and what it returns on the control goroutine.
+func (e *Edge) background(f func() func(c *control)) {
+	e.tomb.Go(func() error {
+		e.post(context.Background(), f())
+		return nil
+	})
+}
+
 // retryBudget returns the retry budget of an upstream, and makes it at the first
 // call.
 func (e *Edge) retryBudget(upstream string) *budget.Window {
--- a/core/edge/gossip_test.go
+++ b/core/edge/gossip_test.go
@@ -83,7 +83,7 @@
 			RetryBudget: budget.WindowOptions{},
 		})
 		h := &control{
-			edge:       e,
+			edge:       &e.shared,
 			fleet:      fleet.New(m),
 			learned:    true,
 			zones:      map[string]zoneState{},
--- a/core/edge/heartbeat.go
+++ b/core/edge/heartbeat.go
@@ -242,7 +242,7 @@
 	if t.Declared > c.declared() {
 		since[registry.OperatorRecords] = registry.Version{}
 	}
-	c.edge.tomb.Go(func() error {
+	c.background(func() func(c *control) {
 		ctx, cancel := context.WithTimeout(c.edge.tomb.Context(context.Background()), fetchTimeout)
 		defer cancel()
 		b := (*Delta)(nil)
@@ -250,7 +250,7 @@
 			b, err = c.edge.options.Transport.Fetch(ctx, m, since)
 			return err
 		})
-		c.edge.post(func(c *control) {
+		return func(c *control) {
 			c.fetching = false
 			if err != nil {
 				c.edge.options.Log("fetch", "from", m.Name, "outcome", "failed", "err", err)
@@ -260,8 +260,7 @@
 				c.learnedAll(time.Now())
 			}
 			c.applyDelta(b, m.Name, began, time.Now())
-		})
-		return nil
+		}
 	})
 }
 
--- a/core/edge/heartbeat_test.go
+++ b/core/edge/heartbeat_test.go
@@ -169,7 +169,7 @@
 		},
 	})
 	x := &control{
-		edge:       e,
+		edge:       &e.shared,
 		registry:   registry.New(),
 		fleet:      fleet.New(self),
 		zones:      map[string]zoneState{},
--- a/core/edge/join.go
+++ b/core/edge/join.go
@@ -46,7 +46,7 @@
 		return
 	}
 	self := c.fleet.Self()
-	c.edge.tomb.Go(func() error {
+	c.background(func() func(c *control) {
 		ctx, cancel := context.WithTimeout(c.edge.tomb.Context(context.Background()), joinTimeout)
 		defer cancel()
 		s := []fleet.Member{}
@@ -54,7 +54,7 @@
 			s, err = c.edge.options.Transport.Join(ctx, self)
 			return err
 		})
-		c.edge.post(func(c *control) {
+		return func(c *control) {
 			c.joining = false
 			c.nextJoin = time.Now().Add(joinRetryInterval)
 			if err != nil {
@@ -68,8 +68,7 @@
 			// Which host reads depends on the live hosts.
 			c.updateLive(time.Now())
 			c.edge.options.Log("join", "outcome", "joined", "hosts", len(s))
-		})
-		return nil
+		}
 	})
 }
 
@@ -95,13 +94,13 @@
 // repeated after a failure.
 func (c *control) enlist() {
 	live := fleet.NotLeaving(c.live)
-	c.edge.tomb.Go(func() error {
+	c.background(func() func(c *control) {
 		ctx, cancel := context.WithTimeout(c.edge.tomb.Context(context.Background()), joinTimeout)
 		defer cancel()
 		err := c.edge.contain("enlist", func() error {
 			return c.edge.options.Transport.Enlist(ctx, live)
 		})
-		c.edge.post(func(c *control) {
+		return func(c *control) {
 			c.joining = false
 			c.nextJoin = time.Now().Add(joinRetryInterval)
 			c.enlistLive = err != nil
@@ -110,7 +109,6 @@
 				return
 			}
 			c.edge.options.Log("enlist", "outcome", "enlisted", "hosts", len(live))
-		})
-		return nil
+		}
 	})
 }
--- a/core/edge/leave.go
+++ b/core/edge/leave.go
@@ -31,9 +31,14 @@
 func (e *Edge) Leave(until time.Time) {
 	e.leaving.at.Store(&until)
 	time.AfterFunc(time.Until(until), e.leaving.end)
-	e.post(func(c *control) {
-		c.leave()
-	})
+	go func() {
+		// The stop must not wait for the control goroutine.
+		ctx, cancel := context.WithDeadline(context.Background(), until)
+		defer cancel()
+		e.post(ctx, func(c *control) {
+			c.leave()
+		})
+	}()
 }
 
 // leavesBefore reports whether the host ends before the time.
--- a/core/edge/liveness_test.go
+++ b/core/edge/liveness_test.go
@@ -20,7 +20,7 @@
 		}),
 		seen:       map[string]fleet.Member{},
 		hostStates: map[string]hostState{},
-		edge: &Edge{
+		edge: &shared{
 			options: Options{
 				Log: func(_ string, pairs ...any) {
 					states = append(states, pairs[len(pairs)-1])
--- a/core/edge/panics.go
+++ b/core/edge/panics.go
@@ -16,7 +16,7 @@
 // contain calls f and returns its error. A panic in f does not end the process and all
 // requests in flight with it: it is logged, counted, and returned as a
 // *safely.PanicError.
-func (e *Edge) contain(in string, f func() error) error {
+func (e *shared) contain(in string, f func() error) error {
 	return safely.Logged(func(kind string, pairs ...any) {
 		e.panics.Add(1)
 		e.options.Log(kind, pairs...)
--- a/core/edge/panics_test.go
+++ b/core/edge/panics_test.go
@@ -136,7 +136,7 @@
 	panics := panicsLogged(k)
 	a, b := k.start("a", "z1"), k.start("b", "z1")
 	k.waitReady(a, b)
-	a.post(func(*control) {
+	a.post(t.Context(), func(*control) {
 		panic("an event")
 	})
 	k.eventually(time.Second, "the panic", func() bool {
--- a/core/edge/reach.go
+++ b/core/edge/reach.go
@@ -32,7 +32,7 @@
 // that was forwarded at the given time. Its heartbeats since then count more.
 func (e *Edge) recordIsolated(host string, forwardedAt time.Time) {
 	e.markUnreachable(host)
-	e.post(func(c *control) {
+	e.post(context.Background(), func(c *control) {
 		now := time.Now()
 		c.fleet.RecordIsolation(host, forwardedAt)
 		c.updateLive(now)
@@ -47,17 +47,16 @@
 	}
 	c.probeRound++
 	targets := targetsOf(reach.Targets(c.usableEndpoints(), c.probeRound))
-	c.edge.tomb.Go(func() error {
+	c.background(func() func(c *control) {
 		n := c.edge.countAccepting(targets)
-		c.edge.post(func(c *control) {
+		return func(c *control) {
 			end := time.Now()
 			if c.starvedAt.After(now) || end.Sub(c.lastStep) > starvedGap {
 				c.endProbes(0, 0, end)
 				return
 			}
 			c.endProbes(len(targets), n, end)
-		})
-		return nil
+		}
 	})
 }
 
@@ -85,7 +84,7 @@
 }
 
 // probeAll probes endpoints at the same time. The results are as many as the endpoints.
-func (e *Edge) probeAll(ctx context.Context, targets []balance.Target) <-chan ProbeResult {
+func (e *shared) probeAll(ctx context.Context, targets []balance.Target) <-chan ProbeResult {
 	results := make(chan ProbeResult, len(targets))
 	for _, t := range targets {
 		go func() {
@@ -102,7 +101,7 @@
 }
 
 // countAccepting probes endpoints and returns how many took the connection.
-func (e *Edge) countAccepting(targets []balance.Target) int {
+func (e *shared) countAccepting(targets []balance.Target) int {
 	ctx, cancel := context.WithTimeout(e.tomb.Context(context.Background()), probeTimeout)
 	defer cancel()
 	results := e.probeAll(ctx, targets)
@@ -117,7 +116,7 @@
 
 // anyAccepts reports whether an endpoint takes a connection before ctx ends. It does not
 // wait for the others.
-func (e *Edge) anyAccepts(ctx context.Context, targets []balance.Target) bool {
+func (e *shared) anyAccepts(ctx context.Context, targets []balance.Target) bool {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	results := e.probeAll(ctx, targets)
@@ -162,7 +161,7 @@
 // this host, or whether there is none that could show that.
 func (e *Edge) reachesOthers(ctx context.Context, except string) bool {
 	answer := make(chan []balance.Target, 1)
-	e.post(func(c *control) {
+	e.post(ctx, func(c *control) {
 		s := []registry.Endpoint{}
 		for _, x := range c.usableEndpoints() {
 			if x.ID != except {
--- a/core/edge/reachbounds_test.go
+++ b/core/edge/reachbounds_test.go
@@ -312,7 +312,7 @@
 // endpointsOf returns the endpoints that a host may choose.
 func endpointsOf(e *Edge) []balance.Target {
 	answer := make(chan []balance.Target, 1)
-	e.post(func(c *control) {
+	e.post(context.Background(), func(c *control) {
 		answer <- targetsOf(c.usableEndpoints())
 	})
 	return <-answer
--- a/core/edge/reader.go
+++ b/core/edge/reader.go
@@ -109,7 +109,7 @@
 	if since.IsZero() {
 		timeout = wholeReadTimeout
 	}
-	c.edge.tomb.Go(func() error {
+	c.background(func() func(c *control) {
 		ctx, cancel := context.WithTimeout(c.edge.tomb.Context(context.Background()), timeout)
 		defer cancel()
 		u := registry.Update{}
@@ -117,10 +117,9 @@
 			u, err = c.edge.options.Transport.Read(ctx, p, since, wait)
 			return err
 		})
-		c.edge.post(func(c *control) {
+		return func(c *control) {
 			c.handleRead(p, u, err, now, wait)
-		})
-		return nil
+		}
 	})
 }
 
