--- a/io/endpoint/sender.go
+++ b/io/endpoint/sender.go
@@ -359,7 +359,7 @@
 		x.Reason = "unreachable"
 	case errors.Is(err, wire.ErrForeign):
 		x.Reason = "foreign"
-	case errors.Is(err, wire.ErrHead) || errors.Is(err, wire.ErrSpliced):
+	case errors.Is(err, wire.ErrHead), errors.Is(err, wire.ErrSpliced), errors.Is(err, wire.ErrStatus), errors.Is(err, wire.ErrInterim):
 		x.Reason = "unreadable"
 	case f.Silent:
 		x.Reason = "silent"
--- a/io/endpoint/sender_test.go
+++ b/io/endpoint/sender_test.go
@@ -462,6 +462,27 @@
 	c.Check(s.Probe(ended, target), qt.Equals, edge.ProbeSilent)
 }
 
+// TestUnreadableStatus guards against what is no answer and is taken for one, or waited behind: the
+// request may have run, and the host knows at once.
+func TestUnreadableStatus(t *testing.T) {
+	const inner = "HTTP/1.1 200 OK\nId: ID\nMark: m\nContent-Length: 6\n\nforged"
+	for _, status := range []string{"000 Odd", "020 Odd", "+20 Odd", "700 Odd", "103 Early Hints"} {
+		for _, once := range []bool{false, true} {
+			t.Run(fmt.Sprint(status, once), func(t *testing.T) {
+				b := newBench(t, script{say("HTTP/1.1 " + status + "\nId: ID\nMark: m\nContent-Length: 60\n\n" + inner)})
+				began := time.Now()
+				a, err := b.send(once)
+				b.c.Check(a, qt.IsNil)
+				f := (*edge.Failure)(nil)
+				b.c.Assert(errors.As(err, &f), qt.IsTrue)
+				b.c.Check(f.Sent, qt.IsTrue)
+				b.c.Check(f.Reason, qt.Equals, "unreadable")
+				b.c.Check(time.Since(began) < 500*time.Millisecond, qt.IsTrue)
+			})
+		}
+	}
+}
+
 // TestLost checks that an endpoint which has closed a kept connection is told from one that has not,
 // without a further connection.
 func TestLost(t *testing.T) {
--- a/io/internal/wire/error.go
+++ b/io/internal/wire/error.go
@@ -81,6 +81,8 @@
 	ErrSpliced = errors.New("an answer begins within the head of another")
 	// ErrHead is the cause if an answer's head can be read in more than one way.
 	ErrHead = errors.New("the head of the answer is malformed")
+	// ErrStatus is the cause if an answer's status is none of HTTP.
+	ErrStatus = errors.New("the status of the answer is none")
 	// ErrInterim is the cause if too many or unusable interim answers came.
 	ErrInterim = errors.New("unusable interim answer")
 	// ErrNoProof is the cause if the peer did not prove the connection alive.
--- a/io/internal/wire/head.go
+++ b/io/internal/wire/head.go
@@ -6,8 +6,12 @@
 	"regexp"
 )
 
-// statusLine matches the beginning of an answer's head.
-var statusLine = regexp.MustCompile(`HTTP/\d\.\d \d{3}`)
+var (
+	// statusLine matches the beginning of an answer's head.
+	statusLine = regexp.MustCompile(`HTTP/\d\.\d \d{3}`)
+	// validStatus matches a status line whose status is one: three digits, from 100 to 599.
+	validStatus = regexp.MustCompile(`^HTTP/\d\.\d [1-5]\d\d(?: |\r?\n)`)
+)
 
 var (
 	newline = []byte("\n")
@@ -21,8 +25,13 @@
 	if err != nil {
 		return nil, err
 	}
-	if !wellFormed(head) {
+	switch {
+	case !validStatus.Match(head):
+		return nil, ErrStatus
+	case !wellFormed(head):
 		return nil, ErrHead
+	case a.StatusCode < http.StatusOK && statesBody(head):
+		return nil, ErrInterim
 	}
 	q := quotesHead(a.Header)
 	if statusLine.MatchString(a.Status) || (q && x.reused && !x.conn.quotes) {
@@ -45,6 +54,21 @@
 	return false
 }
 
+// statesBody reports whether a head says that a body follows. Behind an interim answer there is
+// none, so that the next answer would begin within it.
+func statesBody(head []byte) bool {
+	for line := range bytes.Lines(head) {
+		name, value, _ := bytes.Cut(line, colon)
+		switch {
+		case bytes.EqualFold(name, []byte("Transfer-Encoding")):
+			return true
+		case bytes.EqualFold(name, []byte("Content-Length")) && !bytes.Equal(bytes.TrimSpace(value), []byte("0")):
+			return true
+		}
+	}
+	return false
+}
+
 // wellFormed reports whether a head that net/http has parsed holds nothing that other
 // parsers read in another way, such that the answer ends elsewhere: a space before a colon,
 // a folded line, or chunks in HTTP/1.0.
