--- a/core/edge/restore_test.go
+++ b/core/edge/restore_test.go
@@ -153,10 +153,10 @@
 	})
 }
 
-// TestDrainedAnewAfterRestore guards against requests to a zone that the operator has drained
+// TestVirtualDrainedAnewAfterRestore guards against requests to a zone that the operator has drained
 // anew at once after the platform's return. The copy holds an earlier drain, and the end of
 // that, which the platform has lost, bears a higher number.
-func TestDrainedAnewAfterRestore(t *testing.T) {
+func TestVirtualDrainedAnewAfterRestore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		k := newCluster(t)
 		s := []*Edge{k.start("a", "z1"), k.start("b", "z1"), k.start("c", "z2")}
@@ -179,10 +179,10 @@
 	})
 }
 
-// TestDrainWrittenAgainAfterRestore guards against requests to a zone that stays drained. The
+// TestVirtualDrainWrittenAgainAfterRestore guards against requests to a zone that stays drained. The
 // copy lacks the drain, and the operator writes it again while some hosts have read the whole
 // part and others have not.
-func TestDrainWrittenAgainAfterRestore(t *testing.T) {
+func TestVirtualDrainWrittenAgainAfterRestore(t *testing.T) {
 	for _, delay := range []time.Duration{0, 100 * time.Millisecond, 400 * time.Millisecond, time.Second, 3 * time.Second} {
 		t.Run(delay.String(), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -232,10 +232,10 @@
 	}
 }
 
-// TestKeptToldAfterRestore guards against requests to a zone that the operator has drained, by
+// TestVirtualKeptToldAfterRestore guards against requests to a zone that the operator has drained, by
 // hosts that have learned of the drain neither from the platform, whose copy lacks it, nor
 // from the one host that read it before.
-func TestKeptToldAfterRestore(t *testing.T) {
+func TestVirtualKeptToldAfterRestore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		k := newCluster(t)
 		s := append(k.startMany(2, "a", "z1"), k.startMany(2, "b", "z2")...)
--- a/core/edge/unexplained_test.go
+++ b/core/edge/unexplained_test.go
@@ -34,10 +34,10 @@
 	"e4": "z2",
 }
 
-// TestDeadlyRequestAtAllEndpoints guards against a request that is never blocked since it
+// TestVirtualDeadlyRequestAtAllEndpoints guards against a request that is never blocked since it
 // takes all endpoints down at once: copies come together, again and again. The users allow
 // three sends from 3 s after the third crash on.
-func TestDeadlyRequestAtAllEndpoints(t *testing.T) {
+func TestVirtualDeadlyRequestAtAllEndpoints(t *testing.T) {
 	for _, down := range []time.Duration{time.Second, 2 * time.Second, 3 * time.Second} {
 		t.Run(down.String(), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -80,10 +80,10 @@
 	}
 }
 
-// TestCutAndRestartsConvictNoRequest guards against innocent requests that count as the cause
+// TestVirtualCutAndRestartsConvictNoRequest guards against innocent requests that count as the cause
 // of crashes: hosts are cut off, runs of the same content complete, and the endpoints start
 // anew.
-func TestCutAndRestartsConvictNoRequest(t *testing.T) {
+func TestVirtualCutAndRestartsConvictNoRequest(t *testing.T) {
 	// runsComplete is longer than a host takes to find out that a cut has ended, and than
 	// listingTime behind that. A restart before looks like a crash at the time of the cut.
 	const runsComplete = 6 * time.Second
@@ -131,9 +131,9 @@
 	}
 }
 
-// TestCutEndsDuringCheck guards against innocent requests that count as the cause of a crash,
+// TestVirtualCutEndsDuringCheck guards against innocent requests that count as the cause of a crash,
 // since a cut ends between the probe of the endpoint and that of the others.
-func TestCutEndsDuringCheck(t *testing.T) {
+func TestVirtualCutEndsDuringCheck(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		k := newCluster(t)
 		a := k.start("a", "z1")
--- a/io/internal/wire/pause_test.go
+++ b/io/internal/wire/pause_test.go
@@ -128,9 +128,9 @@
 	}
 }
 
-// TestPauseWithinAnswer guards against an answer that is lost since its peer pauses within
+// TestVirtualPauseWithinAnswer guards against an answer that is lost since its peer pauses within
 // it: the call waits until its own deadline.
-func TestPauseWithinAnswer(t *testing.T) {
+func TestVirtualPauseWithinAnswer(t *testing.T) {
 	for name, x := range pauseCalls() {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -148,8 +148,8 @@
 	}
 }
 
-// TestSilenceWithinAnswer checks that a call ends at its deadline if its peer never goes on.
-func TestSilenceWithinAnswer(t *testing.T) {
+// TestVirtualSilenceWithinAnswer checks that a call ends at its deadline if its peer never goes on.
+func TestVirtualSilenceWithinAnswer(t *testing.T) {
 	for name, x := range pauseCalls() {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -170,9 +170,9 @@
 	}
 }
 
-// TestPauseWithinRequest guards against a request that is broken off since its peer pauses
+// TestVirtualPauseWithinRequest guards against a request that is broken off since its peer pauses
 // while it reads a long body.
-func TestPauseWithinRequest(t *testing.T) {
+func TestVirtualPauseWithinRequest(t *testing.T) {
 	for name, x := range pauseCalls() {
 		if name == "streamed" {
 			continue
@@ -195,9 +195,9 @@
 	}
 }
 
-// TestRepeatableGivesUp checks that a call that may be sent again does not wait for an
+// TestVirtualRepeatableGivesUp checks that a call that may be sent again does not wait for an
 // answer of which nothing was passed on.
-func TestRepeatableGivesUp(t *testing.T) {
+func TestVirtualRepeatableGivesUp(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		p := &pausingPeer{
--- a/tools/knownred/main.go
+++ b/tools/knownred/main.go
@@ -5,6 +5,10 @@
 // "package.Test/subtest", the command with its seed, what was seen, the issue.
 // Lines that are empty or begin with # are passed over. An entry names one test,
 // never a package, whose crash would pass with it, and a listed test has to run.
+//
+// A test that began and has no end, and a package that failed without a failed test, are
+// failures whatever is listed. With -tests, each test of the packages has to end once in
+// all runs together.
 package main
 
 import (
@@ -15,6 +19,7 @@
 	"fmt"
 	"io"
 	"os"
+	"regexp"
 	"sort"
 	"strings"
 )
@@ -40,23 +45,28 @@
 
 func main() {
 	path := flag.String("list", "KNOWN-RED.txt", "`file` with the tests that are known to fail")
+	tests := flag.String("tests", "", "`file` with the output of \"go test -json -list .\"")
 	flag.Parse()
-	if err := run(*path, os.Stdin, os.Stdout); err != nil {
+	if err := run(*path, *tests, os.Stdin, os.Stdout); err != nil {
 		fmt.Fprintln(os.Stderr, "knownred:", err)
 		os.Exit(1)
 	}
 }
 
-func run(path string, in io.Reader, out io.Writer) error {
+func run(path, tests string, in io.Reader, out io.Writer) error {
 	entries, err := load(path)
 	if err != nil {
 		return err
 	}
+	expected, err := loadTests(tests)
+	if err != nil {
+		return err
+	}
 	r, err := read(in)
 	if err != nil {
 		return err
 	}
-	return r.judge(entries, out)
+	return r.judge(entries, expected, out)
 }
 
 func load(path string) ([]entry, error) {
@@ -94,31 +104,69 @@
 	return entries, nil
 }
 
-// results are the ends of all tests and packages of a run.
+// results are the ends of all tests and packages of some runs.
 type results struct {
 	// failed and passed hold "package.Test", or the package alone.
 	failed map[string]bool
 	passed map[string]bool
 	output map[string]string
+	// ends counts the ends of each test.
+	ends map[string]int
+	runs []*packageRun
+	// current is the last run of each package.
+	current map[string]*packageRun
+}
+
+// packageRun is one run of the tests of a package.
+type packageRun struct {
+	name string
+	// running holds the tests that began and have no end.
+	running map[string]bool
+	// failedTests is the number of failed tests, and failed is true if the package failed.
+	failedTests int
+	failed      bool
+	// tail is the output since the last end of a test.
+	tail strings.Builder
 }
 
 func read(in io.Reader) (*results, error) {
 	r := &results{
-		failed: map[string]bool{},
-		passed: map[string]bool{},
-		output: map[string]string{},
+		failed:  map[string]bool{},
+		passed:  map[string]bool{},
+		output:  map[string]string{},
+		ends:    map[string]int{},
+		current: map[string]*packageRun{},
 	}
+	err := readEvents(in, r.add)
+	return r, err
+}
+
+func readEvents(in io.Reader, add func(e event)) error {
 	const maxLine = 16 << 20
 	s := bufio.NewScanner(in)
 	s.Buffer(nil, maxLine)
 	for s.Scan() {
 		e := event{}
 		if err := json.Unmarshal(s.Bytes(), &e); err != nil {
-			return nil, fmt.Errorf("not an event of go test: %s", s.Text())
+			return fmt.Errorf("not an event of go test: %s", s.Text())
+		}
+		add(e)
+	}
+	return s.Err()
+}
+
+// runOf returns the run of a package that an event belongs to.
+func (r *results) runOf(e event) *packageRun {
+	p := r.current[e.Package]
+	if p == nil || e.Action == "start" {
+		p = &packageRun{
+			name:    e.Package,
+			running: map[string]bool{},
 		}
-		r.add(e)
+		r.runs = append(r.runs, p)
+		r.current[e.Package] = p
 	}
-	return r, s.Err()
+	return p
 }
 
 func (r *results) add(e event) {
@@ -126,18 +174,33 @@
 	if e.Test != "" {
 		n += "." + e.Test
 	}
+	p := r.runOf(e)
 	switch e.Action {
+	case "run":
+		p.running[n] = true
 	case "output", "build-output":
 		r.output[n] += e.Output
+		p.tail.WriteString(e.Output)
 	case "fail":
 		r.failed[n] = true
+		if e.Test == "" {
+			p.failed = true
+			return
+		}
+		p.failedTests++
 	case "pass":
 		r.passed[n] = true
 	}
+	if e.Test != "" && (e.Action == "pass" || e.Action == "fail" || e.Action == "skip") {
+		r.ends[n]++
+		delete(p.running, n)
+		p.tail.Reset()
+	}
 }
 
-// judge prints what failed and returns an error if some of it is not listed.
-func (r *results) judge(entries []entry, out io.Writer) error {
+// judge prints what failed and returns an error if some of it is not listed. Each expected test
+// has to end once.
+func (r *results) judge(entries []entry, expected []string, out io.Writer) error {
 	known := map[string]bool{}
 	bad := 0
 	for _, e := range entries {
@@ -159,8 +222,9 @@
 		bad++
 		fmt.Fprintf(out, "--- failed: %s\n%s", n, r.output[n])
 	}
+	bad += r.judgeCrashes(out) + r.judgeExpected(expected, out)
 	if bad > 0 {
-		return fmt.Errorf("%d failures that KNOWN-RED.txt does not list, or listed tests that did not run", bad)
+		return fmt.Errorf("%d failures that KNOWN-RED.txt does not list, crashes, or tests that did not run", bad)
 	}
 	if len(r.passed) == 0 {
 		return errors.New("no test passed")
@@ -169,6 +233,61 @@
 	return nil
 }
 
+// judgeCrashes prints the packages that ended within a test, or failed without a failed test, and
+// returns their number.
+func (r *results) judgeCrashes(out io.Writer) int {
+	bad := 0
+	for _, p := range r.runs {
+		switch {
+		case len(p.running) > 0:
+			fmt.Fprintf(out, "--- crashed: %s, within %s\n%s", p.name, strings.Join(sorted(p.running), ", "), p.tail.String())
+		case p.failed && p.failedTests == 0:
+			fmt.Fprintf(out, "--- crashed: %s, without a failed test\n%s", p.name, p.tail.String())
+		default:
+			continue
+		}
+		bad++
+	}
+	return bad
+}
+
+// judgeExpected prints the tests that did not end once and returns their number.
+func (r *results) judgeExpected(expected []string, out io.Writer) int {
+	bad := 0
+	for _, n := range expected {
+		if r.ends[n] != 1 {
+			bad++
+			fmt.Fprintf(out, "--- ended %d times: %s\n", r.ends[n], n)
+		}
+	}
+	return bad
+}
+
+// testName matches what "go test -list" prints of tests that always run.
+var testName = regexp.MustCompile(`^(Test|Fuzz)\w*\n$`)
+
+// loadTests returns the tests that a file lists, as "package.Test". No path stands for none.
+func loadTests(path string) ([]string, error) {
+	if path == "" {
+		return nil, nil
+	}
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	names := []string{}
+	err = readEvents(f, func(e event) {
+		if e.Action == "output" && testName.MatchString(e.Output) {
+			names = append(names, e.Package+"."+strings.TrimSpace(e.Output))
+		}
+	})
+	if err == nil && len(names) == 0 {
+		err = errors.New("no test is listed in " + path)
+	}
+	return names, err
+}
+
 // explained reports whether the failed parent n failed only by tests below it
 // that are known or failed parents themselves.
 func (r *results) explained(n string, known map[string]bool) bool {
