core/edge: a crash is looked into and told once

A crash that is recorded now drops what was kept for its incarnation, and one that waits for the next incarnation is not looked into again. TestPresent checks what is dropped.

--- a/core/edge/crash.go
+++ b/core/edge/crash.go
@@ -94,7 +94,7 @@
 // that no host waits for.
 func (e *Edge) recordRefusal(t balance.Target) {
 	now, n := time.Now(), incarnationOf(t)
-	if !e.balancer.InUse(t.ID, t.StartedAt) || len(e.visits.Present(n, now)) == 0 {
+	if !e.balancer.InUse(t.ID, t.StartedAt) || e.isUnexplained(t) || len(e.visits.Present(n, now)) == 0 {
 		return
 	}
 	if last := e.visits.LastHeard(n); !last.IsZero() {
@@ -103,6 +103,15 @@
 	e.breakageOf(t, now)
 }
 
+// isUnexplained reports whether the next incarnation of an endpoint is waited for to show that this
+// one has crashed.
+func (e *Edge) isUnexplained(t balance.Target) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	b := e.unexplained[t.ID]
+	return b != nil && b.target.StartedAt.Equal(t.StartedAt)
+}
+
 // breakageOf returns the breakage of an incarnation of an endpoint. If there is none it begins
 // one, and finds out whether the endpoint has crashed, at crashedAt or later.
 func (e *Edge) breakageOf(t balance.Target, crashedAt time.Time) *breakage {
@@ -179,6 +188,7 @@
 	for f, r := range runs {
 		e.quarantine.RecordRun(f, r)
 	}
+	e.visits.Forget(incarnationOf(t))
 	e.options.Log("crash", "endpoint", t.ID, "upstream", t.Upstream, "incarnation", incarnationOf(t), "requests", len(requests),
 		"proof", proof, "fingerprints", joined(requests))
 	e.tellSuspects()
--- a/core/quarantine/visits.go
+++ b/core/quarantine/visits.go
@@ -210,6 +210,16 @@
 	return fs
 }
 
+// Forget drops the requests at an incarnation that has crashed but for those that are awaited, whose
+// connections are about to break.
+func (s *Visits) Forget(incarnation string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p := s.incarnations[incarnation]; p != nil {
+		p.abandoned, p.completed = nil, nil
+	}
+}
+
 // Expire drops the incarnations without requests.
 func (s *Visits) Expire(now time.Time) {
 	s.mu.Lock()
--- a/core/quarantine/visits_test.go
+++ b/core/quarantine/visits_test.go
@@ -49,6 +49,12 @@
 	s.Expire(at(20))
 	c.Check(s.Present("e", at(20)), qt.HasLen, 1)
 	c.Check(s.Present("none", at(20)), qt.HasLen, 0)
+	s.Abandon(begin("/left"), at(21))
+	s.Complete(begin("/answered"), at(21))
+	s.Forget("e")
+	c.Check(present(at(21)), qt.DeepEquals, map[string]bool{
+		"/waits": true,
+	})
 }
 
 // TestVisitsAreBounded checks that an incarnation with many requests fills no memory, and that the
