--- a/core/edge/present_test.go
+++ b/core/edge/present_test.go
@@ -210,3 +210,17 @@
 		},
 	})
 }
+
+// TestVirtualDeadlyRequestLongBehindItsAnswer guards against a request that is never held back since
+// its endpoints crash some time behind their whole answers.
+func TestVirtualDeadlyRequestLongBehindItsAnswer(t *testing.T) {
+	checkDeadlyRuns(t, []deadlyRun{
+		{
+			name:     "300 ms",
+			stays:    time.Minute,
+			deadline: time.Minute,
+			answers:  100 * time.Millisecond,
+			crashes:  400 * time.Millisecond,
+		},
+	})
+}
