core/code: what a caller does behind a refusal of a request that crashes endpoints

Code 3022 told callers not to come again; such a request is tried now and then, and the refusal states when. docs/CODES said so already, which TestDocsHoldTheTable found.

--- a/core/code/table.go
+++ b/core/code/table.go
@@ -74,7 +74,7 @@
 		entry(LookupInvalid, "LookupInvalid", "The look-up is not valid.", "Correct what the message names."),
 		entry(GrantLapsed, "GrantLapsed", "The host's lease of the endpoint ends before the request's deadline, and the slots for such requests are all in use.", "Look up again."),
 		entry(ClaimFailed, "ClaimFailed", "The claim of non-repeatable work could not be written in time and will never be used.", "Look up again for a new ticket."),
-		entry(RequestQuarantined, "RequestQuarantined", "Endpoints crashed each time that they ran a request of this content; it is no longer sent.", "Do not send it again; an operator has the upstream mended."),
+		entry(RequestQuarantined, "RequestQuarantined", "Endpoints crashed while they ran requests of this content; it is tried again only now and then.", "Come back after the stated time; an operator looks at the upstream."),
 		entry(HostIsolated, "HostIsolated", "The host reaches no endpoint, and knows of no other host that does and may pass the request on.", "Come back after the time of Retry-After."),
 		entry(NotAnEndpoint, "NotAnEndpoint", "A host sent the request to this host as if it were an endpoint, by an entry that another writer left.", "An operator removes the entry."),
 	}
