--- a/core/edge/retrial_test.go
+++ b/core/edge/retrial_test.go
@@ -13,21 +13,8 @@
 	qt "github.com/frankban/quicktest"
 
 	"heatherford/core/quarantine"
-	"heatherford/core/registry"
 )
 
-// relistVersioned is relist for endpoints that state the version of their software.
-func (k *cluster) relistVersioned(zones map[string]string) {
-	for id, z := range zones {
-		e := k.endpoint(id, z)
-		e.StartedAt = time.Now()
-		e.Software = "v1"
-		k.platform.put(registry.Endpoints, id, registry.Record{
-			Endpoint: &e,
-		})
-	}
-}
-
 // newDeadlyCluster returns a cluster of three hosts whose endpoints run a version of their
 // software and crash under the deadly request.
 func newDeadlyCluster(t *testing.T) (*cluster, *crashing, []*Edge) {
@@ -35,7 +22,7 @@
 	x := newCrashing()
 	k.setSend(x.send)
 	k.setRefuses(x.refuses)
-	k.relistVersioned(fourEndpoints)
+	k.relist("v1", fourEndpoints)
 	s := []*Edge{k.start("a", "z1"), k.start("b", "z1"), k.start("c", "z2")}
 	k.waitReady(s...)
 	return k, x, s
@@ -50,7 +37,7 @@
 		x.mu.Unlock()
 		if back.After(listed[id]) && time.Now().After(back) {
 			listed[id] = back
-			k.relistVersioned(map[string]string{
+			k.relist("v1", map[string]string{
 				id: z,
 			})
 		}
@@ -94,8 +81,8 @@
 		for i := range 6 {
 			first[fmt.Sprint("more", i)] = "z1"
 		}
-		k.relistVersioned(zones)
-		k.relistVersioned(first)
+		k.relist("v1", zones)
+		k.relist("v1", first)
 		s := []*Edge{k.start("a", "z1"), k.start("c", "z2")}
 		k.waitReady(s...)
 		ctx, cancel := context.WithCancel(t.Context())
@@ -128,7 +115,7 @@
 		}
 		k.c.Assert(len(x.crashes) >= 3, qt.IsTrue)
 		<-time.After(x.downFor)
-		k.relistVersioned(first)
+		k.relist("v1", first)
 		<-time.After(12 * time.Second)
 		mu.Lock()
 		asked, served = 0, 0
@@ -175,7 +162,7 @@
 func TestVirtualOneTrialAtATime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		k := newCluster(t)
-		k.relistVersioned(fourEndpoints)
+		k.relist("v1", fourEndpoints)
 		s := []*Edge{k.start("a", "z1"), k.start("b", "z1"), k.start("c", "z2")}
 		k.waitReady(s...)
 		mu, running, most := sync.Mutex{}, 0, 0
--- a/core/edge/return_test.go
+++ b/core/edge/return_test.go
@@ -45,7 +45,7 @@
 		}
 		s[0].mu.Unlock()
 		<-time.After(time.Second)
-		k.relistVersioned(zones)
+		k.relist("v1", zones)
 		before := k.heartbeats.Load()
 		<-time.After(2 * time.Second)
 		sent := k.heartbeats.Load() - before
--- a/core/edge/unexplained_test.go
+++ b/core/edge/unexplained_test.go
@@ -15,11 +15,13 @@
 	"heatherford/core/registry"
 )
 
-// relist lists the next incarnations of endpoints.
-func (k *cluster) relist(zones map[string]string) {
+// relist lists the next incarnations of endpoints, with the version of their software, which may be
+// empty.
+func (k *cluster) relist(software string, zones map[string]string) {
 	for id, z := range zones {
 		e := k.endpoint(id, z)
 		e.StartedAt = time.Now()
+		e.Software = software
 		k.platform.put(registry.Endpoints, id, registry.Record{
 			Endpoint: &e,
 		})
@@ -62,7 +64,7 @@
 					}
 					<-time.After(down)
 					if len(x.down()) > 0 {
-						k.relist(fourEndpoints)
+						k.relist("", fourEndpoints)
 					}
 					<-time.After(1500 * time.Millisecond)
 				}
@@ -113,7 +115,7 @@
 					<-time.After(400 * time.Millisecond)
 					k.cut(notCut, hosts...)
 					<-time.After(runsComplete)
-					k.relist(fourEndpoints)
+					k.relist("", fourEndpoints)
 					<-time.After(time.Second)
 				}
 				cancel()
