core/quarantine: a trial ends with a run that its endpoint has survived

Three contents that a deadly request had convicted with it were refused for up to 10 s longer than needed.

Cause: an endpoint tries one content at a time, and a content counted as on trial there for 10 s even if it had run, as long as it was blocked for other software. The 'quarantine' and 'try' lines show three contents that all hosts took to one endpoint, whose owner refused.

TestOneTrialAtAnEndpoint fails on the commit before.

--- a/core/quarantine/block.go
+++ b/core/quarantine/block.go
@@ -1,6 +1,9 @@
 package quarantine
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// maxTrials bounds the trials of a blocked request, and maxSoftwareTrials those of other
@@ -221,11 +224,21 @@
 	return e.isBlocked() && at.Sub(t) < trialTime
 }
 
+// survivedTrial reports whether an incarnation has completed a run since it tried the request, and
+// lives on.
+func (e *entry) survivedTrial(incarnation string, now time.Time) bool {
+	began := later(e.trials[incarnation], e.retrials[incarnation])
+	x := e.runs[incarnation]
+	return x != nil && slices.ContainsFunc(x.at, func(t time.Time) bool {
+		return t.After(began) && now.Sub(t) >= trialSettle
+	})
+}
+
 // isTrying reports whether an incarnation tries another request, which would make the outcomes of
 // both doubtful. The caller holds mu.
 func (l *List) isTrying(f Fingerprint, incarnation string, now time.Time) bool {
 	for g, e := range l.entries {
-		if g != f && e.triedAt(incarnation, now) {
+		if g != f && e.triedAt(incarnation, now) && !e.survivedTrial(incarnation, now) {
 			return true
 		}
 	}
--- a/core/quarantine/block_test.go
+++ b/core/quarantine/block_test.go
@@ -215,3 +215,24 @@
 	c.Check(l.Block(f, at(60)).TriesAgain(""), qt.IsFalse)
 	c.Check(l.Block(f, at(60)).TriesAgain(software), qt.IsFalse)
 }
+
+// TestOneTrialAtAnEndpoint checks that an endpoint tries one request at a time, and guards against
+// further ones that wait although the first has run: it may stay blocked for other software.
+func TestOneTrialAtAnEndpoint(t *testing.T) {
+	c := qt.New(t)
+	l := newList()
+	f, g := fingerprint("/a"), fingerprint("/b")
+	for i := range quarantine.BlockAfter {
+		l.RecordCrash(crash(fmt.Sprint("e", i), at(0)), []quarantine.Fingerprint{f, g})
+	}
+	c.Assert(l.BeginTrial(f, "x", "desk v2", at(1)), qt.IsTrue)
+	c.Check(l.BeginTrial(g, "x", "desk v2", at(2)), qt.IsFalse)
+	l.RecordRun(f, quarantine.Run{
+		Incarnation: "x",
+		Software:    "desk v2",
+		At:          at(2),
+	})
+	c.Check(l.BeginTrial(g, "x", "desk v2", at(2).Add(100*time.Millisecond)), qt.IsFalse)
+	c.Check(blocks(l, f, at(3)), qt.IsTrue)
+	c.Check(l.BeginTrial(g, "x", "desk v2", at(3)), qt.IsTrue)
+}
