--- a/review/kit3/uploads.go
+++ b/review/kit3/uploads.go
@@ -14,16 +14,16 @@
 	// users' page.
 	maxBodyBytes = 64 << 20
 	// uploadBytes is the length of the bodies that clients send.
-	uploadBytes = 14 << 20
+	uploadBytes = 20 << 20
 	// uploaders is the usual number of clients that send them, and burstUploaders that in the
 	// burst.
-	uploaders      = 3
-	burstUploaders = 7
+	uploaders      = 2
+	burstUploaders = 5
 	// burstTime is how long the burst lasts.
 	burstTime = 6 * time.Second
 	// uploadRate is the most bytes a second that each of them sends, such that all of them
 	// together stay below the 700 Mbit/s of the link of a single host.
-	uploadRate = 12_000_000
+	uploadRate = 16_000_000
 	// uploadDeadline is how long such a client waits for the answer.
 	uploadDeadline = 8 * time.Second
 	// lookers is the number of clients in a zone that send short requests.
