Review: case 11, a booking runs twice behind an encoded slash

Tried on: two zones with two hosts each, ten endpoints of one service, an unsafe route /book/ and a safe one /book/look/ below it. Clients send bookings as POST /book/look%2Fout-9, whose path begins with /book/ only. For 4 s three fifths of the endpoints lose two fifths of their answers.

--- a/review/kit3/main.go
+++ b/review/kit3/main.go
@@ -30,6 +30,7 @@
 	"bodies":   longBodies,
 	"paths":    paths,
 	"asterisk": asterisk,
+	"slash":    slash,
 	"moved":    moved,
 }
 
--- a/review/kit3/server.go
+++ b/review/kit3/server.go
@@ -75,16 +75,16 @@
 }
 
 // addServer starts a server that registers itself.
-func (w *world) addServer(o serverOptions) (*server, error) {
+func (w *world) addServer(o serverOptions) error {
 	s := &server{
 		options: o,
 		world:   w,
 	}
 	if err := s.start("127.0.0.1:0"); err != nil {
-		return nil, err
+		return err
 	}
 	w.servers = append(w.servers, s)
-	return s, nil
+	return nil
 }
 
 // start begins an incarnation.
--- a/review/kit3/uploads.go
+++ b/review/kit3/uploads.go
@@ -72,7 +72,7 @@
 func (w *world) addUsualServers(service string, perZone int, work time.Duration) error {
 	const slots = 3
 	for i := range perZone * len(w.zones) {
-		if _, err := w.addServer(serverOptions{
+		if err := w.addServer(serverOptions{
 			id:      fmt.Sprintf("i-%s-%d", service, i+1),
 			service: service,
 			zone:    w.zones[i%len(w.zones)].name,
