--- a/review/kit3/bodies.go
+++ b/review/kit3/bodies.go
@@ -23,6 +23,8 @@
 	// one in so many of all.
 	deniedBase  = 5
 	deniedShare = 500
+	// bodyDeadline is how long the client waits for the answer.
+	bodyDeadline = 8 * time.Second
 )
 
 // longBodies shows that hosts deny requests whose bodies are shorter than the configuration allows.
@@ -80,7 +82,7 @@
 			method:   http.MethodPost,
 			target:   "/book/1",
 			name:     domain,
-			deadline: uploadDeadline,
+			deadline: bodyDeadline,
 			body:     body,
 			rate:     rate,
 		}))
--- a/review/kit3/main.go
+++ b/review/kit3/main.go
@@ -26,12 +26,11 @@
 
 // cases are the cases by name. Each returns what is wrong, or an empty text if the rule held.
 var cases = map[string]func(r *record, trouble bool) (string, error){
-	"uploads":  uploads,
-	"bodies":   longBodies,
-	"paths":    paths,
-	"asterisk": asterisk,
-	"slash":    slash,
-	"moved":    moved,
+	"forgotten": forgotten,
+	"deadly":    deadly,
+	"bodies":    longBodies,
+	"slash":     slash,
+	"moved":     moved,
 }
 
 func main() {
