--- a/review/kit3/client.go
+++ b/review/kit3/client.go
@@ -28,9 +28,10 @@
 
 // outcome is what a client saw of a request.
 type outcome struct {
-	id   string
-	host string
-	sent time.Time
+	id     string
+	host   string
+	target string
+	sent   time.Time
 	// written is when the last byte was sent, or zero.
 	written time.Time
 	ended   time.Time
@@ -69,9 +70,10 @@
 // ask sends a request and waits for its answer.
 func (c *client) ask(q question) outcome {
 	o := outcome{
-		id:   newID(),
-		host: q.host,
-		sent: time.Now(),
+		id:     newID(),
+		host:   q.host,
+		target: q.target,
+		sent:   time.Now(),
 	}
 	c.exchange(q, &o)
 	o.ended = time.Now()
--- a/review/kit3/config.go
+++ b/review/kit3/config.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 )
@@ -17,6 +18,8 @@
 	timeout  string
 	target   string
 	priority int
+	// attempts is the most endpoints that a request may be sent to; 0 stands for 2.
+	attempts int
 }
 
 // resource returns an entry of a configuration.
@@ -37,6 +40,7 @@
 	w.version += 2
 	list := []any{}
 	for _, r := range routes {
+		const usualAttempts = 2
 		list = append(list, resource("routes", r.name, map[string]any{
 			"host":            domain,
 			"prefix":          r.prefix,
@@ -45,7 +49,7 @@
 			"targetLatency":   r.target,
 			"priority":        r.priority,
 			"service":         r.service,
-			"maxAttempts":     2,
+			"maxAttempts":     cmp.Or(r.attempts, usualAttempts),
 			"sessionAffinity": true,
 			"allowedRegions":  []string{},
 		}))
@@ -62,7 +66,7 @@
 	}
 	list = append(list, resource("limits", "", map[string]any{
 		"maxHeaderBytes": 16384,
-		"maxBodyBytes":   w.bodyLimit,
+		"maxBodyBytes":   maxBodyBytes,
 		"headerTimeout":  "3000ms",
 		"idleTimeout":    "15000ms",
 	}))
--- a/review/kit3/main.go
+++ b/review/kit3/main.go
@@ -28,7 +28,6 @@
 var cases = map[string]func(r *record, trouble bool) (string, error){
 	"forgotten": forgotten,
 	"deadly":    deadly,
-	"bodies":    longBodies,
 	"slash":     slash,
 	"moved":     moved,
 }
