--- a/review/kit3/main.go
+++ b/review/kit3/main.go
@@ -26,6 +26,7 @@
 
 // cases are the cases by name. Each returns what is wrong, or an empty text if the rule held.
 var cases = map[string]func(r *record, trouble bool) (string, error){
+	"flapping":  flapping,
 	"forgotten": forgotten,
 	"deadly":    deadly,
 	"slash":     slash,
