--- a/review/kit3/moved.go
+++ b/review/kit3/moved.go
@@ -14,6 +14,10 @@
 	overlap = 10 * time.Second
 	// afterMove is how long the store has only its new address until the configuration changes.
 	afterMove = 6 * time.Second
+	// signalled is the share of the hosts that get a signal, and signalGap the time between two of
+	// them, as on the users' standard days. The settings of the others change without one.
+	signalled = 0.6
+	signalGap = 2 * time.Second
 	// applied is how long clients go on after the new configuration has to be in force.
 	applied = 6 * time.Second
 )
@@ -62,7 +66,7 @@
 	return w.judgeMoved(l, acknowledged), nil
 }
 
-// changeSettings changes the settings of all hosts and tells them by signal. With trouble, the
+// changeSettings changes the settings of all hosts and tells some of them by signal. With trouble, the
 // settings name a new address of the store, which answers there from before, and a while later at
 // the old one no more.
 func (w *world) changeSettings() error {
@@ -79,7 +83,13 @@
 			return err
 		}
 		w.record.add("settings changed", "host", h.name, "store", w.store.address)
+	}
+	for i, h := range w.hosts {
+		if float64(i+1) > signalled*float64(len(w.hosts)) {
+			break
+		}
 		h.signal(syscall.SIGHUP)
+		time.Sleep(signalGap)
 	}
 	time.Sleep(overlap)
 	if w.trouble {
